--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# make try and make test are the two commands of the README.
+GOLANGCI_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+LINT := $(GOBIN)/golangci-lint
+FUZZ_CHECKS ?= 20000
+FUZZ_SEED ?= 1
+
+.PHONY: try test build lint format fuzz measure docs generate ci
+
+try: build
+	bin/skylarkloomd try
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -timeout 10m ./...
+
+$(LINT):
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+	! git grep -nE '^[[:space:]]*go (func|[a-zA-Z_.]+\()' -- '*.go'
+
+format: $(LINT)
+	$(LINT) fmt
+
+ci: lint build test
--- /dev/null
+++ b/cmd/skylarkctl/main.go
@@ -0,0 +1,10 @@
+// Command skylarkctl is the operators' command-line tool of skylarkloom.
+package main
+
+import (
+	"os"
+
+	"github.com/skylarkloom/skylarkloom/pkg/command"
+)
+
+func main() { os.Exit(command.Control(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/pkg/api/operate/operate.go
@@ -0,0 +1,74 @@
+// Package operate holds the wire types of the operators' interface: JSON over
+// HTTP on an address and with a token of its own.
+package operate
+
+import (
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/config"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
+	"github.com/skylarkloom/skylarkloom/pkg/platform"
+)
+
+// The paths of the operators' interface.
+const (
+	ConfigPath  = "/v1/config"
+	HistoryPath = "/v1/config/history"
+	StatusPath  = "/v1/status"
+	OrderPath   = "/v1/orders"
+)
+
+// Publish asks to put a document in force.
+type Publish struct {
+	Base     fleet.Revision `json:"base"`
+	Document string         `json:"document"`
+	Author   string         `json:"author"`
+	Message  string         `json:"message"`
+}
+
+// Published answers a publish.
+type Published struct {
+	ID       string         `json:"id"`
+	Revision fleet.Revision `json:"revision"`
+}
+
+// Failure answers a call that failed.
+type Failure struct {
+	Error string `json:"error"`
+	// Pending is the ID of a publish that may still come into force.
+	Pending string `json:"pending,omitempty"`
+	// Current is the change in force, after a conflict.
+	Current *config.Change `json:"current,omitempty"`
+}
+
+// Status is what one node knows of itself and the fleet.
+type Status struct {
+	Node       fleet.NodeName                        `json:"node"`
+	DataCentre fleet.DataCentreName                  `json:"datacentre"`
+	Time       time.Time                             `json:"time"`
+	Ready      bool                                  `json:"ready"`
+	Revision   fleet.Revision                        `json:"revision"`
+	Instances  []fleet.Instance                      `json:"instances"`
+	Streams    map[platform.StreamName]journal.Stats `json:"streams"`
+	// Nodes are the nodes that this one hears of, itself included.
+	Nodes []Node `json:"nodes"`
+	// Degraded says what does not work now.
+	Degraded []Degraded `json:"degraded"`
+}
+
+// Node is one node as another one sees it.
+type Node struct {
+	Name       fleet.NodeName       `json:"name"`
+	DataCentre fleet.DataCentreName `json:"datacentre"`
+	Revision   fleet.Revision       `json:"revision"`
+	// Heard is when the last heartbeat came.
+	Heard time.Time `json:"heard"`
+	Alive bool      `json:"alive"`
+}
+
+// Degraded is something that does not work, since a time.
+type Degraded struct {
+	What  string    `json:"what"`
+	Since time.Time `json:"since"`
+}
--- /dev/null
+++ b/pkg/daemon/listener.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/settings"
+)
+
+// Limits of a listener.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	maxConnections = 16384
+)
+
+// listener serves a handler on an address from the settings.
+type listener struct {
+	settings settings.Listener
+	handler  http.Handler
+
+	net    net.Listener
+	server *http.Server
+	group  errgroup.Group
+	done   chan struct{}
+}
+
+func (l *listener) address() string { return l.net.Addr().String() }
+
+// service returns the kernel service that the listener is.
+func (l *listener) service(name kernel.ServiceName) kernel.Service {
+	l.done = make(chan struct{})
+	return kernel.Service{Name: name, Value: l, Start: l.start, Stop: l.stop, Done: l.done}
+}
+
+func (l *listener) start(ctx context.Context) (err error) {
+	l.net, err = new(net.ListenConfig).Listen(ctx, "tcp", l.settings.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", l.settings.Address)
+	}
+	l.net = netutil.LimitListener(l.net, maxConnections)
+	l.server = &http.Server{
+		Handler:           l.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	t := l.settings.TLS
+	if t != (settings.TLS{}) {
+		l.server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	l.group.Go(func() error {
+		defer close(l.done)
+		if l.server.TLSConfig != nil {
+			return l.server.ServeTLS(l.net, t.Certificate, t.Key)
+		}
+		return l.server.Serve(l.net)
+	})
+	return nil
+}
+
+// stop closes the listener, lets the last answers be written and ends.
+func (l *listener) stop(ctx context.Context) (err error) {
+	if l.server == nil {
+		close(l.done)
+		return nil
+	}
+	if err := l.server.Shutdown(ctx); err != nil {
+		return errors.CombineErrors(err, l.server.Close())
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/daemon/services.go
@@ -0,0 +1,252 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
+	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/config"
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
+	"github.com/skylarkloom/skylarkloom/pkg/entry"
+	"github.com/skylarkloom/skylarkloom/pkg/event"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
+	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/operator"
+	"github.com/skylarkloom/skylarkloom/pkg/order"
+	"github.com/skylarkloom/skylarkloom/pkg/platform"
+	"github.com/skylarkloom/skylarkloom/pkg/roster"
+	"github.com/skylarkloom/skylarkloom/pkg/router"
+)
+
+// pollEvery is how often the instance list and the notices are read.
+const pollEvery = 500 * time.Millisecond
+
+// newStream returns a stream whose failures are logged.
+func (d *Daemon) newStream(name platform.StreamName) *journal.Stream {
+	stream := zap.String("stream", string(name))
+	return &journal.Stream{
+		Log:  d.clients.Log,
+		Name: name,
+		Unreadable: func(pos record.Position, err error) {
+			d.Logs.Emit(event.LogRecordUnreadable, stream, zap.Uint64("offset", uint64(pos.Offset)), zap.Error(err))
+		},
+		Failed: func(op journal.Operation, err error) {
+			id := event.LogReadFailed
+			if op == journal.OperationAppend {
+				id = event.LogAppendFailed
+			}
+			d.Logs.Emit(id, stream, zap.Error(err))
+		},
+	}
+}
+
+// running returns a service that runs until its context ends.
+func running(name kernel.ServiceName, value any, run func(ctx context.Context) error) kernel.Service {
+	done := make(chan struct{})
+	var g errgroup.Group
+	return kernel.Service{
+		Name:  name,
+		Value: value,
+		Done:  done,
+		Start: func(ctx context.Context) error {
+			g.Go(func() error {
+				defer close(done)
+				return run(ctx)
+			})
+			return nil
+		},
+	}
+}
+
+func (d *Daemon) configService() (kernel.Service, error) {
+	k := &config.Keeper{
+		Changed: func(c config.Change) {
+			d.Logs.Emit(event.ConfigInForce, zap.Uint64("revision", uint64(c.Revision)), zap.String("author", c.Author))
+		},
+		Unusable: func(c config.Change, err error) {
+			d.Logs.Emit(event.ConfigUnusable, zap.Uint64("revision", uint64(c.Revision)), zap.Error(err))
+		},
+	}
+	s := d.newStream(platform.StreamConfig)
+	s.Apply, s.Save, s.Load = k.Apply, k.Save, k.Load
+	k.Stream = s
+	return running(ServiceConfig, k, s.Run), nil
+}
+
+func (d *Daemon) rosterService() (kernel.Service, error) {
+	r := &roster.Roster{}
+	p := &roster.Poller{
+		Roster: r,
+		List:   d.clients.List,
+		Cloud:  d.clients.Cloud,
+		Every:  pollEvery,
+		Failed: func(err error) { d.Logs.Emit(event.ListFailed, zap.Error(err)) },
+	}
+	return running(ServiceRoster, r, p.Run), nil
+}
+
+func (d *Daemon) routerService() (kernel.Service, error) {
+	known, err := kernel.Find[*roster.Roster](&d.kernel, ServiceRoster)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	r := &router.Router{Roster: known, Client: d.client}
+	known.Marked = func(m roster.Mark) {
+		r.Marked(m)
+		id := event.InstanceLeaving
+		if m.Condition == fleet.ConditionGone {
+			id = event.InstanceGone
+		}
+		d.Logs.Emit(id, zap.String("instance", string(m.Instance.ID)), zap.String("source", string(m.Source)))
+	}
+	return kernel.Service{Name: ServiceRouter, Value: r}, nil
+}
+
+func (d *Daemon) orderService() (kernel.Service, error) {
+	desk := &order.Desk{Node: d.node, NotStarted: endpoint.NotStarted}
+	for n := range d.Settings.Orders.Partitions {
+		p := &order.Partition{Stream: d.newStream(platform.OrderStream(n))}
+		p.Stream.Apply, p.Stream.Applied = p.Apply, p.Applied
+		p.Stream.Save, p.Stream.Load = p.Save, p.Load
+		desk.Partitions = append(desk.Partitions, p)
+	}
+	server := &order.Server{
+		Desk:      desk,
+		Alive:     func(fleet.NodeRef) bool { return true },
+		Candidate: func(fleet.KeyRef) bool { return true },
+	}
+	run := func(ctx context.Context) error {
+		g, ctx := errgroup.WithContext(ctx)
+		for _, p := range desk.Partitions {
+			g.Go(func() error { return p.Stream.Run(ctx) })
+		}
+		g.Go(func() error { return server.Run(ctx) })
+		return g.Wait()
+	}
+	return running(ServiceOrder, desk, run), nil
+}
+
+func (d *Daemon) entryService() (kernel.Service, error) {
+	keeper, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	r, err := kernel.Find[*router.Router](&d.kernel, ServiceRouter)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	desk, err := kernel.Find[*order.Desk](&d.kernel, ServiceOrder)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	runner := &generation.Runner{Pick: r.Generation}
+	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk}
+	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
+	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
+}
+
+func (d *Daemon) callersService() (kernel.Service, error) {
+	h, err := kernel.Find[*entry.Handler](&d.kernel, ServiceEntry)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	d.callers = &listener{settings: d.Settings.Callers, handler: h.Routes()}
+	return d.callers.service(ServiceCallers), nil
+}
+
+func (d *Daemon) operatorService() (kernel.Service, error) {
+	token, err := d.Settings.Operators.Token.Read()
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	keeper, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	desk, err := kernel.Find[*order.Desk](&d.kernel, ServiceOrder)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	h := &operator.Handler{
+		Token:   token,
+		Keeper:  keeper,
+		Ready:   d.ready,
+		Status:  d.Status,
+		Metrics: promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
+		Order: func(ref fleet.KeyRef) (edge.State, bool) {
+			o, ok := desk.Get(ref)
+			return entry.State(o), ok
+		},
+	}
+	d.operator = &listener{settings: d.Settings.Operators, handler: h.Routes()}
+	return d.operator.service(ServiceOperator), nil
+}
+
+var (
+	errNoConfig = errors.New("no configuration is in force yet")
+
+	errDraining  = errors.New("the node is draining")
+	errNoRouting = errors.New("the instance list has not been read yet")
+)
+
+// ready returns nil if the node can serve callers.
+func (d *Daemon) ready() error {
+	keeper, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	if err != nil {
+		return err
+	}
+	h, err := kernel.Find[*entry.Handler](&d.kernel, ServiceEntry)
+	if err != nil {
+		return err
+	}
+	known, err := kernel.Find[*roster.Roster](&d.kernel, ServiceRoster)
+	if err != nil {
+		return err
+	}
+	switch {
+	case h.Draining():
+		return errDraining
+	case keeper.Current() == nil:
+		return errNoConfig
+	case !known.Read():
+		return errNoRouting
+	default:
+		return nil
+	}
+}
+
+// Ready reports whether the node can serve callers.
+func (d *Daemon) Ready() bool { return d.ready() == nil }
+
+// Status returns what the node knows of itself and the fleet.
+func (d *Daemon) Status() operate.Status {
+	s := operate.Status{
+		Node:       d.node.Name,
+		DataCentre: d.Settings.DataCentre,
+		Time:       time.Now(),
+		Ready:      d.Ready(),
+		Streams:    map[platform.StreamName]journal.Stats{},
+	}
+	if k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig); err == nil {
+		s.Revision = k.Revision()
+		s.Streams[k.Stream.Name] = k.Stream.Stats()
+	}
+	if r, err := kernel.Find[*roster.Roster](&d.kernel, ServiceRoster); err == nil {
+		s.Instances = r.Instances()
+	}
+	if desk, err := kernel.Find[*order.Desk](&d.kernel, ServiceOrder); err == nil {
+		for _, p := range desk.Partitions {
+			s.Streams[p.Stream.Name] = p.Stream.Stats()
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/endpoint/endpoint.go
@@ -0,0 +1,68 @@
+// Package endpoint holds the clients of the back ends: model engines and plain
+// services. The function fields are the seams; Dial functions fill them with
+// calls over HTTP.
+package endpoint
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
+
+// NotStartedError reports a request that the endpoint certainly did not begin.
+// It may go to another endpoint.
+type NotStartedError struct {
+	Instance fleet.InstanceID
+	Cause    error
+}
+
+// Error implements error.
+func (e *NotStartedError) Error() string {
+	return fmt.Sprintf("instance %s did not start the request: %v", e.Instance, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotStartedError) Unwrap() error { return e.Cause }
+
+// BrokenError reports a request that an endpoint began, or may have begun, and
+// did not finish.
+type BrokenError struct {
+	Instance fleet.InstanceID
+	Cause    error
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("instance %s broke off the request: %v", e.Instance, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
+// StatusError reports a status of an endpoint that is not a success.
+type StatusError struct {
+	Code    int
+	Message string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Message) }
+
+// NotStarted reports whether an error proves that no endpoint began the request.
+func NotStarted(err error) bool {
+	var e *NotStartedError
+	return errors.As(err, &e)
+}
+
+// classify wraps a transport error. Only a refused or failed dial proves that
+// nothing was sent.
+func classify(id fleet.InstanceID, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &NotStartedError{Instance: id, Cause: err}
+	}
+	return &BrokenError{Instance: id, Cause: err}
+}
--- /dev/null
+++ b/pkg/endpoint/engine.go
@@ -0,0 +1,167 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
+
+// Sizes of what is read from an engine, in bytes.
+const (
+	maxFrame   = 1 << 20
+	maxFailure = 64 << 10
+)
+
+// Engine is the client of one model engine.
+type Engine struct {
+	Instance fleet.Instance
+	// GenerateFunc streams the frames of an answer to emit until the last frame,
+	// an error, or an error of emit. Ending the context cancels the stream.
+	GenerateFunc func(ctx context.Context, g engine.Generate, emit func(engine.Frame) error) error
+	// CancelFunc ends a request on the engine.
+	CancelFunc func(ctx context.Context, id fleet.RequestID) error
+	// LoadFunc returns the engine's load report.
+	LoadFunc func(ctx context.Context) (engine.Load, error)
+	// EventsFunc returns cache events from a sequence number on.
+	EventsFunc func(ctx context.Context, from uint64) ([]engine.CacheEvent, error)
+	// ExportFunc and ImportFunc move the KV cache of a request.
+	ExportFunc func(ctx context.Context, e engine.Export) (engine.Import, error)
+	ImportFunc func(ctx context.Context, i engine.Import) error
+	// CommandFunc sets a desired state.
+	CommandFunc func(ctx context.Context, c engine.Command) error
+}
+
+// DialEngine returns a client of the engine on an instance.
+func DialEngine(i fleet.Instance, client *http.Client) *Engine {
+	c := &engineCaller{instance: i, client: client}
+	return &Engine{
+		Instance:     i,
+		GenerateFunc: c.generate,
+		CancelFunc: func(ctx context.Context, id fleet.RequestID) error {
+			return c.call(ctx, http.MethodDelete, engine.GeneratePath+"/"+url.PathEscape(string(id)), nil, nil)
+		},
+		LoadFunc: func(ctx context.Context) (l engine.Load, err error) {
+			err = c.call(ctx, http.MethodGet, engine.LoadPath, nil, &l)
+			return l, err
+		},
+		EventsFunc: func(ctx context.Context, from uint64) (events []engine.CacheEvent, err error) {
+			err = c.call(ctx, http.MethodGet, engine.EventsPath+"?from="+strconv.FormatUint(from, 10), nil, &events)
+			return events, err
+		},
+		ExportFunc: func(ctx context.Context, e engine.Export) (i engine.Import, err error) {
+			err = c.call(ctx, http.MethodPost, engine.ExportPath, e, &i)
+			return i, err
+		},
+		ImportFunc: func(ctx context.Context, i engine.Import) error {
+			return c.call(ctx, http.MethodPost, engine.ImportPath, i, nil)
+		},
+		CommandFunc: func(ctx context.Context, cmd engine.Command) error {
+			return c.call(ctx, http.MethodPost, engine.CommandPath, cmd, nil)
+		},
+	}
+}
+
+type engineCaller struct {
+	instance fleet.Instance
+	client   *http.Client
+}
+
+func (c *engineCaller) do(ctx context.Context, method, path string, body any) (res *http.Response, err error) {
+	var data []byte
+	if body != nil {
+		if data, err = json.Marshal(body); err != nil {
+			return nil, &NotStartedError{Instance: c.instance.ID, Cause: err}
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.Address+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, &NotStartedError{Instance: c.instance.ID, Cause: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err = c.client.Do(req)
+	if err != nil {
+		return nil, classify(c.instance.ID, err)
+	}
+	if res.StatusCode/100 == 2 {
+		return res, nil
+	}
+	return nil, errors.CombineErrors(c.failure(res), res.Body.Close())
+}
+
+// failure turns an answer that is not a success into an error.
+func (c *engineCaller) failure(res *http.Response) error {
+	data, _ := io.ReadAll(io.LimitReader(res.Body, maxFailure))
+	f := engine.Failure{Started: true}
+	if err := json.Unmarshal(data, &f); err != nil {
+		f.Error = http.StatusText(res.StatusCode)
+	}
+	status := &StatusError{Code: res.StatusCode, Message: f.Error}
+	if !f.Started {
+		return &NotStartedError{Instance: c.instance.ID, Cause: status}
+	}
+	return &BrokenError{Instance: c.instance.ID, Cause: status}
+}
+
+func (c *engineCaller) call(ctx context.Context, method, path string, body, answer any) (err error) {
+	res, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, res.Body.Close()) }()
+	if answer == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(res.Body).Decode(answer), "decode the engine's answer")
+}
+
+func (c *engineCaller) generate(ctx context.Context, g engine.Generate, emit func(engine.Frame) error) (err error) {
+	res, err := c.do(ctx, http.MethodPost, engine.GeneratePath, g)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, res.Body.Close()) }()
+	for event, err := range Events(res.Body) {
+		if err != nil {
+			return &BrokenError{Instance: c.instance.ID, Cause: err}
+		}
+		var f engine.Frame
+		if err := json.Unmarshal(event, &f); err != nil {
+			return &BrokenError{Instance: c.instance.ID, Cause: err}
+		}
+		if err := emit(f); err != nil {
+			return err
+		}
+		if f.Done {
+			return nil
+		}
+	}
+	return &BrokenError{Instance: c.instance.ID, Cause: io.ErrUnexpectedEOF}
+}
+
+// Events returns the data of the server-sent events that a reader holds, and
+// ends with the reader. A yielded slice is valid until the next one.
+func Events(r io.Reader) func(yield func([]byte, error) bool) {
+	return func(yield func([]byte, error) bool) {
+		lines := bufio.NewScanner(r)
+		lines.Buffer(make([]byte, 0, 4096), maxFrame)
+		for lines.Scan() {
+			data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
+			if ok && !yield(bytes.TrimSpace(data), nil) {
+				return
+			}
+		}
+		if err := lines.Err(); err != nil {
+			yield(nil, err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/endpoint/service.go
@@ -0,0 +1,90 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
+
+// MaxServiceAnswer bounds the answer of a plain service, in bytes.
+const MaxServiceAnswer = 8 << 20
+
+// NotStartedHeader is the documented way in which a plain service says that it
+// did not start a call: the header with the value "true" on a status 503.
+const NotStartedHeader = "Skylarkloom-Not-Started"
+
+// KeyHeader carries the caller's idempotency key.
+const KeyHeader = "Idempotency-Key"
+
+// Call is a call of a plain service.
+type Call struct {
+	Method  string
+	Path    string
+	Type    string
+	Body    []byte
+	Account fleet.AccountName
+	Key     fleet.Key
+	Fence   fleet.Fence
+}
+
+// Answer is a plain service's answer.
+type Answer struct {
+	Status int
+	Type   string
+	Body   []byte
+}
+
+// Service is the client of a plain service on one instance.
+type Service struct {
+	Instance fleet.Instance
+	// CallFunc makes a call. Errors are *NotStartedError if the service
+	// certainly did not begin it.
+	CallFunc func(ctx context.Context, c Call) (Answer, error)
+}
+
+// DialService returns a client of the plain service on an instance.
+func DialService(i fleet.Instance, client *http.Client) *Service {
+	return &Service{Instance: i, CallFunc: func(ctx context.Context, c Call) (Answer, error) {
+		return callService(ctx, i, client, c)
+	}}
+}
+
+func callService(ctx context.Context, i fleet.Instance, client *http.Client, c Call) (a Answer, err error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+i.Address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return a, &NotStartedError{Instance: i.ID, Cause: err}
+	}
+	// Without GetBody the transport cannot send the body a second time by itself.
+	req.GetBody = nil
+	if c.Type != "" {
+		req.Header.Set("Content-Type", c.Type)
+	}
+	if c.Key != "" {
+		req.Header.Set(KeyHeader, string(c.Key))
+		req.Header.Set(engine.FenceHeader, strconv.FormatUint(uint64(c.Fence), 10))
+	}
+	req.Header.Set("Skylarkloom-Account", string(c.Account))
+	res, err := client.Do(req)
+	if err != nil {
+		return a, classify(i.ID, err)
+	}
+	defer func() { err = errors.CombineErrors(err, res.Body.Close()) }()
+	if res.Header.Get(NotStartedHeader) == "true" && res.StatusCode == http.StatusServiceUnavailable {
+		return a, &NotStartedError{Instance: i.ID, Cause: &StatusError{Code: res.StatusCode, Message: "refused"}}
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxServiceAnswer+1))
+	if err != nil {
+		return a, &BrokenError{Instance: i.ID, Cause: err}
+	}
+	if len(body) > MaxServiceAnswer {
+		return a, &BrokenError{Instance: i.ID, Cause: &StatusError{Code: res.StatusCode, Message: "the answer is too large"}}
+	}
+	return Answer{Status: res.StatusCode, Type: res.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/pkg/entry/keyed.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/order"
+)
+
+func wantsAsync(r *http.Request) bool {
+	for _, v := range r.Header.Values("Prefer") {
+		for p := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(p), "respond-async") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// service passes a call to a plain service. Safe and idempotent methods, and
+// those that the pool lists as repeatable, go straight through; others are
+// orders.
+func (h *Handler) service(w http.ResponseWriter, r *http.Request, c *call) error {
+	p, err := c.pool(fleet.PoolName(r.PathValue("pool")), fleet.KindService)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	path := servicePath(r)
+	if isOrder(r.Method, path, p) || wantsAsync(r) {
+		return h.keyed(w, r, c, p, path, body)
+	}
+	deadline, release, err := h.admit(c, p, 0, 0)
+	if err != nil {
+		return err
+	}
+	defer release()
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	a, err := h.Call(ctx, p.Name, endpoint.Call{
+		Method:  r.Method,
+		Path:    path,
+		Type:    r.Header.Get("Content-Type"),
+		Body:    body,
+		Account: c.account.Name,
+	}, true)
+	if err != nil {
+		return err
+	}
+	c.report.Status = a.Status
+	writeAnswer(w, a.Status, a.Type, a.Body)
+	return nil
+}
+
+func servicePath(r *http.Request) string {
+	u := url.URL{Path: "/" + r.PathValue("path"), RawQuery: r.URL.RawQuery}
+	return u.RequestURI()
+}
+
+// isOrder reports whether a call may not be repeated, by RFC 9110 and the pool.
+func isOrder(method, path string, p fleet.Pool) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return false
+	}
+	for _, prefix := range p.Repeatable {
+		if strings.HasPrefix(path, prefix) {
+			return false
+		}
+	}
+	return true
+}
+
+// keyed takes an order, or asynchronous work, on under its idempotency key.
+func (h *Handler) keyed(w http.ResponseWriter, r *http.Request, c *call, p fleet.Pool, path string, body []byte) error {
+	key, err := parseKey(r)
+	if err != nil {
+		return err
+	}
+	if len(body) > MaxOrderBody {
+		return &http.MaxBytesError{Limit: MaxOrderBody}
+	}
+	deadline, release, err := h.admit(c, p, 0, 0)
+	if err != nil {
+		return err
+	}
+	defer release()
+	a := record.Accept{
+		Ref:        fleet.KeyRef{Account: c.account.Name, Key: key},
+		Digest:     requestDigest(r.Method, p.Name, path, body),
+		Owner:      h.Desk.Node,
+		Pool:       p.Name,
+		Method:     r.Method,
+		Path:       path,
+		Type:       r.Header.Get("Content-Type"),
+		Body:       body,
+		Deadline:   deadline,
+		Window:     c.force.Document.KeyWindow(),
+		Repeatable: p.Kind == fleet.KindModel,
+	}
+	if wantsAsync(r) {
+		return h.enqueue(w, r, a)
+	}
+	o, err := h.Desk.Run(r.Context(), a)
+	if err != nil {
+		e := *explain(err)
+		e.Request = requestPath(key)
+		return &e
+	}
+	c.report.Status = o.Result.Status
+	writeAnswer(w, o.Result.Status, o.Result.Type, o.Result.Answer)
+	return nil
+}
+
+func (h *Handler) enqueue(w http.ResponseWriter, r *http.Request, a record.Accept) error {
+	a.Deadline = later(a.Deadline, h.now().Add(asyncDeadline))
+	o, err := h.Desk.Enqueue(r.Context(), a)
+	if err != nil {
+		e := *explain(err)
+		e.Request = requestPath(a.Ref.Key)
+		return &e
+	}
+	w.Header().Set("Location", requestPath(a.Ref.Key))
+	w.Header().Set("Preference-Applied", "respond-async")
+	writeJSON(w, "application/json", http.StatusAccepted, State(o))
+	return nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func parseKey(r *http.Request) (fleet.Key, error) {
+	key := r.Header.Get(edge.KeyHeader)
+	if key == "" {
+		return "", badRequest(edge.KeyHeader, "this call may not be repeated and needs an Idempotency-Key header")
+	}
+	if len(key) > MaxKey {
+		return "", badRequest(edge.KeyHeader, "the idempotency key is longer than "+strconv.Itoa(MaxKey)+" bytes")
+	}
+	return fleet.Key(key), nil
+}
+
+func requestPath(key fleet.Key) string { return "/v1/requests/" + url.PathEscape(string(key)) }
+
+func requestDigest(method string, pool fleet.PoolName, path string, body []byte) fleet.Digest {
+	sum := sha256.New()
+	for _, part := range []string{method, string(pool), path, string(body)} {
+		_, _ = sum.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
+	}
+	return fleet.Digest(sum.Sum(nil))
+}
+
+// request answers with the state of a keyed request of the same account.
+func (h *Handler) request(w http.ResponseWriter, r *http.Request, c *call) error {
+	ref := fleet.KeyRef{Account: c.account.Name, Key: fleet.Key(r.PathValue("key"))}
+	o, ok := h.Desk.Get(ref)
+	if !ok {
+		return &Error{Status: http.StatusNotFound, Code: "not_found", Message: "the account has no request with this key"}
+	}
+	writeJSON(w, "application/json", http.StatusOK, State(o))
+	return nil
+}
+
+// State returns the state of an order as callers are told of it.
+func State(o order.Order) edge.State {
+	s := edge.State{
+		Key:      o.Request.Ref.Key,
+		Pool:     o.Request.Pool,
+		Status:   string(o.Status),
+		Outcome:  o.Outcome,
+		Deadline: o.Request.Deadline,
+		Detail:   o.Result.Detail,
+	}
+	if o.Status == order.StatusSettled {
+		s.Answer = &edge.StoredAnswer{Status: o.Result.Status, Type: o.Result.Type}
+		if utf8.Valid(o.Result.Answer) {
+			s.Answer.Body = string(o.Result.Answer)
+		} else {
+			s.Answer.Base64 = o.Result.Answer
+		}
+	}
+	return s
+}
+
+func writeAnswer(w http.ResponseWriter, status int, contentType string, body []byte) {
+	if contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	if status >= http.StatusBadRequest {
+		w.Header().Set(edge.OutcomeHeader, string(fleet.OutcomeFailed))
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// Execute carries out an order of either kind of pool; it is the desk's Send.
+func (h *Handler) Execute(ctx context.Context, o order.Order, send func(context.Context, order.Order) (order.Reply, error)) (reply order.Reply, err error) {
+	if !o.Request.Repeatable {
+		return send(ctx, o)
+	}
+	q, err := parseStored(o.Request)
+	if err != nil {
+		return reply, &endpoint.NotStartedError{Cause: err}
+	}
+	force := h.Config()
+	if force == nil {
+		return reply, &endpoint.NotStartedError{Cause: errNoConfig}
+	}
+	c := &call{id: fleet.RequestID(o.Accept.String()), force: force}
+	c.account, _ = force.Document.Account(o.Request.Ref.Account)
+	c.report = Report{ID: c.id, Account: c.account.Name, Pool: o.Request.Pool, Start: h.now(), Status: http.StatusOK, Outcome: fleet.OutcomeDone}
+	p, _ := force.Document.Pool(o.Request.Pool)
+	policy := force.Document.Policy(c.account.Name, p.Name, h.now())
+	most := policy.MaxTokens.Value
+	if q.max > 0 {
+		most = min(most, q.max)
+	}
+	text, res, err := h.collect(ctx, c, generationRequest(c, p, q, most, policy.Priority.Value, o.Request.Deadline))
+	if err != nil {
+		return reply, err
+	}
+	body, err := json.Marshal(whole(c.id, h.now(), q, text, res))
+	if h.Finished != nil {
+		c.report.Total = h.now().Sub(c.report.Start)
+		h.Finished(c.report)
+	}
+	return order.Reply{Status: http.StatusOK, Type: "application/json", Body: body}, err
+}
+
+func parseStored(a record.Accept) (question, error) {
+	if strings.HasPrefix(a.Path, "/v1/chat/") {
+		return parseChat(a.Body)
+	}
+	return parseCompletion(a.Body)
+}
--- /dev/null
+++ b/pkg/fleet/document.go
@@ -0,0 +1,242 @@
+package fleet
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/strict"
+)
+
+// Defaults that apply where a document leaves a value out.
+const (
+	// DefaultDeadline is how long a request may take.
+	DefaultDeadline = 60 * time.Second
+	// DefaultFirstToken is the latency target to the first token.
+	DefaultFirstToken = 460 * time.Millisecond
+	// DefaultBetweenTokens is the latency target between tokens.
+	DefaultBetweenTokens = 47 * time.Millisecond
+	// DefaultKeyWindow is how long an idempotency key is remembered.
+	DefaultKeyWindow = 24 * time.Hour
+	// DefaultObjective is the share of requests that must meet their target.
+	DefaultObjective = 0.95
+	// DefaultMaxTokens bounds an answer whose request sets no bound.
+	DefaultMaxTokens Tokens = 1024
+	// MinReason is the fewest characters a written reason may have.
+	MinReason = 8
+)
+
+// Document is the configuration of the whole fleet, as operators publish it.
+type Document struct {
+	Defaults   Defaults    `yaml:"defaults"`
+	Pools      []Pool      `yaml:"pools"`
+	Accounts   []Account   `yaml:"accounts"`
+	Exceptions []Exception `yaml:"exceptions,omitempty"`
+}
+
+// Defaults are the values that pools and accounts fall back to.
+type Defaults struct {
+	Deadline      time.Duration `yaml:"deadline,omitempty"`
+	FirstToken    time.Duration `yaml:"first_token,omitempty"`
+	BetweenTokens time.Duration `yaml:"between_tokens,omitempty"`
+	Objective     float64       `yaml:"objective,omitempty"`
+	KeyWindow     time.Duration `yaml:"key_window,omitempty"`
+	MaxTokens     Tokens        `yaml:"max_tokens,omitempty"`
+	Weights       Weights       `yaml:"weights,omitempty"`
+}
+
+// Weights say what a pool or account pays most attention to. They are
+// relative; a zero value takes the defaults.
+type Weights struct {
+	Latency   float64 `yaml:"latency,omitempty"`
+	Recompute float64 `yaml:"recompute,omitempty"`
+	Price     float64 `yaml:"price,omitempty"`
+}
+
+// Pool is a set of endpoints that serve the same model or plain service.
+type Pool struct {
+	Name     PoolName      `yaml:"name"`
+	Kind     Kind          `yaml:"kind"`
+	Model    string        `yaml:"model,omitempty"`
+	Version  string        `yaml:"version,omitempty"`
+	Adapters []string      `yaml:"adapters,omitempty"`
+	Deadline time.Duration `yaml:"deadline,omitempty"`
+	Weights  Weights       `yaml:"weights,omitempty"`
+	// Fenced says that the endpoints refuse old fencing numbers.
+	Fenced bool `yaml:"fenced,omitempty"`
+	// Repeatable lists path prefixes of a service whose unsafe methods may be
+	// repeated and therefore are not orders.
+	Repeatable []string `yaml:"repeatable,omitempty"`
+	// Slots is how many requests one endpoint runs at a time.
+	Slots int `yaml:"slots,omitempty"`
+	// Workers bounds how many instances the system may keep for the pool.
+	Workers Range `yaml:"workers,omitempty"`
+	// Offers are the places where instances for the pool can be started.
+	Offers []Offer `yaml:"offers,omitempty"`
+}
+
+// Range is an inclusive range of counts.
+type Range struct {
+	Min int `yaml:"min,omitempty"`
+	Max int `yaml:"max,omitempty"`
+}
+
+// Offer is a zone and class in which the cloud can start instances.
+type Offer struct {
+	Zone       ZoneName       `yaml:"zone"`
+	DataCentre DataCentreName `yaml:"datacentre"`
+	Class      ClassName      `yaml:"class"`
+	Market     Market         `yaml:"market"`
+	// Hourly is the price of an hour.
+	Hourly MicroCents `yaml:"hourly"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name AccountName `yaml:"name"`
+	// Keys are the SHA-256 hashes of the bearer keys, as "sha256:HEX".
+	Keys  []KeyHash  `yaml:"keys"`
+	Pools []PoolName `yaml:"pools"`
+	// Rate is the fleet-wide limit in requests a second; 0 is no limit.
+	Rate float64 `yaml:"rate,omitempty"`
+	// Burst is how many requests may come at once; 0 takes one second's worth.
+	Burst int `yaml:"burst,omitempty"`
+	// Priority orders accounts under overload; higher goes first.
+	Priority int     `yaml:"priority,omitempty"`
+	Weights  Weights `yaml:"weights,omitempty"`
+}
+
+// Exception overrides one value for an account or pool. It must carry a reason.
+type Exception struct {
+	Account AccountName   `yaml:"account,omitempty"`
+	Pool    PoolName      `yaml:"pool,omitempty"`
+	Field   string        `yaml:"field"`
+	Value   ExceptionText `yaml:"value"`
+	Reason  string        `yaml:"reason"`
+	Until   time.Time     `yaml:"until,omitempty"`
+}
+
+// ExceptionText is the value of an exception as written.
+type ExceptionText string
+
+// KeyHash is the hash of a bearer key: "sha256:" and 64 hexadecimal digits.
+type KeyHash string
+
+const keyHashPrefix = "sha256:"
+
+// HashKey returns the hash under which a bearer key is kept.
+func HashKey(secret string) KeyHash {
+	sum := sha256.Sum256([]byte(secret))
+	return KeyHash(keyHashPrefix + hex.EncodeToString(sum[:]))
+}
+
+// Equal reports, in constant time, whether two hashes are the same.
+func (h KeyHash) Equal(other KeyHash) bool {
+	return subtle.ConstantTimeCompare([]byte(h), []byte(other)) == 1
+}
+
+func (h KeyHash) valid() bool {
+	if len(h) != len(keyHashPrefix)+2*sha256.Size || h[:len(keyHashPrefix)] != keyHashPrefix {
+		return false
+	}
+	_, err := hex.DecodeString(string(h[len(keyHashPrefix):]))
+	return err == nil
+}
+
+// ParseDocument decodes and checks a document. It returns every problem found,
+// with lines; the document is usable only if the error is nil. The error is a
+// *strict.Error.
+func ParseDocument(name string, data []byte) (doc Document, err error) {
+	c := strict.Decode(name, data, &doc)
+	doc.check(c)
+	return doc, c.Err()
+}
+
+func (d *Document) check(c *strict.Checker) {
+	pools := make(map[PoolName]bool, len(d.Pools))
+	for i, p := range d.Pools {
+		at := strict.Path("pools", i)
+		c.Require(p.Name != "", at.Key("name"), "a pool needs a name")
+		c.Require(!pools[p.Name], at.Key("name"), fmt.Sprintf("pool %q is listed twice", p.Name))
+		pools[p.Name] = true
+		p.check(c, at)
+	}
+	c.Require(len(d.Pools) > 0, strict.Path("pools"), "expected at least one pool")
+	d.Defaults.check(c)
+	accounts := make(map[AccountName]bool, len(d.Accounts))
+	owners := make(map[KeyHash]AccountName)
+	for i, a := range d.Accounts {
+		at := strict.Path("accounts", i)
+		c.Require(a.Name != "", at.Key("name"), "an account needs a name")
+		c.Require(!accounts[a.Name], at.Key("name"), fmt.Sprintf("account %q is listed twice", a.Name))
+		accounts[a.Name] = true
+		a.check(c, at, pools, owners)
+	}
+	for i, e := range d.Exceptions {
+		e.check(c, strict.Path("exceptions", i), pools, accounts)
+	}
+}
+
+func (d Defaults) check(c *strict.Checker) {
+	at := strict.Path("defaults")
+	c.Require(d.Deadline >= 0, at.Key("deadline"), "expected a positive duration such as 30s")
+	c.Require(d.FirstToken >= 0, at.Key("first_token"), "expected a positive duration such as 460ms")
+	c.Require(d.BetweenTokens >= 0, at.Key("between_tokens"), "expected a positive duration such as 47ms")
+	c.Require(d.KeyWindow >= 0, at.Key("key_window"), "expected a positive duration such as 24h")
+	c.Require(d.Objective >= 0 && d.Objective < 1, at.Key("objective"), "expected a share from 0 to below 1")
+	c.Require(d.MaxTokens >= 0, at.Key("max_tokens"), "expected a count of 0 or more")
+	d.Weights.check(c, at.Key("weights"))
+}
+
+func (w Weights) check(c *strict.Checker, at strict.Place) {
+	c.Require(w.Latency >= 0, at.Key("latency"), "expected a weight of 0 or more")
+	c.Require(w.Recompute >= 0, at.Key("recompute"), "expected a weight of 0 or more")
+	c.Require(w.Price >= 0, at.Key("price"), "expected a weight of 0 or more")
+}
+
+func (p Pool) check(c *strict.Checker, at strict.Place) {
+	c.Require(p.Kind == KindModel || p.Kind == KindService, at.Key("kind"),
+		fmt.Sprintf("expected %q or %q, found %q", KindModel, KindService, p.Kind))
+	c.Require(p.Deadline >= 0, at.Key("deadline"), "expected a positive duration such as 30s")
+	c.Require(p.Slots >= 0, at.Key("slots"), "expected a count of 0 or more")
+	c.Require(p.Workers.Min >= 0, at.Key("workers").Key("min"), "expected a count of 0 or more")
+	c.Require(p.Workers.Max >= p.Workers.Min, at.Key("workers").Key("max"), "expected a count not below min")
+	p.Weights.check(c, at.Key("weights"))
+	for i, o := range p.Offers {
+		here := at.Key("offers").Index(i)
+		c.Require(o.Zone != "", here.Key("zone"), "an offer needs a zone")
+		c.Require(o.DataCentre != "", here.Key("datacentre"), "an offer needs a data centre")
+		c.Require(o.Market == MarketReclaimable || o.Market == MarketOnDemand, here.Key("market"),
+			fmt.Sprintf("expected %q or %q, found %q", MarketReclaimable, MarketOnDemand, o.Market))
+		c.Require(o.Hourly > 0, here.Key("hourly"), "expected a price above 0")
+	}
+}
+
+func (a Account) check(c *strict.Checker, at strict.Place, pools map[PoolName]bool, owners map[KeyHash]AccountName) {
+	c.Require(len(a.Keys) > 0, at.Key("keys"), "an account needs at least one key hash")
+	for i, k := range a.Keys {
+		here := at.Key("keys").Index(i)
+		c.Require(k.valid(), here, "expected sha256: and 64 hexadecimal digits")
+		owner, taken := owners[k]
+		c.Require(!taken || owner == a.Name, here, fmt.Sprintf("the key belongs to account %q already", owner))
+		owners[k] = a.Name
+	}
+	for i, p := range a.Pools {
+		c.Require(pools[p], at.Key("pools").Index(i), fmt.Sprintf("no pool is named %q", p))
+	}
+	c.Require(a.Rate >= 0, at.Key("rate"), "expected requests a second, 0 or more")
+	c.Require(a.Burst >= 0, at.Key("burst"), "expected a count of 0 or more")
+	a.Weights.check(c, at.Key("weights"))
+}
+
+func (e Exception) check(c *strict.Checker, at strict.Place, pools map[PoolName]bool, accounts map[AccountName]bool) {
+	c.Require(len(e.Reason) >= MinReason, at.Key("reason"),
+		fmt.Sprintf("an exception needs a written reason of %d characters or more", MinReason))
+	c.Require(e.Account != "" || e.Pool != "", at, "an exception names an account, a pool or both")
+	c.Require(e.Account == "" || accounts[e.Account], at.Key("account"), fmt.Sprintf("no account is named %q", e.Account))
+	c.Require(e.Pool == "" || pools[e.Pool], at.Key("pool"), fmt.Sprintf("no pool is named %q", e.Pool))
+	_, err := e.override()
+	c.Require(err == nil, at.Key("value"), fmt.Sprint(err))
+}
--- /dev/null
+++ b/pkg/fleet/policy.go
@@ -0,0 +1,213 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Source says where an effective value comes from.
+type Source string
+
+// The sources of an effective value, weakest first.
+const (
+	SourceBuiltIn   Source = "built-in"
+	SourceDefaults  Source = "defaults"
+	SourcePool      Source = "pool"
+	SourceAccount   Source = "account"
+	SourceException Source = "exception"
+)
+
+// Value is an effective value with its origin.
+type Value[T any] struct {
+	Value  T
+	Source Source
+	// Reason is the written reason, for a value that an exception set.
+	Reason string
+}
+
+// Policy is the set of values in effect for one account on one pool.
+type Policy struct {
+	Deadline      Value[time.Duration]
+	FirstToken    Value[time.Duration]
+	BetweenTokens Value[time.Duration]
+	Objective     Value[float64]
+	MaxTokens     Value[Tokens]
+	Latency       Value[float64]
+	Recompute     Value[float64]
+	Price         Value[float64]
+	Rate          Value[float64]
+	Burst         Value[int]
+	Priority      Value[int]
+}
+
+// The fields that an exception can set.
+const (
+	FieldDeadline  = "deadline"
+	FieldMaxTokens = "max_tokens"
+	FieldLatency   = "latency"
+	FieldRecompute = "recompute"
+	FieldPrice     = "price"
+	FieldRate      = "rate"
+	FieldBurst     = "burst"
+	FieldPriority  = "priority"
+)
+
+// FieldError reports an exception on a field that does not exist.
+type FieldError struct{ Field string }
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	fields := []string{
+		FieldDeadline, FieldMaxTokens, FieldLatency, FieldRecompute,
+		FieldPrice, FieldRate, FieldBurst, FieldPriority,
+	}
+	return fmt.Sprintf("field %q cannot be excepted; expected one of %v", e.Field, fields)
+}
+
+// Pool returns the pool of that name.
+func (d *Document) Pool(name PoolName) (Pool, bool) {
+	i := slices.IndexFunc(d.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return Pool{}, false
+	}
+	return d.Pools[i], true
+}
+
+// Account returns the account of that name.
+func (d *Document) Account(name AccountName) (Account, bool) {
+	i := slices.IndexFunc(d.Accounts, func(a Account) bool { return a.Name == name })
+	if i < 0 {
+		return Account{}, false
+	}
+	return d.Accounts[i], true
+}
+
+// Authenticate returns the account that a bearer key belongs to. Every hash is
+// compared, in constant time, so the time tells nothing of the key.
+func (d *Document) Authenticate(secret string) (found Account, ok bool) {
+	hash := HashKey(secret)
+	for _, a := range d.Accounts {
+		for _, k := range a.Keys {
+			if k.Equal(hash) {
+				found, ok = a, true
+			}
+		}
+	}
+	return found, ok
+}
+
+// Allows reports whether the account may use a pool.
+func (a Account) Allows(name PoolName) bool {
+	return slices.Contains(a.Pools, name)
+}
+
+// KeyWindow returns how long idempotency keys are remembered.
+func (d *Document) KeyWindow() time.Duration {
+	if d.Defaults.KeyWindow > 0 {
+		return d.Defaults.KeyWindow
+	}
+	return DefaultKeyWindow
+}
+
+// Policy returns the values in effect for an account on a pool at a time,
+// each with where it comes from. An unknown name contributes nothing.
+func (d *Document) Policy(account AccountName, pool PoolName, now time.Time) Policy {
+	a, _ := d.Account(account)
+	p, _ := d.Pool(pool)
+	f := d.Defaults
+	v := Policy{
+		Deadline:      layered(DefaultDeadline, f.Deadline, p.Deadline, 0),
+		FirstToken:    layered(DefaultFirstToken, f.FirstToken, 0, 0),
+		BetweenTokens: layered(DefaultBetweenTokens, f.BetweenTokens, 0, 0),
+		Objective:     layered(DefaultObjective, f.Objective, 0, 0),
+		MaxTokens:     layered(DefaultMaxTokens, f.MaxTokens, 0, 0),
+		Latency:       layered(1, f.Weights.Latency, p.Weights.Latency, a.Weights.Latency),
+		Recompute:     layered(1, f.Weights.Recompute, p.Weights.Recompute, a.Weights.Recompute),
+		Price:         layered(1, f.Weights.Price, p.Weights.Price, a.Weights.Price),
+		Rate:          layered(0, 0, 0, a.Rate),
+		Burst:         layered(0, 0, 0, a.Burst),
+		Priority:      layered(0, 0, 0, a.Priority),
+	}
+	for _, e := range d.Exceptions {
+		if e.applies(account, pool, now) {
+			e.apply(&v)
+		}
+	}
+	return v
+}
+
+// layered returns the last of the values that is set, with its source.
+func layered[T comparable](builtIn, defaults, pool, account T) Value[T] {
+	var unset T
+	v := Value[T]{Value: builtIn, Source: SourceBuiltIn}
+	if defaults != unset {
+		v = Value[T]{Value: defaults, Source: SourceDefaults}
+	}
+	if pool != unset {
+		v = Value[T]{Value: pool, Source: SourcePool}
+	}
+	if account != unset {
+		v = Value[T]{Value: account, Source: SourceAccount}
+	}
+	return v
+}
+
+func (e Exception) applies(account AccountName, pool PoolName, now time.Time) bool {
+	if e.Account != "" && e.Account != account {
+		return false
+	}
+	if e.Pool != "" && e.Pool != pool {
+		return false
+	}
+	return e.Until.IsZero() || now.Before(e.Until)
+}
+
+func (e Exception) apply(v *Policy) {
+	set, err := e.override()
+	if err == nil {
+		set(v)
+	}
+}
+
+// override returns the change that the exception makes to a policy.
+func (e Exception) override() (set func(*Policy), err error) {
+	text := string(e.Value)
+	switch e.Field {
+	case FieldDeadline:
+		d, err := time.ParseDuration(text)
+		return func(v *Policy) { v.Deadline = excepted(d, e.Reason) }, err
+	case FieldMaxTokens:
+		n, err := strconv.Atoi(text)
+		return func(v *Policy) { v.MaxTokens = excepted(Tokens(n), e.Reason) }, err
+	case FieldBurst:
+		n, err := strconv.Atoi(text)
+		return func(v *Policy) { v.Burst = excepted(n, e.Reason) }, err
+	case FieldPriority:
+		n, err := strconv.Atoi(text)
+		return func(v *Policy) { v.Priority = excepted(n, e.Reason) }, err
+	case FieldLatency, FieldRecompute, FieldPrice, FieldRate:
+		x, err := strconv.ParseFloat(text, 64)
+		return func(v *Policy) { *e.real(v) = excepted(x, e.Reason) }, err
+	default:
+		return nil, &FieldError{Field: e.Field}
+	}
+}
+
+func (e Exception) real(v *Policy) *Value[float64] {
+	switch e.Field {
+	case FieldLatency:
+		return &v.Latency
+	case FieldRecompute:
+		return &v.Recompute
+	case FieldPrice:
+		return &v.Price
+	default:
+		return &v.Rate
+	}
+}
+
+func excepted[T any](value T, reason string) Value[T] {
+	return Value[T]{Value: value, Source: SourceException, Reason: reason}
+}
--- /dev/null
+++ b/pkg/journal/write.go
@@ -0,0 +1,241 @@
+package journal
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/sony/gobreaker/v2"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/platform"
+)
+
+// Ticket follows records from their submission to the fold.
+type Ticket struct {
+	stream  *Stream
+	records []record.Envelope
+	seen    chan struct{}
+	ended   chan struct{}
+	once    sync.Once
+	// The fields below are guarded by the stream's lock.
+	sending  bool
+	sent     bool
+	written  bool
+	dropped  bool
+	position record.Position
+}
+
+// Seen is closed once the records were read back in order and folded.
+func (t *Ticket) Seen() <-chan struct{} { return t.seen }
+
+// Position returns where the records stand; it is valid once they were seen.
+func (t *Ticket) Position() record.Position {
+	t.stream.mu.Lock()
+	defer t.stream.mu.Unlock()
+	return t.position
+}
+
+// Wait blocks until the records were folded, the context ends or the stream is
+// stopped. After an error the records may still come to stand in the stream,
+// unless Withdraw reports otherwise.
+func (t *Ticket) Wait(ctx context.Context) error {
+	select {
+	case <-t.seen:
+		return nil
+	default:
+	}
+	select {
+	case <-t.seen:
+		return nil
+	case <-t.ended:
+		return &UnavailableError{Stream: t.stream.Name, Reason: ReasonOutage}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Withdraw takes the records back. It reports true if they certainly never
+// reached the log and never will; false if they may stand in it. Records that
+// may stand in the log are not appended again.
+func (t *Ticket) Withdraw() bool {
+	s := t.stream
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.dropped = true
+	s.queue = slices.DeleteFunc(s.queue, func(o *Ticket) bool { return o == t })
+	return !t.sending && !t.sent && !t.written
+}
+
+func (t *Ticket) end() { t.once.Do(func() { close(t.ended) }) }
+
+// Submit queues records, which will share one append. It refuses at once with
+// an *UnavailableError, with nothing appended, if the log does not answer or
+// the queue is full.
+func (s *Stream) Submit(records ...record.Envelope) (t *Ticket, err error) {
+	s.init()
+	if !s.Healthy() && !s.probing() {
+		return nil, &UnavailableError{Stream: s.Name, Reason: ReasonOutage}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.caught {
+		return nil, &UnavailableError{Stream: s.Name, Reason: ReasonStarting}
+	}
+	if len(s.queue) >= or(s.Queue, DefaultQueue) {
+		return nil, &UnavailableError{Stream: s.Name, Reason: ReasonQueue}
+	}
+	t = &Ticket{stream: s, records: records, seen: make(chan struct{}), ended: make(chan struct{})}
+	for _, r := range records {
+		s.pending[r.ID] = t
+	}
+	s.queue = append(s.queue, t)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return t, nil
+}
+
+// complete marks a record as folded. The lock is held.
+func (s *Stream) complete(id record.ID, pos record.Position) {
+	t := s.pending[id]
+	delete(s.pending, id)
+	if t == nil || t.records[len(t.records)-1].ID != id {
+		return
+	}
+	if !t.written {
+		t.written = true
+		t.position = pos
+		close(t.seen)
+	}
+}
+
+// write appends groups until the context ends.
+func (s *Stream) write(ctx context.Context) error {
+	delay := retryDelay()
+	for {
+		group := s.take()
+		if len(group) == 0 {
+			select {
+			case <-s.wake:
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		if s.append(ctx, group) {
+			delay.Reset()
+			continue
+		}
+		if err := sleep(ctx, delay.NextBackOff()); err != nil {
+			return err
+		}
+	}
+}
+
+// take returns the tickets of the next append, those not read back yet first.
+func (s *Stream) take() (group []*Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue = slices.DeleteFunc(s.queue, func(t *Ticket) bool { return t.written || t.dropped })
+	size := 0
+	for _, t := range s.queue {
+		for _, r := range t.records {
+			size += len(r.Body)
+		}
+		if len(group) > 0 && size > or(s.GroupBytes, DefaultGroupBytes) {
+			break
+		}
+		group = append(group, t)
+	}
+	return group
+}
+
+// append appends one group and reports whether the log took it.
+func (s *Stream) append(ctx context.Context, group []*Ticket) bool {
+	settle, err := s.breaker.Allow()
+	if err != nil {
+		return false
+	}
+	var records []record.Envelope
+	for _, t := range group {
+		records = append(records, t.records...)
+	}
+	data, err := record.EncodeGroup(records)
+	if err != nil {
+		settle(nil)
+		s.drop(group)
+		s.failed(OperationAppend, err)
+		return true
+	}
+	s.mark(group, true, false)
+	timed, cancel := context.WithTimeout(ctx, or(s.AppendTimeout, DefaultAppendTimeout))
+	_, err = s.Log.Append(timed, s.Name, data)
+	cancel()
+	settle(err)
+	s.mark(group, false, err == nil || platform.Sent(err))
+	if err != nil {
+		s.failed(OperationAppend, err)
+		s.mu.Lock()
+		s.stats.FailedWrites++
+		s.mu.Unlock()
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Appends++
+	s.stats.Records += len(records)
+	s.stats.Bytes += len(data)
+	s.queue = slices.DeleteFunc(s.queue, func(t *Ticket) bool { return slices.Contains(group, t) })
+	return true
+}
+
+// mark notes that an attempt begins (sending) or how it ended. A ticket that an
+// earlier attempt may have brought to the log stays sent whatever comes of a
+// later one.
+func (s *Stream) mark(group []*Ticket, sending, sent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range group {
+		t.sending = sending
+		t.sent = t.sent || sent
+	}
+}
+
+func (s *Stream) drop(group []*Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range group {
+		t.dropped = true
+		t.end()
+	}
+}
+
+// abandon ends the tickets that wait when the stream stops.
+func (s *Stream) abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.pending {
+		t.end()
+	}
+}
+
+// Write submits records and waits until they were folded.
+func (s *Stream) Write(ctx context.Context, records ...record.Envelope) (pos record.Position, err error) {
+	t, err := s.Submit(records...)
+	if err != nil {
+		return pos, err
+	}
+	if err := t.Wait(ctx); err != nil {
+		return pos, err
+	}
+	return t.Position(), nil
+}
+
+// probing reports whether the breaker lets an attempt through.
+func (s *Stream) probing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.breaker.State() == gobreaker.StateHalfOpen && len(s.queue) == 0
+}
--- /dev/null
+++ b/pkg/operator/operator.go
@@ -0,0 +1,157 @@
+// Package operator is the operators' side of a node: configuration, status,
+// health and metrics, on an address and with a token of its own.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/justinas/alice"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
+	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/config"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
+	"github.com/skylarkloom/skylarkloom/pkg/strict"
+)
+
+// maxDocument bounds a published document, in bytes.
+const maxDocument = 1 << 20
+
+// Handler serves operators.
+type Handler struct {
+	Token  string
+	Keeper *config.Keeper
+	// Ready returns nil if the node can serve callers.
+	Ready   func() error
+	Status  func() operate.Status
+	Metrics http.Handler
+	// Order returns the state of a keyed request.
+	Order func(ref fleet.KeyRef) (edge.State, bool)
+}
+
+// Routes returns the handler of the operators' side. Health checks need no token.
+func (h *Handler) Routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", h.readyz)
+	guarded := alice.New(h.authenticated)
+	mux.Handle("GET /metrics", guarded.Then(h.metrics()))
+	mux.Handle("GET "+operate.ConfigPath, guarded.ThenFunc(h.config))
+	mux.Handle("POST "+operate.ConfigPath, guarded.ThenFunc(h.publish))
+	mux.Handle("GET "+operate.HistoryPath, guarded.ThenFunc(h.history))
+	mux.Handle("GET "+operate.StatusPath, guarded.ThenFunc(h.status))
+	mux.Handle("GET "+operate.OrderPath+"/{account}/{key}", guarded.ThenFunc(h.order))
+	return mux
+}
+
+func (h *Handler) metrics() http.Handler {
+	if h.Metrics == nil {
+		return http.NotFoundHandler()
+	}
+	return h.Metrics
+}
+
+func (h *Handler) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if h.Token == "" || subtle.ConstantTimeCompare([]byte(token), []byte(h.Token)) != 1 {
+			write(w, http.StatusUnauthorized, operate.Failure{Error: "the operators' token is required"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Handler) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := h.Ready(); err != nil {
+		write(w, http.StatusServiceUnavailable, operate.Failure{Error: err.Error()})
+		return
+	}
+	write(w, http.StatusOK, "ok")
+}
+
+func (h *Handler) config(w http.ResponseWriter, _ *http.Request) {
+	c := h.Keeper.Current()
+	if c == nil {
+		write(w, http.StatusNotFound, operate.Failure{Error: "no configuration is in force"})
+		return
+	}
+	write(w, http.StatusOK, c.Change)
+}
+
+func (h *Handler) history(w http.ResponseWriter, _ *http.Request) {
+	write(w, http.StatusOK, h.Keeper.History())
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
+	write(w, http.StatusOK, h.Status())
+}
+
+func (h *Handler) order(w http.ResponseWriter, r *http.Request) {
+	ref := fleet.KeyRef{Account: fleet.AccountName(r.PathValue("account")), Key: fleet.Key(r.PathValue("key"))}
+	s, ok := h.Order(ref)
+	if !ok {
+		write(w, http.StatusNotFound, operate.Failure{Error: "the account has no request with this key"})
+		return
+	}
+	write(w, http.StatusOK, s)
+}
+
+func (h *Handler) publish(w http.ResponseWriter, r *http.Request) {
+	var p operate.Publish
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDocument)).Decode(&p); err != nil {
+		write(w, http.StatusBadRequest, operate.Failure{Error: err.Error()})
+		return
+	}
+	id, c, err := h.put(r.Context(), p)
+	if err != nil {
+		status, f := explain(id, err)
+		write(w, status, f)
+		return
+	}
+	write(w, http.StatusOK, operate.Published{ID: id.String(), Revision: c.Revision})
+}
+
+func (h *Handler) put(ctx context.Context, p operate.Publish) (record.ID, config.Change, error) {
+	return h.Keeper.Publish(ctx, record.Publish{
+		Base:     p.Base,
+		Document: []byte(p.Document),
+		Author:   p.Author,
+		Message:  p.Message,
+	})
+}
+
+// explain returns the status and body for a publish that did not succeed.
+func explain(id record.ID, err error) (int, operate.Failure) {
+	var (
+		bad      *strict.Error
+		conflict *config.ConflictError
+		down     *journal.UnavailableError
+	)
+	f := operate.Failure{Error: err.Error()}
+	switch {
+	case errors.As(err, &bad):
+		return http.StatusUnprocessableEntity, f
+	case errors.As(err, &conflict):
+		f.Current = &conflict.Current
+		return http.StatusConflict, f
+	case errors.As(err, &down):
+		return http.StatusServiceUnavailable, f
+	default:
+		f.Pending = id.String()
+		return http.StatusGatewayTimeout, f
+	}
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/pkg/order/serve.go
@@ -0,0 +1,142 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
+
+// Intervals of the server.
+const (
+	// serveEvery is how often the orders are looked through.
+	serveEvery = 100 * time.Millisecond
+	// serveLimit is how many orders one node carries out in the background.
+	serveLimit = 256
+)
+
+// Server carries out the orders that no caller waits for on this node:
+// asynchronous work, and orders taken over from nodes that are gone.
+type Server struct {
+	Desk *Desk
+	// Alive reports whether a node is believed to live. A wrong answer costs
+	// work, never correctness.
+	Alive func(n fleet.NodeRef) bool
+	// Candidate reports whether this node should take over an order; it keeps
+	// the nodes from all trying at once.
+	Candidate func(ref fleet.KeyRef) bool
+
+	once   sync.Once
+	done   chan struct{}
+	mu     sync.Mutex
+	active map[record.ID]bool
+}
+
+// Done is closed when Run has returned.
+func (s *Server) Done() <-chan struct{} {
+	s.once.Do(func() { s.done = make(chan struct{}) })
+	return s.done
+}
+
+// Run serves until the context ends, and then waits for the orders it has sent.
+func (s *Server) Run(ctx context.Context) error {
+	s.Done()
+	defer close(s.done)
+	var g errgroup.Group
+	g.SetLimit(serveLimit)
+	tick := time.NewTicker(serveEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.sweep(ctx, &g)
+		case <-ctx.Done():
+			return g.Wait()
+		}
+	}
+}
+
+// sweep starts what is to be done now.
+func (s *Server) sweep(ctx context.Context, g *errgroup.Group) {
+	for _, p := range s.Desk.Partitions {
+		for _, o := range p.Orders(s.wants) {
+			if !s.claim(o.Accept) {
+				continue
+			}
+			started := g.TryGo(func() error {
+				defer s.unclaim(o.Accept)
+				s.advance(ctx, p, o)
+				return nil
+			})
+			if !started {
+				s.unclaim(o.Accept)
+			}
+		}
+	}
+}
+
+// wants reports whether this node has something to do for an order.
+func (s *Server) wants(o Order) bool {
+	if o.Status != StatusAccepted && o.Status != StatusDispatched {
+		return false
+	}
+	if o.Owner == s.Desk.Node {
+		return o.Status == StatusAccepted
+	}
+	return !s.Alive(o.Owner) && s.Candidate(o.Request.Ref)
+}
+
+// advance takes the next step of one order. Failures are left to the next sweep.
+func (s *Server) advance(ctx context.Context, p *Partition, o Order) {
+	d := s.Desk
+	late := d.now().After(o.Request.Deadline)
+	switch {
+	case o.Status == StatusAccepted && late:
+		body := record.Cancel{Ref: o.Request.Ref, Accept: o.Accept, Detail: "its deadline passed", Window: o.Request.Window}
+		_, _ = d.append(ctx, p, record.KindCancel, body, o.Request.Ref)
+	case o.Owner != d.Node:
+		body := record.Takeover{Ref: o.Request.Ref, Accept: o.Accept, Term: o.Term, Owner: d.Node}
+		_, _ = d.append(ctx, p, record.KindTakeover, body, o.Request.Ref)
+	default:
+		body := record.Dispatch{Ref: o.Request.Ref, Accept: o.Accept, Term: o.Term, Owner: d.Node}
+		o, err := d.append(ctx, p, record.KindDispatch, body, o.Request.Ref)
+		if err == nil && o.Holds(d.Node) {
+			_, _ = d.carryOut(ctx, p, o)
+		}
+	}
+}
+
+func (s *Server) claim(id record.ID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active[id] {
+		return false
+	}
+	if s.active == nil {
+		s.active = make(map[record.ID]bool)
+	}
+	s.active[id] = true
+	return true
+}
+
+func (s *Server) unclaim(id record.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.active, id)
+}
+
+// append writes one record and returns the order as of it.
+func (d *Desk) append(ctx context.Context, p *Partition, kind record.Kind, body any, ref fleet.KeyRef) (o Order, err error) {
+	e, err := record.New(kind, d.now(), body)
+	if err != nil {
+		return o, err
+	}
+	if _, err := p.Stream.Write(ctx, e); err != nil {
+		return o, err
+	}
+	return d.read(p, ref)
+}
--- /dev/null
+++ b/pkg/standin/standin.go
@@ -0,0 +1,72 @@
+// Package standin holds small in-memory stand-ins of the outside systems: the
+// platform's log, the instance list, the cloud, the weight store, model engines
+// and plain services. They speak the published interfaces over HTTP, and can be
+// switched to the failures that those systems have. They are for tests, the
+// try-out and measurements only.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// State is how a stand-in behaves.
+type State string
+
+// The states of a stand-in.
+const (
+	StateUp State = "up"
+	// StateDown refuses every call, with no effect.
+	StateDown State = "down"
+	// StateSlow delays every call.
+	StateSlow State = "slow"
+	// StateLost carries a call out and never answers it.
+	StateLost State = "lost"
+)
+
+// SlowDelay is how long a slow stand-in takes for a call.
+const SlowDelay = 200 * time.Millisecond
+
+// Server serves a handler on a loopback port.
+type Server struct {
+	Address string
+	http    *http.Server
+	group   errgroup.Group
+}
+
+// Serve starts serving on a free loopback port.
+func Serve(h http.Handler) (*Server, error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Address: l.Addr().String(), http: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+	s.group.Go(func() error { return s.http.Serve(l) })
+	return s, nil
+}
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.Address }
+
+// Close cuts every connection and ends the server.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	_ = s.group.Wait()
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, struct {
+		Error string `json:"error"`
+	}{message})
+}
--- /dev/null
+++ b/pkg/trial/control.go
@@ -0,0 +1,159 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/standin"
+)
+
+// Addresses tell a test from outside how to reach the try-out.
+type Addresses struct {
+	Callers   string                       `json:"callers"`
+	Operators string                       `json:"operators"`
+	Control   string                       `json:"control"`
+	Keys      map[fleet.AccountName]string `json:"keys"`
+	Token     string                       `json:"token"`
+	Pools     map[string]fleet.PoolName    `json:"pools"`
+	Zones     []fleet.ZoneName             `json:"zones"`
+}
+
+// balancer stands in for the platform's balancer: it spreads connections over
+// the nodes that are ready, byte for byte.
+type balancer struct {
+	trial *Trial
+	next  atomic.Uint64
+	net   net.Listener
+	group errgroup.Group
+}
+
+func (b *balancer) start() (err error) {
+	b.net, err = new(net.ListenConfig).Listen(context.Background(), "tcp", loopback)
+	if err != nil {
+		return err
+	}
+	b.group.Go(func() error {
+		for {
+			conn, err := b.net.Accept()
+			if err != nil {
+				return err
+			}
+			b.group.Go(func() error { b.pass(conn); return nil })
+		}
+	})
+	return nil
+}
+
+// stop takes no new connections; those that are open end with their nodes.
+func (b *balancer) stop() {
+	if b.net != nil {
+		_ = b.net.Close()
+	}
+}
+
+// pass joins a connection to the next node that is ready.
+func (b *balancer) pass(caller net.Conn) {
+	defer func() { _ = caller.Close() }()
+	for range b.trial.Nodes {
+		n := b.trial.Nodes[b.next.Add(1)%uint64(len(b.trial.Nodes))]
+		if !n.Ready() {
+			continue
+		}
+		node, err := new(net.Dialer).DialContext(context.Background(), "tcp", n.Callers())
+		if err != nil {
+			continue
+		}
+		join(caller, node)
+		return
+	}
+}
+
+// join copies both ways until both sides have ended.
+func join(caller, node net.Conn) {
+	defer func() { _ = node.Close() }()
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := io.Copy(node, caller)
+		if c, ok := node.(*net.TCPConn); ok {
+			_ = c.CloseWrite()
+		}
+		return err
+	})
+	_, _ = io.Copy(caller, node)
+	_ = caller.Close()
+	_ = g.Wait()
+}
+
+// Open starts the balancer and the control address and returns how to reach
+// everything. It is for tests from outside.
+func (t *Trial) Open() (a Addresses, err error) {
+	if err := t.balance.start(); err != nil {
+		return a, err
+	}
+	control, err := t.serve(t.control())
+	if err != nil {
+		return a, err
+	}
+	return Addresses{
+		Callers:   "http://" + t.balance.net.Addr().String(),
+		Operators: "http://" + t.Nodes[0].Operators(),
+		Control:   control.URL(),
+		Keys:      Keys,
+		Token:     t.Token,
+		Pools:     map[string]fleet.PoolName{string(fleet.KindModel): PoolModel, string(fleet.KindService): PoolService},
+		Zones:     []fleet.ZoneName{ZoneFirst, ZoneSecond},
+	}, nil
+}
+
+// control serves the address that causes faults by hand.
+func (t *Trial) control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, t.Runs.Counts()) })
+	mux.HandleFunc("GET /crashes", func(w http.ResponseWriter, _ *http.Request) { reply(w, t.Cloud.Crashes()) })
+	mux.HandleFunc("POST /log", t.setLog)
+	mux.HandleFunc("POST /reclaim", t.reclaim)
+	mux.HandleFunc("POST /poison", func(w http.ResponseWriter, r *http.Request) {
+		text := r.URL.Query().Get("text")
+		if text == "" {
+			http.Error(w, "expected ?text=TEXT", http.StatusBadRequest)
+			return
+		}
+		t.Cloud.Poison(text)
+		reply(w, "ok")
+	})
+	return mux
+}
+
+func (t *Trial) setLog(w http.ResponseWriter, r *http.Request) {
+	switch s := standin.State(r.URL.Query().Get("state")); s {
+	case standin.StateUp, standin.StateDown, standin.StateSlow, standin.StateLost:
+		t.Log.Set(s)
+		reply(w, "ok")
+	default:
+		http.Error(w, "expected ?state=up, down, slow or lost", http.StatusBadRequest)
+	}
+}
+
+func (t *Trial) reclaim(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	notice, err := time.ParseDuration(q.Get("notice"))
+	zone := fleet.ZoneName(q.Get("zone"))
+	if err != nil || (zone != ZoneFirst && zone != ZoneSecond) {
+		http.Error(w, "expected ?zone=ZONE&notice=5s", http.StatusBadRequest)
+		return
+	}
+	reply(w, t.Cloud.Reclaim(zone, notice))
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/pkg/trial/trial.go
@@ -0,0 +1,276 @@
+// Package trial runs entry nodes and stand-ins of everything around them in one
+// process, for the try-out and for tests from outside.
+package trial
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/daemon"
+	"github.com/skylarkloom/skylarkloom/pkg/event"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/platform"
+	"github.com/skylarkloom/skylarkloom/pkg/settings"
+	"github.com/skylarkloom/skylarkloom/pkg/standin"
+)
+
+// What the try-out is made of.
+const (
+	PoolModel   fleet.PoolName       = "loom-servers"
+	PoolService fleet.PoolName       = "cart-desk"
+	ZoneFirst   fleet.ZoneName       = "dezerter-1"
+	ZoneSecond  fleet.ZoneName       = "didube-1"
+	CentreOne   fleet.DataCentreName = "tb-dezerter"
+	CentreTwo   fleet.DataCentreName = "tb-didube"
+)
+
+// Sizes and speeds of the try-out.
+const (
+	enginesPerZone  = 3
+	servicesPerZone = 2
+	instances       = 2 * (enginesPerZone + servicesPerZone)
+	tokenTime       = 5 * time.Millisecond
+	promptTime      = 100 * time.Microsecond
+	logDelay        = 2 * time.Millisecond
+	listLag         = 300 * time.Millisecond
+	readyTimeout    = 20 * time.Second
+	readyPoll       = 20 * time.Millisecond
+	hourlyFirst     = fleet.MicroCents(90_000_000)
+	hourlySecond    = fleet.MicroCents(110_000_000)
+)
+
+// Keys are the bearer keys of the try-out's accounts.
+var Keys = map[fleet.AccountName]string{
+	"dezerter-sellers": "trial-key-of-the-dezerter-sellers",
+	"season-plans":     "trial-key-of-the-season-plans",
+}
+
+// Trial is a small fleet in one process. The zero value is ready to start.
+type Trial struct {
+	Logs *event.Logs
+
+	Log     *standin.Log
+	Cloud   *standin.Cloud
+	Runs    *standin.Runs
+	Nodes   []*daemon.Daemon
+	Token   string
+	servers []*standin.Server
+	balance *balancer
+	folder  string
+}
+
+// Start starts the stand-ins, publishes a configuration and starts three nodes
+// in two data centres. It returns once every node is ready.
+func (t *Trial) Start(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.CombineErrors(errors.Wrap(err, "start the try-out"), t.Stop(context.WithoutCancel(ctx)))
+		}
+	}()
+	if t.folder, err = os.MkdirTemp("", "skylarkloom-try"); err != nil {
+		return err
+	}
+	if err := t.makeToken(); err != nil {
+		return err
+	}
+	t.Log = &standin.Log{Delay: logDelay}
+	t.Runs = &standin.Runs{}
+	t.Cloud = &standin.Cloud{
+		Engine: func(fleet.PoolName) *standin.Engine {
+			return &standin.Engine{TokenTime: tokenTime, PromptTime: promptTime, Slots: 16}
+		},
+		Service:     func(fleet.PoolName) *standin.Service { return &standin.Service{Runs: t.Runs} },
+		Kinds:       map[fleet.PoolName]fleet.Kind{PoolModel: fleet.KindModel, PoolService: fleet.KindService},
+		Datacentres: map[fleet.ZoneName]fleet.DataCentreName{ZoneFirst: CentreOne, ZoneSecond: CentreTwo},
+		Lag:         listLag,
+		Replace:     true,
+	}
+	if err := t.publish(); err != nil {
+		return err
+	}
+	if err := t.startInstances(); err != nil {
+		return err
+	}
+	if err := t.startNodes(ctx); err != nil {
+		return err
+	}
+	return t.waitReady(ctx)
+}
+
+func (t *Trial) makeToken() error {
+	var b [16]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return err
+	}
+	t.Token = hex.EncodeToString(b[:])
+	return os.WriteFile(t.tokenFile(), []byte(t.Token), 0o600)
+}
+
+func (t *Trial) tokenFile() string { return filepath.Join(t.folder, "token") }
+
+// Document returns the configuration that the try-out starts with.
+func Document() []byte {
+	return fmt.Appendf(nil, `defaults:
+  deadline: 30s
+pools:
+  - name: %s
+    kind: model
+    model: loom
+    slots: 16
+    workers: {min: 2, max: 12}
+    weights: {latency: 2}
+    offers:
+      - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
+      - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
+  - name: %s
+    kind: service
+accounts:
+  - name: dezerter-sellers
+    keys: [%q]
+    pools: [%s, %s]
+  - name: season-plans
+    keys: [%q]
+    pools: [%s, %s]
+`, PoolModel, ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond, PoolService,
+		fleet.HashKey(Keys["dezerter-sellers"]), PoolModel, PoolService,
+		fleet.HashKey(Keys["season-plans"]), PoolModel, PoolService)
+}
+
+func (t *Trial) publish() (err error) {
+	e, err := record.New(record.KindPublish, time.Now(), record.Publish{
+		Document: Document(),
+		Author:   "try-out",
+		Message:  "the first configuration",
+	})
+	if err != nil {
+		return err
+	}
+	data, err := record.EncodeGroup([]record.Envelope{e})
+	if err != nil {
+		return err
+	}
+	t.Log.Put(platform.StreamConfig, data)
+	return nil
+}
+
+func (t *Trial) startInstances() error {
+	for _, z := range []fleet.ZoneName{ZoneFirst, ZoneSecond} {
+		for range enginesPerZone {
+			if err := t.startInstance(PoolModel, z); err != nil {
+				return err
+			}
+		}
+		for range servicesPerZone {
+			if err := t.startInstance(PoolService, z); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (t *Trial) startInstance(pool fleet.PoolName, zone fleet.ZoneName) error {
+	hourly := hourlyFirst
+	if zone == ZoneSecond {
+		hourly = hourlySecond
+	}
+	market := fleet.MarketReclaimable
+	_, err := t.Cloud.Start(platform.Start{Pool: pool, Zone: zone, Class: "small", Market: market, Hourly: hourly})
+	return err
+}
+
+func (t *Trial) serve(h http.Handler) (*standin.Server, error) {
+	s, err := standin.Serve(h)
+	if err == nil {
+		t.servers = append(t.servers, s)
+	}
+	return s, err
+}
+
+func (t *Trial) startNodes(ctx context.Context) error {
+	log, err := t.serve(t.Log.Handler())
+	if err != nil {
+		return err
+	}
+	cloud, err := t.serve(t.Cloud.Handler())
+	if err != nil {
+		return err
+	}
+	centres := []fleet.DataCentreName{CentreOne, CentreOne, CentreTwo}
+	for n, centre := range centres {
+		d := &daemon.Daemon{
+			Logs: t.Logs,
+			Settings: settings.Settings{
+				Node:       fleet.NodeName(fmt.Sprintf("entry-%d", n+1)),
+				DataCentre: centre,
+				Callers:    settings.Listener{Address: loopback},
+				Operators:  settings.Listener{Address: loopback, Token: settings.Secret{File: t.tokenFile()}},
+				Platform:   settings.Platform{Log: log.URL(), List: cloud.URL(), Cloud: cloud.URL()},
+				Orders:     settings.Orders{Partitions: settings.DefaultPartitions},
+			},
+		}
+		if err := d.Start(ctx); err != nil {
+			return err
+		}
+		t.Nodes = append(t.Nodes, d)
+	}
+	t.balance = &balancer{trial: t}
+	return nil
+}
+
+const loopback = "127.0.0.1:0"
+
+func (t *Trial) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	tick := time.NewTicker(readyPoll)
+	defer tick.Stop()
+	for {
+		if t.ready() {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for the nodes")
+		}
+	}
+}
+
+func (t *Trial) ready() bool {
+	for _, n := range t.Nodes {
+		if !n.Ready() || len(n.Status().Instances) < instances {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop drains and stops the nodes and ends the stand-ins.
+func (t *Trial) Stop(ctx context.Context) (err error) {
+	if t.balance != nil {
+		t.balance.stop()
+	}
+	for _, n := range t.Nodes {
+		err = errors.CombineErrors(err, n.Drain(ctx))
+	}
+	for _, n := range t.Nodes {
+		err = errors.CombineErrors(err, n.Stop(ctx))
+	}
+	for _, s := range t.servers {
+		s.Close()
+	}
+	if t.Cloud != nil {
+		t.Cloud.Close()
+	}
+	return errors.CombineErrors(err, os.RemoveAll(t.folder))
+}
