--- a/pkg/api/record/record.go
+++ b/pkg/api/record/record.go
@@ -83,6 +83,8 @@
 	Part  int          `cbor:"2,keyasint"`
 	Parts int          `cbor:"3,keyasint"`
 	Data  []byte       `cbor:"4,keyasint"`
+	// Set is shared by the chunks of one snapshot.
+	Set ID `cbor:"5,keyasint"`
 }
 
 // Publish asks to put a configuration in force.
@@ -182,7 +184,8 @@
 
 func mustEncoder() cbor.EncMode {
 	o := cbor.CoreDetEncOptions()
-	o.Time = cbor.TimeUnixMicro
+	// Text keeps times exact; a float would drift by each decode and encode.
+	o.Time = cbor.TimeRFC3339NanoUTC
 	m, err := o.EncMode()
 	if err != nil {
 		panic(err)
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -46,6 +46,9 @@
 			}
 			d.Logs.Emit(id, stream, zap.Error(err))
 		},
+		Lapsed: func(from, asOf fleet.Offset) {
+			d.Logs.Emit(event.LogLapsed, stream, zap.Uint64("from", uint64(from)), zap.Uint64("snapshot", uint64(asOf)))
+		},
 	}
 }
 
@@ -132,7 +135,9 @@
 		g.Go(func() error { return server.Run(ctx) })
 		return g.Wait()
 	}
-	return running(ServiceOrder, desk, run), nil
+	s := running(ServiceOrder, desk, run)
+	s.Drain = server.Drain
+	return s, nil
 }
 
 func (d *Daemon) entryService() (kernel.Service, error) {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -59,6 +59,7 @@
 	LogAppendFailed ID = 1201 + iota
 	LogReadFailed
 	LogRecordUnreadable
+	LogLapsed
 )
 
 // The events of the instances.
@@ -80,6 +81,7 @@
 	{LogAppendFailed, SubsystemJournal, zapcore.WarnLevel, "append failed", "The platform's log did not take an append; it is tried again.", "If it goes on, see the handbook's page on log outages."},
 	{LogReadFailed, SubsystemJournal, zapcore.WarnLevel, "read failed", "The platform's log could not be read; it is tried again.", "If it goes on, see the handbook's page on log outages."},
 	{LogRecordUnreadable, SubsystemJournal, zapcore.ErrorLevel, "record cannot be read", "A record of a stream was skipped because it cannot be read.", "Compare the versions of the nodes; find the writer by the record's offset."},
+	{LogLapsed, SubsystemJournal, zapcore.WarnLevel, "entries lapsed unread", "The next entry to read was no longer kept; the node went on from the newest snapshot.", "None for a node that was cut off for long; else compare the snapshots' interval with the log's retention."},
 	{InstanceLeaving, SubsystemRoute, zapcore.InfoLevel, "instance leaving", "An instance takes no new work; its work moves.", "None."},
 	{InstanceGone, SubsystemRoute, zapcore.InfoLevel, "instance gone", "An instance refused a connection or left the list.", "None, unless many go without a notice."},
 	{ListFailed, SubsystemRoute, zapcore.WarnLevel, "instance list failed", "The platform's list or notices could not be read; the last view is used.", "If it goes on, check the platform."},
--- a/pkg/journal/follow.go
+++ b/pkg/journal/follow.go
@@ -58,6 +58,7 @@
 	for _, e := range page.Entries {
 		s.fold(e)
 	}
+	s.noteStart(page)
 	s.mu.Lock()
 	next := s.next
 	if next >= page.Next {
@@ -71,11 +72,18 @@
 	return nil
 }
 
+// logTime returns the time of an entry as folds see it. It is short enough to
+// be kept in every snapshot.
+func logTime(e platform.Entry) time.Time { return e.Time.UTC().Truncate(time.Millisecond) }
+
 // fold applies the records of an entry and completes their tickets.
 func (s *Stream) fold(e platform.Entry) {
+	s.folding.Lock()
+	defer s.folding.Unlock()
 	if e.Offset < s.Next() {
 		return
 	}
+	e.Time = logTime(e)
 	group, err := record.DecodeGroup(e.Data)
 	if err != nil {
 		s.unreadable(record.Position{Offset: e.Offset, Time: e.Time}, err)
@@ -83,6 +91,7 @@
 	for i, env := range group {
 		pos := record.Position{Offset: e.Offset, Index: i, Time: e.Time}
 		if env.Kind == record.KindSnapshot {
+			s.noteSnapshot(pos, env)
 			continue
 		}
 		if err := s.Apply(pos, env); err != nil {
@@ -133,7 +142,10 @@
 			return next, err
 		}
 		for i, env := range group {
-			pos := record.Position{Offset: e.Offset, Index: i, Time: e.Time}
+			if env.Kind == record.KindSnapshot {
+				continue
+			}
+			pos := record.Position{Offset: e.Offset, Index: i, Time: logTime(e)}
 			if err := apply(pos, env); err != nil {
 				return next, err
 			}
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -39,6 +39,9 @@
 	DefaultTrip = 3
 	// DefaultProbe is how long the breaker stays open before the next attempt.
 	DefaultProbe = time.Second
+	// DefaultSnapshotEvery is the age at which a stream's newest snapshot is
+	// followed by the next.
+	DefaultSnapshotEvery = time.Hour
 )
 
 // Stream is one stream of the log, folded and written. Log, Name and Apply
@@ -53,32 +56,47 @@
 	Save func() ([]byte, error)
 	// Load replaces the fold's state by a saved one.
 	Load func(state []byte) error
-	// Applied is called after each page of entries was folded.
+	// Applied is called after each page of entries was folded, and after a
+	// snapshot was loaded.
 	Applied func(next fleet.Offset)
+	// Lapsed is called after a reader whose next entry was no longer kept has
+	// gone on from a snapshot.
+	Lapsed func(from, asOf fleet.Offset)
+	// Candidate reports whether this node should append the next snapshot. Nil
+	// means that it should. The others append one when it is twice overdue, so
+	// no snapshot hangs on a wrong answer.
+	Candidate func() bool
 	// Unreadable is called for a record or entry that could not be folded.
 	Unreadable func(pos record.Position, err error)
 	// Failed is called after a failed append or read.
 	Failed func(op Operation, err error)
 
-	// Queue, GroupBytes, Poll, AppendTimeout and Probe override the defaults.
+	// Queue, GroupBytes, Poll, AppendTimeout, Probe and SnapshotEvery override
+	// the defaults.
 	Queue         int
 	GroupBytes    int
 	Poll          time.Duration
 	AppendTimeout time.Duration
 	Probe         time.Duration
-
-	once    sync.Once
-	done    chan struct{}
-	mu      sync.Mutex
-	next    fleet.Offset
-	caught  bool
-	moved   chan struct{}
-	pending map[record.ID]*Ticket
-	queue   []*Ticket
-	wake    chan struct{}
-	breaker *gobreaker.TwoStepCircuitBreaker[struct{}]
-	chunks  map[fleet.Offset]*chunkSet
-	stats   Stats
+	SnapshotEvery time.Duration
+
+	once sync.Once
+	done chan struct{}
+	// folding is held while entries are folded, so that a saved state and the
+	// offset that it stands for belong together.
+	folding  sync.Mutex
+	mu       sync.Mutex
+	next     fleet.Offset
+	caught   bool
+	stopped  bool
+	moved    chan struct{}
+	pending  map[record.ID]*Ticket
+	queue    []*Ticket
+	unsure   bool
+	wake     chan struct{}
+	breaker  *gobreaker.TwoStepCircuitBreaker[struct{}]
+	snapshot time.Time
+	stats    Stats
 }
 
 // Operation names what a stream did when it failed.
@@ -99,6 +117,8 @@
 	Folded       int
 	Unreadable   int
 	Snapshots    int
+	// Lapsed counts the recoveries from a snapshot.
+	Lapsed int
 }
 
 // UnavailableError reports that a record was not taken because the log does
@@ -116,6 +136,7 @@
 	ReasonOutage   Reason = "the log does not answer"
 	ReasonQueue    Reason = "too many records wait"
 	ReasonStarting Reason = "the stream has not been read to its end yet"
+	ReasonStopped  Reason = "the stream has been stopped"
 )
 
 // Error implements error.
@@ -129,7 +150,6 @@
 		s.moved = make(chan struct{})
 		s.wake = make(chan struct{}, 1)
 		s.pending = make(map[record.ID]*Ticket)
-		s.chunks = make(map[fleet.Offset]*chunkSet)
 		s.breaker = gobreaker.NewTwoStepCircuitBreaker[struct{}](gobreaker.Settings{
 			Name:        string(s.Name),
 			Timeout:     or(s.Probe, DefaultProbe),
@@ -159,6 +179,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.follow(ctx) })
 	g.Go(func() error { return s.write(ctx) })
+	g.Go(func() error { return s.preserve(ctx) })
 	err := g.Wait()
 	s.abandon()
 	if errors.Is(err, context.Canceled) {
@@ -204,6 +225,11 @@
 	return s.wait(ctx, func() bool { return s.next >= next })
 }
 
+// Flush blocks until every record that was submitted has been folded.
+func (s *Stream) Flush(ctx context.Context) error {
+	return s.wait(ctx, func() bool { return len(s.pending) == 0 })
+}
+
 func (s *Stream) wait(ctx context.Context, reached func() bool) error {
 	s.init()
 	for {
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -64,9 +64,19 @@
 	defer s.mu.Unlock()
 	t.dropped = true
 	s.queue = slices.DeleteFunc(s.queue, func(o *Ticket) bool { return o == t })
+	s.forget(t)
 	return !t.sending && !t.sent && !t.written
 }
 
+// forget drops a ticket from those that wait for their records. The lock is held.
+func (s *Stream) forget(t *Ticket) {
+	for _, r := range t.records {
+		if s.pending[r.ID] == t {
+			delete(s.pending, r.ID)
+		}
+	}
+}
+
 func (t *Ticket) end() { t.once.Do(func() { close(t.ended) }) }
 
 // Submit queues records, which will share one append. It refuses at once with
@@ -85,6 +95,24 @@
 	if len(s.queue) >= or(s.Queue, DefaultQueue) {
 		return nil, &UnavailableError{Stream: s.Name, Reason: ReasonQueue}
 	}
+	return s.enqueue(records)
+}
+
+// SubmitRequired queues records even while the log does not answer and past
+// the bound of the queue. It is for records that end what an earlier, bounded
+// one began, such as the outcome of an order.
+func (s *Stream) SubmitRequired(records ...record.Envelope) (t *Ticket, err error) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.enqueue(records)
+}
+
+// enqueue queues records. The lock is held.
+func (s *Stream) enqueue(records []record.Envelope) (t *Ticket, err error) {
+	if s.stopped {
+		return nil, &UnavailableError{Stream: s.Name, Reason: ReasonStopped}
+	}
 	t = &Ticket{stream: s, records: records, seen: make(chan struct{}), ended: make(chan struct{})}
 	for _, r := range records {
 		s.pending[r.ID] = t
@@ -115,6 +143,12 @@
 func (s *Stream) write(ctx context.Context) error {
 	delay := retryDelay()
 	for {
+		if err := s.resolve(ctx); err != nil {
+			if err := sleep(ctx, delay.NextBackOff()); err != nil {
+				return err
+			}
+			continue
+		}
 		group := s.take()
 		if len(group) == 0 {
 			select {
@@ -134,7 +168,32 @@
 	}
 }
 
-// take returns the tickets of the next append, those not read back yet first.
+// resolve reads up to the end of the stream after an append without an answer,
+// so that only what is not there is appended again.
+func (s *Stream) resolve(ctx context.Context) error {
+	s.mu.Lock()
+	unsure, next := s.unsure, s.next
+	s.mu.Unlock()
+	if !unsure {
+		return nil
+	}
+	timed, cancel := context.WithTimeout(ctx, or(s.AppendTimeout, DefaultAppendTimeout))
+	defer cancel()
+	page, err := s.Log.Read(timed, s.Name, next, 1, 0)
+	if err != nil {
+		return err
+	}
+	if err := s.WaitOffset(timed, page.Next); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsure = false
+	return nil
+}
+
+// take returns the tickets of the next append and marks them as being sent, so
+// that none of them can be withdrawn as never sent from here on.
 func (s *Stream) take() (group []*Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,6 +206,7 @@
 		if len(group) > 0 && size > or(s.GroupBytes, DefaultGroupBytes) {
 			break
 		}
+		t.sending = true
 		group = append(group, t)
 	}
 	return group
@@ -156,6 +216,7 @@
 func (s *Stream) append(ctx context.Context, group []*Ticket) bool {
 	settle, err := s.breaker.Allow()
 	if err != nil {
+		s.mark(group, false)
 		return false
 	}
 	var records []record.Envelope
@@ -169,16 +230,16 @@
 		s.failed(OperationAppend, err)
 		return true
 	}
-	s.mark(group, true, false)
 	timed, cancel := context.WithTimeout(ctx, or(s.AppendTimeout, DefaultAppendTimeout))
 	_, err = s.Log.Append(timed, s.Name, data)
 	cancel()
 	settle(err)
-	s.mark(group, false, err == nil || platform.Sent(err))
+	s.mark(group, err == nil || platform.Sent(err))
 	if err != nil {
 		s.failed(OperationAppend, err)
 		s.mu.Lock()
 		s.stats.FailedWrites++
+		s.unsure = s.unsure || platform.Sent(err)
 		s.mu.Unlock()
 		return false
 	}
@@ -191,14 +252,13 @@
 	return true
 }
 
-// mark notes that an attempt begins (sending) or how it ended. A ticket that an
-// earlier attempt may have brought to the log stays sent whatever comes of a
-// later one.
-func (s *Stream) mark(group []*Ticket, sending, sent bool) {
+// mark notes how an attempt ended. A ticket that an earlier attempt may have
+// brought to the log stays sent whatever comes of a later one.
+func (s *Stream) mark(group []*Ticket, sent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range group {
-		t.sending = sending
+		t.sending = false
 		t.sent = t.sent || sent
 	}
 }
@@ -208,6 +268,7 @@
 	defer s.mu.Unlock()
 	for _, t := range group {
 		t.dropped = true
+		s.forget(t)
 		t.end()
 	}
 }
@@ -216,9 +277,12 @@
 func (s *Stream) abandon() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopped = true
 	for _, t := range s.pending {
 		t.end()
 	}
+	clear(s.pending)
+	s.queue = nil
 }
 
 // Write submits records and waits until they were folded.
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -12,7 +12,11 @@
 //     takeover after it settles the order as unknown;
 //   - a cancel before the dispatch settles the order as not run; after it, it
 //     has no effect;
-//   - the holder's settle is final; it also replaces an unknown outcome.
+//   - the holder's settle is final; it also replaces the unknown outcome that a
+//     takeover left;
+//   - work that may be repeated is the exception: a takeover after its dispatch
+//     hands it on in a new term, and since it may have run in an earlier term it
+//     ends as failed, never as not run.
 package order
 
 import (
@@ -49,6 +53,8 @@
 	EventSettle   Event = "settle"
 	EventRefuse   Event = "refuse"
 	EventResume   Event = "resume"
+	EventDoubt    Event = "doubt"
+	EventFail     Event = "fail"
 )
 
 // Order is what the fold knows of one order.
@@ -66,11 +72,22 @@
 	// Result is the settle record; its zero value before the order is settled.
 	Result  record.Settle `cbor:"8,keyasint"`
 	Expires time.Time     `cbor:"9,keyasint"`
+	// Grant is the dispatch record that counted in the current term. Only the
+	// call that wrote it may send the order, and once.
+	Grant record.ID `cbor:"10,keyasint"`
+	// Tried is set once the order was dispatched in any term.
+	Tried bool `cbor:"11,keyasint"`
 }
 
-// Final reports whether the outcome can no longer change.
+// Final reports whether the outcome can no longer change. An unknown outcome
+// is final if its holder settled it so.
 func (o Order) Final() bool {
-	return o.Status == StatusSettled || o.Status == StatusNotRun
+	return o.Status == StatusSettled || o.Status == StatusNotRun || o.Result.Outcome == fleet.OutcomeUnknown
+}
+
+// Open reports whether the order has no outcome yet.
+func (o Order) Open() bool {
+	return o.Status == StatusAccepted || o.Status == StatusDispatched
 }
 
 // MayDispatch reports whether a dispatch by the node in the term would count.
@@ -87,6 +104,8 @@
 // the first record. It is not safe for concurrent use.
 type Fold struct {
 	state
+	// open indexes the orders without an outcome.
+	open    map[fleet.KeyRef]*Order
 	machine *fsm.FSM
 }
 
@@ -121,10 +140,10 @@
 // Len returns how many orders the fold holds.
 func (f *Fold) Len() int { return len(f.Orders) }
 
-// Each calls visit for every order until it returns false. The order of the
-// calls is not defined.
-func (f *Fold) Each(visit func(o Order) bool) {
-	for _, o := range f.Orders {
+// EachOpen calls visit for every order without an outcome until it returns
+// false. The order of the calls is not defined.
+func (f *Fold) EachOpen(visit func(o Order) bool) {
+	for _, o := range f.open {
 		if !visit(*o) {
 			return
 		}
@@ -138,7 +157,7 @@
 	case record.KindAccept:
 		return fold(e, func(r record.Accept) { f.accept(pos, e.ID, r) })
 	case record.KindDispatch:
-		return fold(e, func(r record.Dispatch) { f.dispatch(pos, r) })
+		return fold(e, func(r record.Dispatch) { f.dispatch(pos, e.ID, r) })
 	case record.KindSettle:
 		return fold(e, f.settle)
 	case record.KindCancel:
@@ -175,7 +194,7 @@
 	if o != nil {
 		f.remember(o.Accept, expires)
 	}
-	f.Orders[r.Ref] = &Order{
+	o = &Order{
 		Accept:  id,
 		Request: r,
 		Status:  StatusAccepted,
@@ -183,42 +202,66 @@
 		Term:    1,
 		Expires: expires,
 	}
+	f.Orders[r.Ref], f.open[r.Ref] = o, o
 }
 
-func (f *Fold) dispatch(pos record.Position, r record.Dispatch) {
+func (f *Fold) dispatch(pos record.Position, id record.ID, r record.Dispatch) {
 	o := f.current(r.Ref, r.Accept)
 	if o == nil || r.Term != o.Term || r.Owner != o.Owner {
 		return
 	}
 	if f.move(o, EventDispatch) {
 		o.Fence = fleet.Fence(pos.Offset) + 1
+		o.Grant = id
+		o.Tried = true
 	}
 }
 
 func (f *Fold) settle(r record.Settle) {
 	o := f.current(r.Ref, r.Accept)
-	if o == nil || r.Term != o.Term || r.Owner != o.Owner || o.Fence == 0 {
+	if o == nil || r.Term != o.Term || r.Owner != o.Owner || o.Fence == 0 || o.Final() {
 		return
 	}
-	event := EventSettle
-	if r.Outcome == fleet.OutcomeNotRun {
-		event = EventRefuse
-	}
-	if f.move(o, event) {
-		o.Outcome = r.Outcome
+	if f.move(o, settling(r.Outcome)) {
 		o.Result = r
+		f.end(o, r.Outcome)
+	}
+}
+
+// settling returns the event of a holder's settle.
+func settling(outcome fleet.Outcome) Event {
+	switch outcome {
+	case fleet.OutcomeNotRun:
+		return EventRefuse
+	case fleet.OutcomeUnknown:
+		return EventDoubt
+	default:
+		return EventSettle
 	}
 }
 
+// end notes the outcome of an order and lets go of the body, which no one will
+// send any more.
+func (f *Fold) end(o *Order, outcome fleet.Outcome) {
+	o.Outcome = outcome
+	o.Request.Body = nil
+	delete(f.open, o.Request.Ref)
+}
+
 func (f *Fold) cancel(pos record.Position, r record.Cancel) {
 	o := f.current(r.Ref, r.Accept)
 	if o == nil {
 		f.remember(r.Accept, pos.Time.Add(r.Window))
 		return
 	}
-	if f.move(o, EventCancel) {
-		o.Outcome = fleet.OutcomeNotRun
+	event, outcome := EventCancel, fleet.OutcomeNotRun
+	if o.Tried {
+		event, outcome = EventFail, fleet.OutcomeFailed
+	}
+	if f.move(o, event) {
 		o.Result.Detail = r.Detail
+		o.Result.Outcome = outcome
+		f.end(o, outcome)
 	}
 }
 
@@ -233,7 +276,7 @@
 	}
 	if o.Status == StatusDispatched {
 		if f.move(o, EventTakeover) {
-			o.Outcome = fleet.OutcomeUnknown
+			f.end(o, fleet.OutcomeUnknown)
 		}
 		return
 	}
@@ -250,6 +293,7 @@
 	o.Owner = owner
 	o.Term++
 	o.Fence = 0
+	o.Grant = record.ID{}
 }
 
 // current returns the order that the accept took on.
@@ -288,6 +332,7 @@
 	return fsm.NewFSM(string(StatusAccepted), fsm.Events{
 		{Name: string(EventDispatch), Src: []string{string(StatusAccepted)}, Dst: string(StatusDispatched)},
 		{Name: string(EventCancel), Src: []string{string(StatusAccepted)}, Dst: string(StatusNotRun)},
+		{Name: string(EventFail), Src: []string{string(StatusAccepted)}, Dst: string(StatusSettled)},
 		{Name: string(EventTakeover), Src: []string{string(StatusAccepted)}, Dst: string(StatusAccepted)},
 		{Name: string(EventTakeover), Src: []string{string(StatusDispatched)}, Dst: string(StatusUnknown)},
 		{Name: string(EventResume), Src: []string{string(StatusDispatched)}, Dst: string(StatusAccepted)},
@@ -296,6 +341,11 @@
 			Src:  []string{string(StatusDispatched), string(StatusUnknown)},
 			Dst:  string(StatusSettled),
 		},
+		{
+			Name: string(EventDoubt),
+			Src:  []string{string(StatusDispatched), string(StatusUnknown)},
+			Dst:  string(StatusUnknown),
+		},
 		{
 			Name: string(EventRefuse),
 			Src:  []string{string(StatusDispatched), string(StatusUnknown)},
@@ -310,6 +360,7 @@
 func (f *Fold) tick(now time.Time) {
 	if f.Orders == nil {
 		f.Orders = make(map[fleet.KeyRef]*Order)
+		f.open = make(map[fleet.KeyRef]*Order)
 	}
 	if now.After(f.Now) {
 		f.Now = now
@@ -321,6 +372,7 @@
 	for ref, o := range f.Orders {
 		if f.expired(o) {
 			delete(f.Orders, ref)
+			delete(f.open, ref)
 		}
 	}
 	for id, until := range f.Cancelled {
--- a/pkg/order/serve.go
+++ b/pkg/order/serve.go
@@ -30,10 +30,45 @@
 	// the nodes from all trying at once.
 	Candidate func(ref fleet.KeyRef) bool
 
-	once   sync.Once
-	done   chan struct{}
-	mu     sync.Mutex
-	active map[record.ID]bool
+	once     sync.Once
+	done     chan struct{}
+	mu       sync.Mutex
+	draining bool
+	active   map[record.ID]bool
+}
+
+// drainPoll is how often a drain looks whether the work at hand has ended.
+const drainPoll = 20 * time.Millisecond
+
+// Drain takes up no more orders, and returns once those that were sent have an
+// outcome in the log. Work that may be repeated is left to other nodes.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	for s.busy() {
+		if !pause(ctx, drainPoll) {
+			return ctx.Err()
+		}
+	}
+	for _, p := range s.Desk.Partitions {
+		if err := p.Stream.Flush(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// busy reports whether an order that must not be cut is being carried out.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, repeatable := range s.active {
+		if !repeatable {
+			return true
+		}
+	}
+	return false
 }
 
 // Done is closed when Run has returned.
@@ -62,9 +97,13 @@
 
 // sweep starts what is to be done now.
 func (s *Server) sweep(ctx context.Context, g *errgroup.Group) {
+	s.Desk.prune()
 	for _, p := range s.Desk.Partitions {
-		for _, o := range p.Orders(s.wants) {
-			if !s.claim(o.Accept) {
+		if p.Blind() || !p.Stream.Ready() {
+			continue
+		}
+		for _, o := range p.Open(s.wants) {
+			if !s.claim(o) {
 				continue
 			}
 			started := g.TryGo(func() error {
@@ -81,13 +120,17 @@
 
 // wants reports whether this node has something to do for an order.
 func (s *Server) wants(o Order) bool {
-	if o.Status != StatusAccepted && o.Status != StatusDispatched {
-		return false
-	}
 	if o.Owner == s.Desk.Node {
-		return o.Status == StatusAccepted
+		return o.Status == StatusAccepted || s.Desk.disowns(o.Accept)
 	}
-	return !s.Alive(o.Owner) && s.Candidate(o.Request.Ref)
+	return s.gone(o.Owner) && s.Candidate(o.Request.Ref)
+}
+
+// gone reports whether an owner can no longer act. An earlier life of this
+// node never can.
+func (s *Server) gone(owner fleet.NodeRef) bool {
+	self := s.Desk.Node
+	return owner.Name == self.Name && owner.Incarnation < self.Incarnation || !s.Alive(owner)
 }
 
 // advance takes the next step of one order. Failures are left to the next sweep.
@@ -95,31 +138,35 @@
 	d := s.Desk
 	late := d.now().After(o.Request.Deadline)
 	switch {
+	case d.disowns(o.Accept):
+		if o.Status == StatusDispatched {
+			_, _ = d.release(ctx, p, o, "the log gave no answer in time")
+		}
 	case o.Status == StatusAccepted && late:
 		body := record.Cancel{Ref: o.Request.Ref, Accept: o.Accept, Detail: "its deadline passed", Window: o.Request.Window}
-		_, _ = d.append(ctx, p, record.KindCancel, body, o.Request.Ref)
+		_, _, _ = d.append(ctx, p, record.KindCancel, body, o.Request.Ref)
 	case o.Owner != d.Node:
 		body := record.Takeover{Ref: o.Request.Ref, Accept: o.Accept, Term: o.Term, Owner: d.Node}
-		_, _ = d.append(ctx, p, record.KindTakeover, body, o.Request.Ref)
+		_, _, _ = d.append(ctx, p, record.KindTakeover, body, o.Request.Ref)
 	default:
 		body := record.Dispatch{Ref: o.Request.Ref, Accept: o.Accept, Term: o.Term, Owner: d.Node}
-		o, err := d.append(ctx, p, record.KindDispatch, body, o.Request.Ref)
-		if err == nil && o.Holds(d.Node) {
+		o, grant, err := d.append(ctx, p, record.KindDispatch, body, o.Request.Ref)
+		if err == nil && o.Grant == grant {
 			_, _ = d.carryOut(ctx, p, o)
 		}
 	}
 }
 
-func (s *Server) claim(id record.ID) bool {
+func (s *Server) claim(o Order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.active[id] {
+	if _, claimed := s.active[o.Accept]; claimed || s.draining {
 		return false
 	}
 	if s.active == nil {
 		s.active = make(map[record.ID]bool)
 	}
-	s.active[id] = true
+	s.active[o.Accept] = o.Request.Repeatable
 	return true
 }
 
@@ -129,14 +176,15 @@
 	delete(s.active, id)
 }
 
-// append writes one record and returns the order as of it.
-func (d *Desk) append(ctx context.Context, p *Partition, kind record.Kind, body any, ref fleet.KeyRef) (o Order, err error) {
+// append writes one record and returns its ID and the order as of it.
+func (d *Desk) append(ctx context.Context, p *Partition, kind record.Kind, body any, ref fleet.KeyRef) (o Order, id record.ID, err error) {
 	e, err := record.New(kind, d.now(), body)
 	if err != nil {
-		return o, err
+		return o, id, err
 	}
 	if _, err := p.Stream.Write(ctx, e); err != nil {
-		return o, err
+		return o, id, err
 	}
-	return d.read(p, ref)
+	o, err = d.read(p, ref)
+	return o, e.ID, err
 }
--- a/pkg/order/snapshot.go
+++ b/pkg/order/snapshot.go
@@ -31,10 +31,14 @@
 		return err
 	}
 	s.Orders = make(map[fleet.KeyRef]*Order, len(s.List))
+	open := make(map[fleet.KeyRef]*Order)
 	for _, o := range s.List {
 		s.Orders[o.Request.Ref] = o
+		if o.Open() {
+			open[o.Request.Ref] = o
+		}
 	}
 	s.List = nil
-	f.state = s
+	f.state, f.open = s, open
 	return nil
 }
