Charge each answered request once

Cause: charges had a record type and nothing that wrote or folded them. Remembering every request's ID in the fold would take hundreds of megabytes at the size to design for.

Change: a writer numbers its batches and writes one at a time, so the fold keeps one number a writer; only asynchronous requests, which two nodes may finish, are remembered by ID. Orders are charged by their settle record in the order fold. The queue is bounded and what it refuses is counted.

--- a/pkg/api/record/record.go
+++ b/pkg/api/record/record.go
@@ -153,17 +153,28 @@
 	Owner  fleet.NodeRef `cbor:"4,keyasint"`
 }
 
-// Charge bills one request. The first of a request in stream order counts.
+// Charges is a batch of charges by one writer. Batches of a writer are numbered
+// from 1 and written one after the other, so that a fold needs only the last
+// number to count each batch once.
+type Charges struct {
+	Writer   fleet.NodeRef `cbor:"1,keyasint"`
+	Sequence uint64        `cbor:"2,keyasint"`
+	Items    []Charge      `cbor:"3,keyasint"`
+}
+
+// Charge bills one request.
 type Charge struct {
 	Request   fleet.RequestID   `cbor:"1,keyasint"`
 	Account   fleet.AccountName `cbor:"2,keyasint"`
 	Pool      fleet.PoolName    `cbor:"3,keyasint"`
-	Prompt    fleet.Tokens      `cbor:"4,keyasint"`
-	Generated fleet.Tokens      `cbor:"5,keyasint"`
+	Prompt    fleet.Tokens      `cbor:"4,keyasint,omitempty"`
+	Generated fleet.Tokens      `cbor:"5,keyasint,omitempty"`
 	// Recomputed tokens are the system's loss and are not billed.
-	Recomputed fleet.Tokens     `cbor:"6,keyasint"`
-	Cost       fleet.MicroCents `cbor:"7,keyasint"`
-	Time       time.Time        `cbor:"8,keyasint"`
+	Recomputed fleet.Tokens     `cbor:"6,keyasint,omitempty"`
+	Cost       fleet.MicroCents `cbor:"7,keyasint,omitempty"`
+	// Keyed is set for a request that another node may take over, and so
+	// charge as well; the first in stream order counts.
+	Keyed bool `cbor:"8,keyasint,omitempty"`
 }
 
 // UnknownKindError reports a record that this program cannot fold.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -82,6 +82,7 @@
 		d.routerService,
 		d.orderService,
 		d.entryService,
+		d.ledgerService,
 		d.operatorService,
 		d.callersService,
 	} {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -77,7 +77,9 @@
 	Generated  fleet.Tokens
 	Recomputed fleet.Tokens
 	Attempts   int
-	Start      time.Time
+	// Keyed is set for orders and asynchronous work, whose outcome the log keeps.
+	Keyed bool
+	Start time.Time
 	// FirstToken is 0 for a request without tokens.
 	FirstToken time.Duration
 	// Between is the mean time between tokens.
--- a/pkg/entry/keyed.go
+++ b/pkg/entry/keyed.go
@@ -89,6 +89,7 @@
 
 // keyed takes an order, or asynchronous work, on under its idempotency key.
 func (h *Handler) keyed(w http.ResponseWriter, r *http.Request, c *call, p fleet.Pool, path string, body []byte) error {
+	c.report.Keyed = true
 	key, err := parseKey(r)
 	if err != nil {
 		return err
@@ -229,7 +230,7 @@
 	}
 	c := &call{id: fleet.RequestID(o.Accept.String()), force: force}
 	c.account, _ = force.Document.Account(o.Request.Ref.Account)
-	c.report = Report{ID: c.id, Account: c.account.Name, Pool: o.Request.Pool, Start: h.now(), Status: http.StatusOK, Outcome: fleet.OutcomeDone}
+	c.report = Report{ID: c.id, Account: c.account.Name, Pool: o.Request.Pool, Start: h.now(), Status: http.StatusOK, Outcome: fleet.OutcomeDone, Keyed: true}
 	p, _ := force.Document.Pool(o.Request.Pool)
 	policy := force.Document.Policy(c.account.Name, p.Name, h.now())
 	most := policy.MaxTokens.Value
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -60,6 +60,7 @@
 	LogReadFailed
 	LogRecordUnreadable
 	LogLapsed
+	ChargeDropped
 )
 
 // The events of the instances.
@@ -82,6 +83,7 @@
 	{LogReadFailed, SubsystemJournal, zapcore.WarnLevel, "read failed", "The platform's log could not be read; it is tried again.", "If it goes on, see the handbook's page on log outages."},
 	{LogRecordUnreadable, SubsystemJournal, zapcore.ErrorLevel, "record cannot be read", "A record of a stream was skipped because it cannot be read.", "Compare the versions of the nodes; find the writer by the record's offset."},
 	{LogLapsed, SubsystemJournal, zapcore.WarnLevel, "entries lapsed unread", "The next entry to read was no longer kept; the node went on from the newest snapshot.", "None for a node that was cut off for long; else compare the snapshots' interval with the log's retention."},
+	{ChargeDropped, SubsystemJournal, zapcore.WarnLevel, "charge dropped", "The queue of charges is full because the log takes none; a request is not billed.", "None if the log is down; the metric skylarkloom_charges_dropped_total counts them."},
 	{InstanceLeaving, SubsystemRoute, zapcore.InfoLevel, "instance leaving", "An instance takes no new work; its work moves.", "None."},
 	{InstanceGone, SubsystemRoute, zapcore.InfoLevel, "instance gone", "An instance refused a connection or left the list.", "None, unless many go without a notice."},
 	{ListFailed, SubsystemRoute, zapcore.WarnLevel, "instance list failed", "The platform's list or notices could not be read; the last view is used.", "If it goes on, check the platform."},
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -121,10 +121,18 @@
 	Now time.Time `cbor:"3,keyasint"`
 	// Sweep is the log time of the last removal of expired orders.
 	Sweep time.Time `cbor:"4,keyasint"`
+	// Bill sums up the settled orders by account and pool.
+	Bill map[fleet.AccountName]map[fleet.PoolName]Total `cbor:"6,keyasint"`
 	// List holds the orders in a snapshot.
 	List []*Order `cbor:"5,keyasint"`
 }
 
+// Total sums up the orders of an account on a pool that were answered.
+type Total struct {
+	Orders int              `cbor:"1,keyasint"`
+	Cost   fleet.MicroCents `cbor:"2,keyasint"`
+}
+
 // sweepEvery is how much log time passes between removals of expired orders.
 const sweepEvery = time.Minute
 
@@ -225,7 +233,27 @@
 	if f.move(o, settling(r.Outcome)) {
 		o.Result = r
 		f.end(o, r.Outcome)
+		f.charge(o)
+	}
+}
+
+// charge adds an answered order to the bill. An order settles once, so it is
+// charged once. Repeatable work is charged by its tokens, in the ledger.
+func (f *Fold) charge(o *Order) {
+	if o.Outcome != fleet.OutcomeDone || o.Request.Repeatable {
+		return
+	}
+	account := o.Request.Ref.Account
+	if f.Bill == nil {
+		f.Bill = make(map[fleet.AccountName]map[fleet.PoolName]Total)
+	}
+	if f.Bill[account] == nil {
+		f.Bill[account] = make(map[fleet.PoolName]Total)
 	}
+	t := f.Bill[account][o.Request.Pool]
+	t.Orders++
+	t.Cost += o.Result.Cost
+	f.Bill[account][o.Request.Pool] = t
 }
 
 // settling returns the event of a holder's settle.
--- a/pkg/order/partition.go
+++ b/pkg/order/partition.go
@@ -75,6 +75,17 @@
 	return p.fold.Get(ref)
 }
 
+// Bill calls visit for the total of each account and pool.
+func (p *Partition) Bill(visit func(account fleet.AccountName, pool fleet.PoolName, t Total)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for account, pools := range p.fold.Bill {
+		for pool, t := range pools {
+			visit(account, pool, t)
+		}
+	}
+}
+
 // Open returns the orders without an outcome for which keep reports true.
 func (p *Partition) Open(keep func(Order) bool) (list []Order) {
 	p.mu.Lock()
