--- a/Makefile
+++ b/Makefile
@@ -27,4 +27,9 @@
 format: $(LINT)
 	$(LINT) fmt
 
+# fuzz runs the stateful fuzz of orders, configuration and charges for long;
+# FUZZ_CHECKS=n and FUZZ_SEED=n change the cases.
+fuzz:
+	FUZZ_CHECKS=$(FUZZ_CHECKS) FUZZ_SEED=$(FUZZ_SEED) go test -race -count=1 -timeout 2h -run TestOrder -v ./pkg/order
+
 ci: lint build test
