Keep contents that crash endpoints from taking more than two

Cause: a request that crashes its engine was tried on up to six endpoints, and again each time its caller sent it. Two more faults came to light on the way. net/http sends a request that carries an idempotency key and no body a second time by itself when a kept connection breaks, so an order could run twice. And a refused connection told the other streams of the instance to move, which hid their crash.

Change: the suspect stream and its fold (a content in flight at a crash is a suspect, runs only on a trial that the stream's order grants, alone on one endpoint; the second crash convicts it). Nodes consider the same two endpoints for the same content, and hold contents not seen to finish back for 400 ms after a loss in their pool, so that reports come first. Order calls cannot be replayed by the transport. A refused connection no longer moves running work.

Conclusion: the bound holds while the log takes appends. With the log down a content that broke off is held until the log is back or its deadline passes.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -26,6 +26,7 @@
 	ServiceConfig   kernel.ServiceName = "config"
 	ServiceRoster   kernel.ServiceName = "roster"
 	ServiceRouter   kernel.ServiceName = "router"
+	ServiceSuspect  kernel.ServiceName = "suspect"
 	ServiceOrder    kernel.ServiceName = "order"
 	ServiceEntry    kernel.ServiceName = "entry"
 	ServiceCallers  kernel.ServiceName = "callers"
@@ -81,6 +82,7 @@
 		d.rosterService,
 		d.routerService,
 		d.orderService,
+		d.suspectService,
 		d.entryService,
 		d.operatorService,
 		d.callersService,
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
 	"github.com/skylarkloom/skylarkloom/pkg/router"
+	"github.com/skylarkloom/skylarkloom/pkg/suspect"
 )
 
 // pollEvery is how often the instance list and the notices are read.
@@ -148,7 +149,11 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	runner := &generation.Runner{Pick: r.Generation}
+	guard, err := kernel.Find[*suspect.Guard](&d.kernel, ServiceSuspect)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	runner := &generation.Runner{Pick: guard.Pick}
 	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk}
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
--- a/pkg/endpoint/service.go
+++ b/pkg/endpoint/service.go
@@ -56,13 +56,22 @@
 	}}
 }
 
+// forbidReplay keeps the transport from sending a request a second time by
+// itself, which net/http does with requests that carry an idempotency key when
+// they have no body or one that can be read again.
+func forbidReplay(req *http.Request) {
+	req.GetBody = nil
+	if req.Body == http.NoBody {
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+	}
+}
+
 func callService(ctx context.Context, i fleet.Instance, client *http.Client, c Call) (a Answer, err error) {
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+i.Address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return a, &NotStartedError{Instance: i.ID, Cause: err}
 	}
-	// Without GetBody the transport cannot send the body a second time by itself.
-	req.GetBody = nil
+	forbidReplay(req)
 	if c.Type != "" {
 		req.Header.Set("Content-Type", c.Type)
 	}
--- a/pkg/entry/errors.go
+++ b/pkg/entry/errors.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/generation"
 	"github.com/skylarkloom/skylarkloom/pkg/order"
+	"github.com/skylarkloom/skylarkloom/pkg/suspect"
 )
 
 // Error is an error as a caller is told of it.
@@ -68,13 +69,14 @@
 // explain turns any error into one for callers.
 func explain(err error) *Error {
 	var (
-		known    *Error
-		refused  *RefusedError
-		notRun   *order.NotRunError
-		unknown  *order.UnknownError
-		conflict *order.ConflictError
-		gaveUp   *generation.ExhaustedError
-		tooLarge *http.MaxBytesError
+		known     *Error
+		refused   *RefusedError
+		notRun    *order.NotRunError
+		unknown   *order.UnknownError
+		conflict  *order.ConflictError
+		gaveUp    *generation.ExhaustedError
+		convicted *suspect.ConvictedError
+		tooLarge  *http.MaxBytesError
 	)
 	switch {
 	case errors.As(err, &known):
@@ -87,6 +89,8 @@
 		return &Error{Status: http.StatusGatewayTimeout, Code: "outcome_unknown", Message: unknown.Error(), Outcome: fleet.OutcomeUnknown}
 	case errors.As(err, &conflict):
 		return &Error{Status: http.StatusUnprocessableEntity, Code: "key_conflict", Message: conflict.Error(), Outcome: fleet.OutcomeNotRun}
+	case errors.As(err, &convicted):
+		return &Error{Status: http.StatusUnprocessableEntity, Code: "content_refused", Message: convicted.Error(), Outcome: fleet.OutcomeFailed}
 	case errors.As(err, &gaveUp) && gaveUp.Attempts == 0:
 		return unavailable(gaveUp.Cause.Error())
 	case errors.As(err, &tooLarge):
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -25,6 +25,7 @@
 	SubsystemRoute    Subsystem = "route"
 	SubsystemEntry    Subsystem = "entry"
 	SubsystemPeer     Subsystem = "peer"
+	SubsystemSuspect  Subsystem = "suspect"
 	SubsystemCapacity Subsystem = "capacity"
 )
 
@@ -68,6 +69,13 @@
 	ListFailed
 )
 
+// The events of the suspects.
+const (
+	ContentSuspect ID = 1901 + iota
+	ContentConvicted
+	SuspectUnreported
+)
+
 // Catalogue lists every event in order of number.
 var Catalogue = []Entry{
 	{NodeStarted, SubsystemNode, zapcore.InfoLevel, "node started", "The daemon listens on the addresses given.", "None."},
@@ -83,6 +91,9 @@
 	{InstanceLeaving, SubsystemRoute, zapcore.InfoLevel, "instance leaving", "An instance takes no new work; its work moves.", "None."},
 	{InstanceGone, SubsystemRoute, zapcore.InfoLevel, "instance gone", "An instance refused a connection or left the list.", "None, unless many go without a notice."},
 	{ListFailed, SubsystemRoute, zapcore.WarnLevel, "instance list failed", "The platform's list or notices could not be read; the last view is used.", "If it goes on, check the platform."},
+	{ContentSuspect, SubsystemSuspect, zapcore.WarnLevel, "content suspect", "An endpoint crashed while it ran a content; the content runs only on trial.", "None, unless contents are convicted."},
+	{ContentConvicted, SubsystemSuspect, zapcore.ErrorLevel, "content convicted", "A content crashed two endpoints and is not run again.", "Look at the engine's crash; release the content with skylarkctl suspect release once the engine is mended."},
+	{SuspectUnreported, SubsystemSuspect, zapcore.WarnLevel, "suspect not reported", "The log took no report of a suspect or cleared content; this node holds it suspect all the same.", "If it goes on, see the handbook's page on log outages."},
 }
 
 // Logs makes the loggers of the subsystems.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -4,10 +4,11 @@
 package route
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
 
@@ -70,13 +71,37 @@
 }
 
 // TwoChoices picks the one with less of this node's own work of two endpoints
-// chosen at random.
+// that the seed chooses.
 func TwoChoices(q Query, candidates []Candidate) Candidate {
-	r := rand.New(rand.NewPCG(q.Seed, 0))
-	a := candidates[r.IntN(len(candidates))]
-	b := candidates[r.IntN(len(candidates))]
+	a, b := pair(q.Seed, candidates)
 	if b.Mine < a.Mine {
 		return b
 	}
 	return a
 }
+
+// pair returns the two candidates that rank highest for a seed by rendezvous
+// hashing; the same one twice if there is no other. Nodes with almost the same
+// candidates consider almost always the same two.
+func pair(seed uint64, candidates []Candidate) (first, second Candidate) {
+	var high, next uint64
+	first, second = candidates[0], candidates[0]
+	for i, c := range candidates {
+		score := rank(seed, c.Instance.ID)
+		switch {
+		case i == 0 || score > high:
+			second, next = first, high
+			first, high = c, score
+		case score > next || i == 1:
+			second, next = c, score
+		}
+	}
+	return first, second
+}
+
+// rank is the weight of an instance for a seed.
+func rank(seed uint64, id fleet.InstanceID) uint64 {
+	h := xxhash.NewWithSeed(seed)
+	_, _ = h.WriteString(string(id))
+	return h.Sum64()
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -26,6 +26,8 @@
 	Client *http.Client
 	// Policy decides; nil takes route.TwoChoices.
 	Policy route.Policy
+	// Avoid reports whether an endpoint takes no ordinary work; nil means none.
+	Avoid func(ref fleet.InstanceRef) bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
@@ -40,8 +42,13 @@
 	leave   context.CancelFunc
 }
 
-// Marked tells the work on an instance to move. It is the roster's Marked.
+// Marked tells the work on an instance to move. It is the roster's Marked. A
+// refused connection moves nothing: what still runs there either goes on or
+// breaks by itself, and then counts as a crash.
 func (r *Router) Marked(m roster.Mark) {
+	if m.Source == roster.SourceFailure {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if u := r.used[m.Instance]; u != nil {
@@ -60,24 +67,20 @@
 }
 
 // Generation leases an engine for one attempt of a generation.
-func (r *Router) Generation(_ context.Context, g generation.Request, _ int, failed []fleet.InstanceRef) (generation.Lease, error) {
+func (r *Router) Generation(_ context.Context, g generation.Request, emitted int, failed []fleet.InstanceRef) (generation.Lease, error) {
 	q := route.Query{Account: g.Account, Pool: g.Pool, Max: g.Max, Deadline: g.Deadline, Failed: failed}
+	q.Seed = contentSeed(g, emitted, len(failed))
 	c, err := r.pick(q)
 	if err != nil {
 		return generation.Lease{}, err
 	}
-	stay, release := r.use(c.Instance.Ref())
-	return generation.Lease{
-		Engine:  endpoint.DialEngine(c.Instance, r.Client),
-		Stay:    stay,
-		Release: func(err error) { release(); r.note(c.Instance, err) },
-	}, nil
+	return r.lease(c.Instance), nil
 }
 
 // Call makes a call of a plain service. It goes on to another endpoint only
 // while none has begun the call, or if the call may be repeated.
 func (r *Router) Call(ctx context.Context, pool fleet.PoolName, call endpoint.Call, repeatable bool) (a endpoint.Answer, err error) {
-	q := route.Query{Account: call.Account, Pool: pool}
+	q := route.Query{Account: call.Account, Pool: pool, Seed: rand.Uint64()}
 	for range generation.DefaultAttempts {
 		c, pickErr := r.pick(q)
 		if pickErr != nil {
@@ -114,11 +117,11 @@
 	if q.Now = time.Now(); r.Now != nil {
 		q.Now = r.Now()
 	}
-	q.Seed = rand.Uint64()
-	live := r.Roster.Pool(q.Pool)
-	candidates := make([]route.Candidate, len(live))
-	for i, instance := range live {
-		candidates[i] = route.Candidate{Instance: instance, Mine: r.InFlight(instance.Ref())}
+	candidates := make([]route.Candidate, 0, len(r.Roster.Pool(q.Pool)))
+	for _, i := range r.Roster.Pool(q.Pool) {
+		if !r.avoided(i.Ref()) {
+			candidates = append(candidates, route.Candidate{Instance: i, Mine: r.InFlight(i.Ref())})
+		}
 	}
 	policy := r.Policy
 	if policy == nil {
--- /dev/null
+++ b/pkg/suspect/guard.go
@@ -0,0 +1,338 @@
+package suspect
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
+)
+
+// Limits of the guard.
+const (
+	// trialWindow is how long a claimed trial may take.
+	trialWindow = 5 * time.Minute
+	// claimMargin is how long after its claim a trial may still be started.
+	claimMargin = trialWindow / 2
+	// reportTimeout bounds how long a report to the stream is waited for.
+	reportTimeout = 5 * time.Second
+	// vouchedContents is how many finished contents a node remembers.
+	vouchedContents = 65536
+	// holdRetry is how often a claim is tried again without news.
+	holdRetry = time.Second
+	// lossPause is how long contents not seen to finish are kept back after an
+	// endpoint of their pool was lost, so that reports of the loss come first.
+	lossPause = 400 * time.Millisecond
+	// trialShare is the part of a pool's endpoints that trials may have: one in so many.
+	trialShare = 4
+)
+
+// ConvictedError reports a content that crashed endpoints and is not run again.
+type ConvictedError struct {
+	Content fleet.Digest
+	Until   time.Time
+}
+
+// Error implements error.
+func (e *ConvictedError) Error() string {
+	return fmt.Sprintf("the content crashed %d endpoints and is not run again before %s", MaxCrashes, e.Until.UTC().Format(time.RFC3339))
+}
+
+// HeldError reports a suspect content that got no trial in time.
+type HeldError struct {
+	Content fleet.Digest
+	Cause   error
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("an endpoint crashed while it ran this content, and no trial could be held in time: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *HeldError) Unwrap() error { return e.Cause }
+
+// Guard stands between generations and the choice of their endpoints.
+type Guard struct {
+	Book *Book
+	Node fleet.NodeRef
+	// Next is the ordinary choice of an endpoint.
+	Next func(ctx context.Context, r generation.Request, emitted int, failed []fleet.InstanceRef) (generation.Lease, error)
+	// Quiet returns the endpoints of a pool that could run a trial, the one
+	// with the least work first.
+	Quiet func(pool fleet.PoolName) []fleet.Instance
+	// On leases one named endpoint.
+	On func(ctx context.Context, r generation.Request, i fleet.Instance) (generation.Lease, error)
+	// Reclaimed reports whether the loss of an endpoint is explained by the
+	// cloud, so that what ran there is not suspect.
+	Reclaimed func(i fleet.Instance) bool
+	// Alone reports whether this node may hold the trial of a content while the
+	// log takes no claims; nil means never.
+	Alone func(content fleet.Digest) bool
+	// Failed is told of a report that the stream did not take.
+	Failed func(content fleet.Digest, err error)
+
+	once    sync.Once
+	vouched *lru.Cache[fleet.Digest, struct{}]
+	mu      sync.Mutex
+	local   map[fleet.Digest]time.Time
+	losses  map[fleet.PoolName]time.Time
+}
+
+// Content returns the digest by which a request's content is known.
+func Content(r generation.Request) fleet.Digest {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%d:%s/%d:%s/", len(r.Pool), r.Pool, len(r.Model), r.Model)
+	_, _ = io.WriteString(h, r.Prompt)
+	return fleet.Digest(h.Sum(nil))
+}
+
+func (g *Guard) init() {
+	g.once.Do(func() {
+		g.vouched, _ = lru.New[fleet.Digest, struct{}](vouchedContents)
+		g.local = make(map[fleet.Digest]time.Time)
+		g.losses = make(map[fleet.PoolName]time.Time)
+	})
+}
+
+// Pick leases an endpoint for the next attempt of a generation: by the ordinary
+// choice for a clear content, for a trial for a suspect one. The error is a
+// *ConvictedError or *HeldError if the content may not run.
+func (g *Guard) Pick(ctx context.Context, r generation.Request, emitted int, failed []fleet.InstanceRef) (l generation.Lease, err error) {
+	g.init()
+	content := Content(r)
+	if err := g.pause(ctx, r.Pool, content); err != nil {
+		return l, err
+	}
+	if !g.suspicious(content, failed) {
+		l, err = g.Next(ctx, r, emitted, failed)
+		if err != nil {
+			return l, err
+		}
+		return g.watched(r, content, l), nil
+	}
+	return g.hold(ctx, r, emitted, content)
+}
+
+// suspicious reports whether a content may run only on trial. A content that
+// was not seen to finish and whose endpoint failed is suspect at once, before
+// the stream says so.
+func (g *Guard) suspicious(content fleet.Digest, failed []fleet.InstanceRef) bool {
+	if g.Book.Case(content).Verdict != VerdictClear {
+		return true
+	}
+	if g.vouched.Contains(content) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until, marked := g.local[content]
+	if marked && time.Now().After(until) {
+		delete(g.local, content)
+		marked = false
+	}
+	return marked || len(failed) > 0
+}
+
+// Lost notes that an endpoint of a pool was lost without notice.
+func (g *Guard) Lost(pool fleet.PoolName) {
+	g.init()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losses[pool] = time.Now()
+}
+
+// pause keeps a content back that was not seen to finish while a loss in its
+// pool is fresh.
+func (g *Guard) pause(ctx context.Context, pool fleet.PoolName, content fleet.Digest) error {
+	if g.vouched.Contains(content) {
+		return nil
+	}
+	g.mu.Lock()
+	lost := g.losses[pool]
+	g.mu.Unlock()
+	rest := lossPause - time.Since(lost)
+	if rest <= 0 {
+		return nil
+	}
+	t := time.NewTimer(rest)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return &HeldError{Content: content, Cause: ctx.Err()}
+	}
+}
+
+// watched adds the report of how the attempt went to a lease.
+func (g *Guard) watched(r generation.Request, content fleet.Digest, l generation.Lease) generation.Lease {
+	release := l.Release
+	l.Release = func(err error) {
+		switch {
+		case err == nil:
+			g.finished(content)
+		case refused(err) && !g.Reclaimed(l.Engine.Instance):
+			g.Lost(r.Pool)
+		case crashed(err) && !g.Reclaimed(l.Engine.Instance):
+			g.Lost(r.Pool)
+			g.report(r, content, l.Engine.Instance)
+		}
+		release(err)
+	}
+	return l
+}
+
+// refused reports whether an endpoint took no connection.
+func refused(err error) bool {
+	var status *endpoint.StatusError
+	return endpoint.NotStarted(err) && !errors.As(err, &status)
+}
+
+// crashed reports whether an error may be the end of the engine's process: the
+// stream broke without a status.
+func crashed(err error) bool {
+	var broken *endpoint.BrokenError
+	var status *endpoint.StatusError
+	return errors.As(err, &broken) && !errors.As(err, &status) &&
+		!errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+}
+
+// finished vouches for a content, and clears it in the stream if it is suspect.
+func (g *Guard) finished(content fleet.Digest) {
+	marked := g.vouch(content)
+	if !marked && g.Book.Case(content).Verdict == VerdictClear {
+		return
+	}
+	g.write(content, record.KindClear, record.Clear{Content: content, Reason: record.ClearFinished})
+}
+
+// vouch remembers a content as one that finishes and reports whether this node
+// held it suspect.
+func (g *Guard) vouch(content fleet.Digest) (marked bool) {
+	g.vouched.Add(content, struct{}{})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, marked = g.local[content]
+	delete(g.local, content)
+	return marked
+}
+
+// report makes a content suspect on this node at once and in the stream.
+func (g *Guard) report(r generation.Request, content fleet.Digest, i fleet.Instance) {
+	if g.vouched.Contains(content) {
+		return
+	}
+	g.mu.Lock()
+	g.local[content] = time.Now().Add(SuspicionWindow)
+	g.mu.Unlock()
+	g.write(content, record.KindSuspect, record.Suspect{Content: content, Pool: r.Pool, Instance: i.Ref()})
+}
+
+func (g *Guard) write(content fleet.Digest, kind record.Kind, body any) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if _, err := g.Book.write(ctx, kind, body); err != nil && g.Failed != nil {
+		g.Failed(content, err)
+	}
+}
+
+// hold waits for the right to run a suspect content alone, or for a verdict.
+func (g *Guard) hold(ctx context.Context, r generation.Request, emitted int, content fleet.Digest) (l generation.Lease, err error) {
+	retry := time.NewTicker(holdRetry)
+	defer retry.Stop()
+	known := false
+	for {
+		moved := g.Book.next()
+		c := g.Book.Case(content)
+		switch {
+		case c.Verdict == VerdictConvicted:
+			return l, &ConvictedError{Content: content, Until: c.Expires}
+		case c.Verdict == VerdictClear && known:
+			g.vouch(content)
+			return g.Pick(ctx, r, emitted, nil)
+		case c.Trial == nil || c.Trial.Until.Before(time.Now()):
+			l, granted, err := g.claim(ctx, r, content)
+			if granted || err != nil {
+				return l, err
+			}
+		}
+		known = known || c.Verdict == VerdictSuspect
+		select {
+		case <-moved:
+		case <-retry.C:
+		case <-ctx.Done():
+			return l, &HeldError{Content: content, Cause: ctx.Err()}
+		}
+	}
+}
+
+// claim appends a claim for a trial and reports whether the fold granted it.
+func (g *Guard) claim(ctx context.Context, r generation.Request, content fleet.Digest) (l generation.Lease, granted bool, err error) {
+	quiet := g.Quiet(r.Pool)
+	if len(quiet) == 0 {
+		return l, false, nil
+	}
+	start := time.Now()
+	id, err := g.appendClaim(ctx, r, content, quiet)
+	var down *journal.UnavailableError
+	if errors.As(err, &down) && g.Alone != nil && g.Alone(content) {
+		return g.try(ctx, r, content, quiet[0])
+	}
+	if err != nil {
+		return l, false, &HeldError{Content: content, Cause: err}
+	}
+	c := g.Book.Case(content)
+	if c.Trial == nil || c.Trial.ID != id || time.Since(start) > claimMargin {
+		return l, false, nil
+	}
+	return g.try(ctx, r, content, quiet[0])
+}
+
+// appendClaim opens a case if there is none and claims the first endpoint.
+func (g *Guard) appendClaim(ctx context.Context, r generation.Request, content fleet.Digest, quiet []fleet.Instance) (id record.ID, err error) {
+	if g.Book.Case(content).Verdict == VerdictClear {
+		body := record.Suspect{Content: content, Pool: r.Pool}
+		if _, err := g.Book.write(ctx, record.KindSuspect, body); err != nil {
+			return id, err
+		}
+	}
+	return g.Book.write(ctx, record.KindTrial, record.Trial{
+		Content:  content,
+		Instance: quiet[0].Ref(),
+		Node:     g.Node,
+		Window:   trialWindow,
+		Limit:    len(quiet) / trialShare,
+	})
+}
+
+// try leases an endpoint for a trial and adds its result to the lease.
+func (g *Guard) try(ctx context.Context, r generation.Request, content fleet.Digest, i fleet.Instance) (l generation.Lease, granted bool, err error) {
+	l, err = g.On(ctx, r, i)
+	if err != nil {
+		return l, false, err
+	}
+	release := l.Release
+	l.Release = func(err error) {
+		release(err)
+		switch {
+		case err == nil:
+			g.finished(content)
+		case crashed(err) && !g.Reclaimed(i):
+			g.report(r, content, i)
+		default:
+			g.write(content, record.KindClear, record.Clear{Content: content, Reason: record.ClearAbandoned})
+		}
+	}
+	return l, true, nil
+}
