--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -84,6 +84,7 @@
 		d.orderService,
 		d.suspectService,
 		d.entryService,
+		d.ledgerService,
 		d.operatorService,
 		d.callersService,
 	} {
