--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -13,11 +13,9 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/prefix"
 )
 
-// blockTokens is how many tokens of a prompt share one cache entry.
-const blockTokens = 16
-
 // Engine is a stand-in of a model engine. Its answers are a function of the
 // prompt and the position, so an answer continued elsewhere is the same answer.
 // The zero value works, without delays.
@@ -233,19 +231,6 @@
 	e.served[id] = position
 }
 
-// Prefixes returns the chain of hashes of a prompt's full blocks, of 16 tokens
-// of about 4 bytes each.
-func Prefixes(prompt string) []uint64 {
-	const blockBytes = blockTokens * 4
-	var chain []uint64
-	h := fnv.New64a()
-	for at := 0; at+blockBytes <= len(prompt); at += blockBytes {
-		_, _ = h.Write([]byte(prompt[at : at+blockBytes]))
-		chain = append(chain, h.Sum64())
-	}
-	return chain
-}
-
 // lookUp returns how many tokens are cached and stores the prompt's blocks.
 func (e *Engine) lookUp(g engine.Generate, prompt fleet.Tokens) (cached fleet.Tokens) {
 	e.mu.Lock()
@@ -254,10 +239,10 @@
 		e.cache = make(map[uint64]bool)
 	}
 	hit := true
-	for _, b := range Prefixes(g.Prompt) {
+	for _, b := range prefix.Chain(g.Prompt) {
 		hit = hit && e.cache[b]
 		if hit {
-			cached += blockTokens
+			cached += prefix.BlockTokens
 		}
 		e.store(b)
 	}
@@ -291,7 +276,7 @@
 		Sequence: uint64(len(e.events)),
 		Change:   c,
 		Prefix:   block,
-		Tokens:   blockTokens,
+		Tokens:   prefix.BlockTokens,
 	})
 }
 
@@ -311,7 +296,7 @@
 	writeJSON(w, http.StatusOK, engine.Load{
 		Running: len(e.running),
 		Slots:   e.Slots,
-		Cache:   fleet.Tokens(len(e.cache) * blockTokens),
+		Cache:   fleet.Tokens(len(e.cache)) * prefix.BlockTokens,
 		Model:   e.model,
 		Version: e.version,
 		Role:    e.role,
