Add the peer protocol and the state that nodes hold of each other

Nodes knew nothing of each other: no heartbeats, every node thought every other one alive, and marks of instances reached a node only by its own polls. This adds the wire types (protobuf over connect, a version in each message), pkg/member with the pure merge rules, and pkg/peer with the exchange: a question to one random peer of the data centre every 0.5 s answered with what the asker lacks by digest, a push of new facts to three peers at once, summaries between data centres by two gateways each, and a byte budget of 6500 B/s a node for sending, facts and configuration before reports.

Reports carry a sequence of their origin and an age; facts are joined by rank and never taken back.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,9 @@
 	$(LINT) fmt
 
 ci: lint build test
+
+# generate makes the committed code of the peer protocol; it needs protoc.
+generate:
+	protoc --plugin=$(GOBIN)/protoc-gen-go --plugin=$(GOBIN)/protoc-gen-connect-go \
+		--go_out=. --go_opt=paths=source_relative --connect-go_out=. --connect-go_opt=paths=source_relative \
+		pkg/api/peer/v1/peer.proto
--- /dev/null
+++ b/pkg/peer/answer.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/skylarkloom/skylarkloom/pkg/api/peer/v1"
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/config"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/member"
+)
+
+// Answer merges a peer's question and returns what the peer does not hold.
+func (s *Service) Answer(_ context.Context, r *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	s.init()
+	if r.GetVersion() < 1 {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, &VersionError{Version: r.GetVersion()})
+	}
+	now, own := s.now(), s.revision()
+	from := nodeFromWire(r.GetFrom())
+	w := &peerv1.ExchangeResponse{Version: Version, From: nodeToWire(s.Self), Revision: uint64(own)}
+	change := s.change(r, own)
+	s.mu.Lock()
+	state := s.meet(from)
+	facts, next := s.factsFor(r)
+	news := s.mergeFacts(r.GetFacts(), now)
+	if len(facts) < maxFacts {
+		next = s.facts.Next()
+	}
+	w.Sequence = s.sequence()
+	w.Facts = factsToWire(facts)
+	w.Facts.Next, w.Facts.Sum = next, s.facts.Sum()
+	state.sum = r.GetFacts().GetSum()
+	s.notice(from.Ref.Name, fleet.Revision(r.GetRevision()), own, now)
+	if r.GetSummary() != nil {
+		s.mergeSummary(r.GetSummary(), now)
+		w.Summary = summaryToWire(s.Self.DataCentre, s.ownSummary(now), now)
+	}
+	w.Change = change
+	if r.GetDigest() != nil {
+		s.fill(w, digestFromWire(r.GetDigest()))
+	}
+	s.spend(w, now)
+	s.mu.Unlock()
+	s.announce(news, nil)
+	return w, nil
+}
+
+// factsFor returns the facts that the asker lacks. The lock is held.
+func (s *Service) factsFor(r *peerv1.ExchangeRequest) (facts []member.Fact, next uint64) {
+	read := r.GetRead()
+	if member.Life(r.GetLife()) != member.LifeOf(s.Self.Ref) {
+		read = 0
+	}
+	return s.unread(read, r.GetFacts().GetSum())
+}
+
+// fill adds reports that the holder of the digest lacks, as far as the budget
+// goes. Origins come in random order, so that none is starved. The lock is held.
+func (s *Service) fill(w *peerv1.ExchangeResponse, d member.Digest) {
+	now := s.now()
+	room := s.budget.Room(now) - messageOverhead - proto.Size(w)
+	parts := s.reports.Missing(d, now)
+	s.random.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+	for _, p := range parts {
+		part := partToWire(p, now)
+		for items := len(p.Items); proto.Size(part) > room && items > 0; {
+			items /= 2
+			part = partToWire(p.Cut(items), now)
+		}
+		size := proto.Size(part)
+		if size > room {
+			return
+		}
+		room -= size
+		w.Parts = append(w.Parts, part)
+	}
+}
+
+// change returns the configuration in force if the asker wants it and works by
+// a lower revision.
+func (s *Service) change(r *peerv1.ExchangeRequest, own fleet.Revision) []byte {
+	if !r.GetConfiguration() || fleet.Revision(r.GetRevision()) >= own || s.Change == nil {
+		return nil
+	}
+	c, ok := s.Change()
+	if !ok {
+		return nil
+	}
+	data, err := record.Marshal(c)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// learn takes in a configuration that a peer sent.
+func (s *Service) learn(data []byte) error {
+	if len(data) == 0 || s.Learn == nil {
+		return nil
+	}
+	var c config.Change
+	if err := record.Unmarshal(data, &c); err != nil {
+		return err
+	}
+	if c.Revision <= s.revision() {
+		return nil
+	}
+	if err := s.Learn(c); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.stats.Learnt++
+	s.mu.Unlock()
+	return nil
+}
--- /dev/null
+++ b/pkg/peer/wire.go
@@ -0,0 +1,179 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	peerv1 "github.com/skylarkloom/skylarkloom/pkg/api/peer/v1"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/member"
+)
+
+// The kinds of report on the wire.
+var (
+	kindNumbers = map[member.Kind]uint32{member.KindLoad: 1, member.KindDemand: 2, member.KindSummary: 3}
+	kindNames   = map[uint32]member.Kind{1: member.KindLoad, 2: member.KindDemand, 3: member.KindSummary}
+)
+
+func nodeToWire(n member.Node) *peerv1.Node {
+	return &peerv1.Node{
+		Name:        string(n.Ref.Name),
+		Incarnation: uint64(n.Ref.Incarnation),
+		Datacentre:  string(n.DataCentre),
+		Address:     n.Address,
+	}
+}
+
+func nodeFromWire(n *peerv1.Node) member.Node {
+	return member.Node{
+		Ref:        fleet.NodeRef{Name: fleet.NodeName(n.GetName()), Incarnation: fleet.Incarnation(n.GetIncarnation())},
+		DataCentre: fleet.DataCentreName(n.GetDatacentre()),
+		Address:    n.GetAddress(),
+	}
+}
+
+func digestToWire(d member.Digest) *peerv1.Digest {
+	w := &peerv1.Digest{}
+	for life, sequence := range d {
+		w.Lives = append(w.Lives, uint64(life))
+		w.Sequences = append(w.Sequences, sequence)
+	}
+	return w
+}
+
+func digestFromWire(w *peerv1.Digest) member.Digest {
+	d := make(member.Digest, len(w.GetLives()))
+	for i, life := range w.GetLives() {
+		if i < len(w.GetSequences()) {
+			d[member.Life(life)] = w.GetSequences()[i]
+		}
+	}
+	return d
+}
+
+func partToWire(p member.Part, now time.Time) *peerv1.Part {
+	w := &peerv1.Part{Life: uint64(p.Life), From: p.From, To: p.To, Revision: uint64(p.Revision)}
+	if p.Node.Ref.Name != "" {
+		w.Node = nodeToWire(p.Node)
+	}
+	for _, i := range p.Items {
+		w.Items = append(w.Items, &peerv1.Item{
+			Kind:     kindNumbers[i.Key.Kind],
+			Subject:  uint64(i.Key.Subject),
+			Sequence: i.Sequence,
+			Age:      uint64(max(0, now.Sub(i.Observed).Milliseconds())),
+			Data:     i.Data,
+		})
+	}
+	return w
+}
+
+// partFromWire leaves out reports of kinds that this version does not know.
+func partFromWire(w *peerv1.Part, now time.Time) member.Part {
+	p := member.Part{Life: member.Life(w.GetLife()), From: w.GetFrom(), To: w.GetTo(), Revision: fleet.Revision(w.GetRevision())}
+	if w.GetNode() != nil {
+		p.Node = nodeFromWire(w.GetNode())
+	}
+	for _, i := range w.GetItems() {
+		kind, known := kindNames[i.GetKind()]
+		if !known {
+			continue
+		}
+		p.Items = append(p.Items, member.Item{
+			Key:      member.Key{Kind: kind, Subject: member.Subject(i.GetSubject())},
+			Sequence: i.GetSequence(),
+			Data:     i.GetData(),
+			Observed: now.Add(-milliseconds(i.GetAge())),
+		})
+	}
+	return p
+}
+
+// milliseconds converts an age, which is bounded to keep it from overflowing.
+func milliseconds(age uint64) time.Duration {
+	return time.Duration(min(age, uint64(time.Hour.Milliseconds()))) * time.Millisecond
+}
+
+func factsToWire(facts []member.Fact) *peerv1.Facts {
+	w := &peerv1.Facts{}
+	for _, f := range facts {
+		if f.Key.Topic == member.TopicSuspect {
+			w.Suspects = append(w.Suspects, &peerv1.Suspect{Key: []byte(f.Key.Name), Crashes: f.Count, Rank: f.Rank, Born: f.Born})
+			continue
+		}
+		w.Marks = append(w.Marks, &peerv1.Mark{
+			Instance:    f.Key.Name,
+			Incarnation: uint64(f.Key.Incarnation),
+			Rank:        f.Rank,
+			Leaves:      f.Leaves,
+			Born:        f.Born,
+		})
+	}
+	return w
+}
+
+func factsFromWire(w *peerv1.Facts) (facts []member.Fact) {
+	for _, m := range w.GetMarks() {
+		facts = append(facts, member.Fact{
+			Key:    member.FactKey{Topic: member.TopicMark, Name: m.GetInstance(), Incarnation: fleet.Incarnation(m.GetIncarnation())},
+			Rank:   m.GetRank(),
+			Leaves: m.GetLeaves(),
+			Born:   m.GetBorn(),
+		})
+	}
+	for _, m := range w.GetSuspects() {
+		facts = append(facts, member.Fact{
+			Key:   member.FactKey{Topic: member.TopicSuspect, Name: string(m.GetKey())},
+			Rank:  m.GetRank(),
+			Count: m.GetCrashes(),
+			Born:  m.GetBorn(),
+		})
+	}
+	return facts
+}
+
+// summary is what is known of a data centre as a whole.
+type summary struct {
+	lives    map[member.Life]fleet.Revision
+	rates    map[member.Subject]float64
+	observed time.Time
+}
+
+func summaryToWire(name fleet.DataCentreName, sum summary, now time.Time) *peerv1.Summary {
+	w := &peerv1.Summary{Datacentre: string(name), Age: uint64(max(0, now.Sub(sum.observed).Milliseconds()))}
+	for life, revision := range sum.lives {
+		w.Lives = append(w.Lives, uint64(life))
+		w.Revisions = append(w.Revisions, uint64(revision))
+	}
+	for account, rate := range sum.rates {
+		w.Accounts = append(w.Accounts, uint64(account))
+		w.Rates = append(w.Rates, float32(rate))
+	}
+	return w
+}
+
+func summaryFromWire(w *peerv1.Summary, now time.Time) summary {
+	sum := summary{
+		lives:    make(map[member.Life]fleet.Revision),
+		rates:    make(map[member.Subject]float64),
+		observed: now.Add(-milliseconds(w.GetAge())),
+	}
+	for i, life := range w.GetLives() {
+		if i < len(w.GetRevisions()) {
+			sum.lives[member.Life(life)] = fleet.Revision(w.GetRevisions()[i])
+		}
+	}
+	for i, account := range w.GetAccounts() {
+		if i < len(w.GetRates()) {
+			sum.rates[member.Subject(account)] = float64(w.GetRates()[i])
+		}
+	}
+	return sum
+}
+
+// sortNames puts names in order.
+func sortNames(names []fleet.NodeName) []fleet.NodeName {
+	slices.SortFunc(names, cmp.Compare)
+	return names
+}
