--- /dev/null
+++ b/pkg/lease/fold_test.go
@@ -0,0 +1,95 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/lease"
+)
+
+const window = 30 * time.Second
+
+var _ = Describe("The fold of the lease stream", func() {
+	It("gives a duty to one node at a time and counts nothing done under a lapsed one", func() {
+		takeovers := 0
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var (
+				fold   lease.Fold
+				now    = time.Unix(1_800_000_000, 0)
+				offset fleet.Offset
+				holder fleet.NodeRef
+				fence  fleet.Fence
+				until  time.Time
+				fences = map[fleet.NodeRef]fleet.Fence{}
+				tags   int
+			)
+			apply := func(e record.Envelope) {
+				offset++
+				Expect(fold.Apply(record.Position{Offset: offset, Time: now}, e)).To(Succeed())
+			}
+			add := func(kind record.Kind, body any) {
+				e, err := record.New(kind, now, body)
+				Expect(err).NotTo(HaveOccurred())
+				apply(e)
+			}
+			node := func(t *rapid.T) fleet.NodeRef {
+				return fleet.NodeRef{Name: fleet.NodeName(rapid.SampledFrom([]string{"one", "two", "three"}).Draw(t, "node"))}
+			}
+			t.Repeat(map[string]func(*rapid.T){
+				"claim": func(t *rapid.T) {
+					n := node(t)
+					add(record.KindClaim, record.Claim{Name: "duty", Node: n, Window: window})
+					if until.Before(now) {
+						if holder.Name != "" && holder != n {
+							takeovers++
+						}
+						holder, fence = n, fleet.Fence(offset)+1
+						fences[n] = fence
+					}
+					if holder == n {
+						until = now.Add(window)
+					}
+				},
+				"intent": func(t *rapid.T) {
+					n := node(t)
+					tags++
+					tag := fmt.Sprint(tags)
+					add(record.KindIntent, record.Intent{Lease: "duty", Fence: fences[n], Tag: tag})
+					counts := n == holder && fences[n] == fence && fence != 0 && !until.Before(now)
+					Expect(fold.Open(tag)).To(Equal(counts))
+				},
+				"close": func(t *rapid.T) {
+					if open := fold.Intents(); len(open) > 0 {
+						tag := rapid.SampledFrom(open).Draw(t, "intent").Tag
+						add(record.KindClosed, record.Closed{Tag: tag, Result: record.StartRunning})
+						Expect(fold.Open(tag)).To(BeFalse())
+					}
+				},
+				"pass": func(t *rapid.T) {
+					now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+				},
+				"restart": func(*rapid.T) {
+					data, err := fold.Save()
+					Expect(err).NotTo(HaveOccurred())
+					var loaded lease.Fold
+					Expect(loaded.Load(data)).To(Succeed())
+					fold = loaded
+				},
+				"": func(*rapid.T) {
+					l, ok := fold.Get("duty")
+					if ok && !until.Before(now) {
+						Expect(l.Node).To(Equal(holder))
+						Expect(l.Fence).To(Equal(fence))
+					}
+				},
+			})
+		})
+		Expect(takeovers).To(BeNumerically(">", 0))
+	})
+})
