Route by predicted first token over a view of exact and lagged work

Routing knew only its own work, and one refused connection lost an instance for good. The view now holds own work exactly, load reports that give way to the mean as they age, prefix hits, and a hazard a zone; the decision draws three candidates at random and up to three holders of the prefix and takes the least predicted cost, by the account's weights. Round robin, least reported, two by report and two by own work stay as named policies. A poller reads load and events of the engines that Mine names, and Merge takes what peers report. A refused connection only shuns an instance for 1 s, doubling to 30 s, until it answers; of several notices the earliest leave counts; evidence is forgotten after 1200 lists that lack the instance. Work on a leaving instance moves in order of slack and stake, spread over half of the notice, and stays if it is predicted to end in time.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -80,6 +80,7 @@
 		d.configService,
 		d.rosterService,
 		d.routerService,
+		d.pollerService,
 		d.orderService,
 		d.entryService,
 		d.operatorService,
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -99,7 +99,11 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	r := &router.Router{Roster: known, Client: d.client}
+	keeper, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	r := &router.Router{Roster: known, Client: d.client, Weights: weights(keeper)}
 	known.Marked = func(m roster.Mark) {
 		r.Marked(m)
 		id := event.InstanceLeaving
--- a/pkg/generation/generation.go
+++ b/pkg/generation/generation.go
@@ -81,8 +81,26 @@
 	Engine *endpoint.Engine
 	// Stay ends when the attempt should continue elsewhere.
 	Stay context.Context
+	// Cached is how much of the prompt and the tokens so far is expected to be
+	// cached there.
+	Cached fleet.Tokens
 	// Release ends the use and reports how it went.
 	Release func(err error)
+	// Observe, if set, is told what the attempt measured before its release.
+	Observe func(o Observation)
+}
+
+// Observation is what one attempt measured of its endpoint.
+type Observation struct {
+	Start time.Time
+	// First and Last are the times of the attempt's first and last tokens; zero
+	// if there was none.
+	First time.Time
+	Last  time.Time
+	// Tokens is how many tokens the attempt delivered.
+	Tokens int
+	// Finish is the last frame, if the attempt ended the answer.
+	Finish engine.Frame
 }
 
 // Runner runs generations over endpoints.
@@ -92,6 +110,15 @@
 	Pick func(ctx context.Context, r Request, emitted int, failed []fleet.InstanceRef) (Lease, error)
 	// Attempts bounds how often a request is tried; 0 takes the default.
 	Attempts int
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+func (g *Runner) now() time.Time {
+	if g.Now != nil {
+		return g.Now()
+	}
+	return time.Now()
 }
 
 // DefaultAttempts is how often a generation is tried.
@@ -129,7 +156,12 @@
 		}
 		res.Attempts++
 		start := len(a.Tokens())
-		broke := attempt(ctx, a, lease, r, emit)
+		o := Observation{Start: g.now()}
+		broke := g.attempt(ctx, a, lease, r, &o, emit)
+		o.Finish, _ = a.Finish()
+		if lease.Observe != nil {
+			lease.Observe(o)
+		}
 		lease.Release(broke)
 		if f, done := a.Finish(); done {
 			res.Finish, res.Tokens = f, fleet.Tokens(len(a.Tokens()))
@@ -162,12 +194,12 @@
 // Unwrap returns the cause.
 func (e *emitError) Unwrap() error { return e.error }
 
-func attempt(ctx context.Context, a *Assembly, l Lease, r Request, emit func(string) error) error {
+func (g *Runner) attempt(ctx context.Context, a *Assembly, l Lease, r Request, o *Observation, emit func(string) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(l.Stay, func() { cancel(errMoved) })
 	defer stop()
-	g := engine.Generate{
+	ask := engine.Generate{
 		ID:       r.ID,
 		Attempt:  a.Begin(),
 		Model:    r.Model,
@@ -176,10 +208,11 @@
 		Max:      r.Max,
 		Priority: r.Priority,
 	}
-	err := l.Engine.GenerateFunc(ctx, g, func(f engine.Frame) error {
+	err := l.Engine.GenerateFunc(ctx, ask, func(f engine.Frame) error {
 		if !a.Add(f) || f.Done {
 			return nil
 		}
+		o.token(g.now())
 		if err := emit(f.Text); err != nil {
 			return &emitError{err}
 		}
@@ -191,6 +224,14 @@
 	return err
 }
 
+func (o *Observation) token(now time.Time) {
+	if o.Tokens == 0 {
+		o.First = now
+	}
+	o.Last = now
+	o.Tokens++
+}
+
 func or(value, fallback int) int {
 	if value == 0 {
 		return fallback
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -44,6 +44,28 @@
 	marks map[fleet.InstanceRef]Mark
 	view  []fleet.Instance
 	read  bool
+	// version counts the changes of the view.
+	version uint64
+	// absent counts the lists in a row that lacked an instance with evidence.
+	absent map[fleet.InstanceRef]int
+}
+
+// keepMarks is for how many lists in a row evidence is kept on an instance
+// that they lack, so that an old list does not bring it back.
+const keepMarks = 1200
+
+// Version changes whenever Instances does.
+func (r *Roster) Version() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.version
+}
+
+// changed makes the next look at the instances build a new view. The lock is
+// held.
+func (r *Roster) changed() {
+	r.view = nil
+	r.version++
 }
 
 // Read reports whether a list has been read.
@@ -60,9 +82,9 @@
 	if r.all == nil {
 		r.all = make(map[fleet.InstanceID]fleet.Instance)
 	}
-	if !ok || i.Incarnation >= known.Incarnation {
+	if !ok || (i.Incarnation >= known.Incarnation && i != known) {
 		r.all[i.ID] = i
-		r.view = nil
+		r.changed()
 	}
 	r.mu.Unlock()
 	if i.Condition != "" && i.Condition != fleet.ConditionLive {
@@ -71,10 +93,13 @@
 }
 
 // Mark merges one piece of evidence and reports whether it changed anything.
+// Of several notices the earliest leave counts.
 func (r *Roster) Mark(m Mark) (changed bool) {
 	r.mu.Lock()
 	known := r.marks[m.Instance]
-	if m.Condition.Rank() > known.Condition.Rank() {
+	sooner := m.Condition == known.Condition && !m.Leaves.IsZero() &&
+		(known.Leaves.IsZero() || m.Leaves.Before(known.Leaves))
+	if m.Condition.Rank() > known.Condition.Rank() || (sooner && m.Condition == fleet.ConditionLeaving) {
 		if r.marks == nil {
 			r.marks = make(map[fleet.InstanceRef]Mark)
 		}
@@ -82,7 +107,7 @@
 			m.Leaves = known.Leaves
 		}
 		r.marks[m.Instance] = m
-		r.view = nil
+		r.changed()
 		changed = true
 	}
 	r.mu.Unlock()
@@ -156,8 +181,8 @@
 	return fleet.ConditionLive
 }
 
-// Keep drops instances that a fresh list no longer holds, and evidence on
-// instances that were dropped and are older than the list.
+// Keep drops instances that a fresh list no longer holds, and in time the
+// evidence on them.
 func (r *Roster) Keep(listed []fleet.Instance) {
 	ids := make(map[fleet.InstanceID]bool, len(listed))
 	for _, i := range listed {
@@ -169,7 +194,27 @@
 	for id := range r.all {
 		if !ids[id] {
 			delete(r.all, id)
-			r.view = nil
+			r.changed()
+		}
+	}
+	r.forget(ids)
+}
+
+// forget drops evidence on instances that the lists have long lacked. The lock
+// is held.
+func (r *Roster) forget(listed map[fleet.InstanceID]bool) {
+	for ref := range r.marks {
+		if listed[ref.ID] {
+			delete(r.absent, ref)
+			continue
+		}
+		if r.absent == nil {
+			r.absent = make(map[fleet.InstanceRef]int)
+		}
+		r.absent[ref]++
+		if r.absent[ref] > keepMarks {
+			delete(r.absent, ref)
+			delete(r.marks, ref)
 		}
 	}
 }
--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,83 @@
+package roster_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/roster"
+)
+
+func TestRoster(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "roster")
+}
+
+var conditions = []fleet.Condition{fleet.ConditionLive, fleet.ConditionLeaving, fleet.ConditionGone}
+
+var _ = Describe("The roster", func() {
+	It("never brings one life of an instance back, whatever arrives in what order", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			r := &roster.Roster{}
+			worst := map[fleet.InstanceRef]int{}
+			var newest fleet.Incarnation
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				ref := fleet.InstanceRef{ID: "engine-1", Incarnation: fleet.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation"))}
+				c := rapid.SampledFrom(conditions).Draw(t, "condition")
+				i := fleet.Instance{ID: ref.ID, Incarnation: ref.Incarnation, Pool: "plume", Condition: c}
+				switch rapid.IntRange(0, 2).Draw(t, "what") {
+				case 0:
+					r.Mark(roster.Mark{Instance: ref, Condition: c})
+				case 1:
+					r.Add(i)
+					newest = max(newest, ref.Incarnation)
+				default:
+					r.Add(i)
+					r.Keep([]fleet.Instance{i})
+					newest = max(newest, ref.Incarnation)
+				}
+				worst[ref] = max(worst[ref], c.Rank())
+				for _, live := range r.Pool("plume") {
+					if worst[live.Ref()] > 0 {
+						t.Fatalf("%v takes work after it left", live.Ref())
+					}
+					if live.Incarnation != newest {
+						t.Fatalf("%v takes work, but %d is newer", live.Ref(), newest)
+					}
+				}
+			}
+		})
+	})
+
+	It("keeps the earliest leave of several notices, and tells of each change once", func() {
+		told := 0
+		r := &roster.Roster{Marked: func(roster.Mark) { told++ }}
+		ref := fleet.InstanceRef{ID: "engine-1", Incarnation: 1}
+		r.Add(fleet.Instance{ID: ref.ID, Incarnation: 1, Pool: "plume"})
+		at := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
+		for _, seconds := range []int{30, 30, 10, 20} {
+			r.Mark(roster.Mark{Instance: ref, Condition: fleet.ConditionLeaving, Leaves: at.Add(time.Duration(seconds) * time.Second)})
+		}
+		Expect(told).To(Equal(2))
+		Expect(r.Instances()[0].Leaves).To(Equal(at.Add(10 * time.Second)))
+	})
+
+	It("forgets evidence on an instance only after many lists without it", func() {
+		r := &roster.Roster{}
+		r.Mark(roster.Mark{Instance: fleet.InstanceRef{ID: "engine-1", Incarnation: 1}, Condition: fleet.ConditionGone})
+		for range 1200 {
+			r.Keep(nil)
+		}
+		Expect(r.Marks()).To(HaveLen(1))
+		r.Keep(nil)
+		Expect(r.Marks()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/pkg/route/baseline.go
@@ -0,0 +1,48 @@
+package route
+
+// The baselines that the predictor is compared with.
+
+// RoundRobin takes the candidates in turn.
+func RoundRobin(q *Query, v *View) int {
+	n := len(v.Candidates)
+	for k := range n {
+		if i := int((q.Turn + uint64(k)) % uint64(n)); q.allows(&v.Candidates[i]) {
+			return i
+		}
+	}
+	return None
+}
+
+// LeastReported takes the candidate with the least work in its last report.
+func LeastReported(q *Query, v *View) int {
+	best := None
+	for i := range v.Candidates {
+		c := &v.Candidates[i]
+		if q.allows(c) && (best == None || c.Report.Work < v.Candidates[best].Report.Work) {
+			best = i
+		}
+	}
+	return best
+}
+
+// TwoReported takes the one with less work in its last report of two drawn at
+// random.
+func TwoReported(q *Query, v *View) int {
+	return better(q, v, func(c *Candidate) int { return c.Report.Work })
+}
+
+// TwoChoices takes the one with less of this node's own work of two drawn at
+// random.
+func TwoChoices(q *Query, v *View) int {
+	return better(q, v, func(c *Candidate) int { return c.Mine })
+}
+
+func better(q *Query, v *View, work func(*Candidate) int) int {
+	d := newDraw(q.Seed)
+	a := d.candidate(q, v)
+	b := d.candidate(q, v)
+	if a != None && work(&v.Candidates[b]) < work(&v.Candidates[a]) {
+		return b
+	}
+	return a
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -1,39 +1,45 @@
 // Package route decides which endpoint serves a request. A decision is a pure
-// function of the request, the view, the clock reading and the seed, so that it
-// can be replayed.
+// function of the query and the view, which hold the clock reading and the
+// seed, so that it can be replayed.
 package route
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
 
-// Candidate is an endpoint as the deciding node sees it.
-type Candidate struct {
-	Instance fleet.Instance
-	// Mine is this node's own work in flight there, which is exact.
-	Mine int
-	// Slots is how many requests the endpoint runs at a time; 0 if not known.
-	Slots int
-}
-
 // Query is what a decision is made for.
 type Query struct {
-	Account fleet.AccountName
-	Pool    fleet.PoolName
-	// Prefix is the chain of hashes of the prompt's blocks.
-	Prefix   []uint64
-	Prompt   fleet.Tokens
-	Max      fleet.Tokens
+	Account  fleet.AccountName
+	Pool     fleet.PoolName
 	Deadline time.Time
 	Now      time.Time
 	Weights  Weights
+	// Prompt is the length of what has to be in the cache before the next token:
+	// the prompt and what was emitted. Output is how many tokens are expected.
+	Prompt fleet.Tokens
+	Output fleet.Tokens
+	// Hits says which candidates hold how much of the prompt.
+	Hits []Hit
 	// Failed lists endpoints that the request has tried in vain.
 	Failed []fleet.InstanceRef
-	Seed   uint64
+	// Allow bars candidates for this request; nil allows all.
+	Allow func(c *Candidate) bool
+	// desperate makes candidates count that failed.
+	desperate bool
+	Seed      uint64
+	// Turn counts the decisions of this node.
+	Turn uint64
+}
+
+// Hit is the cached part of the prompt on one candidate.
+type Hit struct {
+	// Index is the candidate's place in the view.
+	Index    int
+	Tokens   fleet.Tokens
+	Doubtful fleet.Tokens
 }
 
 // Weights say what the account or pool pays attention to.
@@ -51,32 +57,31 @@
 	return "no endpoint of pool " + string(e.Pool) + " can take work"
 }
 
-// Policy picks one of the candidates, which are never empty.
-type Policy func(q Query, candidates []Candidate) Candidate
+// Policy returns the index of the chosen candidate, or None.
+type Policy func(q *Query, v *View) int
+
+// None is the index that stands for no candidate.
+const None = -1
 
 // Pick chooses an endpoint by a policy. Endpoints that the request has tried
-// in vain are used only if there is no other.
-func Pick(policy Policy, q Query, candidates []Candidate) (Candidate, error) {
-	if len(candidates) == 0 {
-		return Candidate{}, &NoEndpointError{Pool: q.Pool}
+// in vain, or that are shunned, are used only if there is no other.
+func Pick(policy Policy, q *Query, v *View) (index int, err error) {
+	index = policy(q, v)
+	if index == None && len(v.Candidates) > 0 {
+		again := *q
+		again.desperate = true
+		index = policy(&again, v)
 	}
-	fresh := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
-		return slices.Contains(q.Failed, c.Instance.Ref())
-	})
-	if len(fresh) == 0 {
-		fresh = candidates
+	if index == None {
+		return None, &NoEndpointError{Pool: q.Pool}
 	}
-	return policy(q, fresh), nil
+	return index, nil
 }
 
-// TwoChoices picks the one with less of this node's own work of two endpoints
-// chosen at random.
-func TwoChoices(q Query, candidates []Candidate) Candidate {
-	r := rand.New(rand.NewPCG(q.Seed, 0))
-	a := candidates[r.IntN(len(candidates))]
-	b := candidates[r.IntN(len(candidates))]
-	if b.Mine < a.Mine {
-		return b
+// allows reports whether the request may go to a candidate.
+func (q *Query) allows(c *Candidate) bool {
+	if !q.desperate && (q.Now.Before(c.Shunned) || slices.Contains(q.Failed, c.Instance.Ref())) {
+		return false
 	}
-	return a
+	return q.Allow == nil || q.Allow(c)
 }
--- /dev/null
+++ b/pkg/router/bench_test.go
@@ -0,0 +1,34 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/router"
+)
+
+// BenchmarkDecision measures a whole decision: the hash chain of a prompt of
+// about 1000 tokens, the look-up, the choice, and the release.
+func BenchmarkDecision(b *testing.B) {
+	for _, count := range []int{10, 100, 600} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			r := newBench(count)
+			for n, i := range r.Roster.Instances() {
+				r.Merge(router.Report{Instance: i.Ref(), Load: engine.Load{Running: n % 7, Slots: 16}, At: r.clock})
+			}
+			g := generation.Request{Pool: pool, Prompt: strings.Repeat("season plan ", 333), Max: 100}
+			b.ReportAllocs()
+			for b.Loop() {
+				l, err := r.Generation(context.Background(), g, 0, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				l.Release(nil)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/router/lease.go
@@ -0,0 +1,138 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/roster"
+	"github.com/skylarkloom/skylarkloom/pkg/route"
+)
+
+// lease is the use of an endpoint for one attempt.
+type lease struct {
+	router   *Router
+	instance fleet.Instance
+	start    time.Time
+	deadline time.Time
+	chain    []uint64
+	// prompt counts the prompt and the tokens of earlier attempts.
+	prompt  fleet.Tokens
+	cached  fleet.Tokens
+	output  fleet.Tokens
+	emitted int
+	// alone is set if the node had no other work there at the start.
+	alone bool
+	stay  context.Context
+	leave context.CancelFunc
+	move  *time.Timer
+}
+
+func newLease(r *Router, i fleet.Instance, q route.Query) *lease {
+	l := &lease{
+		router:   r,
+		instance: i,
+		start:    q.Now,
+		deadline: q.Deadline,
+		prompt:   q.Prompt,
+		output:   q.Output,
+	}
+	l.stay, l.leave = context.WithCancel(context.Background())
+	return l
+}
+
+func (l *lease) observe(o generation.Observation) {
+	l.router.mu.Lock()
+	defer l.router.mu.Unlock()
+	l.router.observe(l, o, l.router.now())
+}
+
+// release ends the use. It may be called more than once.
+func (l *lease) release(err error) {
+	r := l.router
+	if refused(err) {
+		r.Refused(l.instance, r.now())
+	} else if err == nil {
+		r.Answered(l.instance)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l.leave()
+	if l.move != nil {
+		l.move.Stop()
+	}
+	s := r.states[l.instance.Ref()]
+	if s == nil {
+		return
+	}
+	delete(s.work, l)
+	if c := r.find(l.instance.Pool, l.instance.Ref()); c != nil {
+		c.Mine = len(s.work)
+	}
+}
+
+// work is the lease as the plan of moves sees it.
+func (l *lease) work(now time.Time, s route.Speed) route.Work {
+	token := s.Token
+	if token <= 0 {
+		token = route.DefaultToken
+	}
+	done := fleet.Tokens(now.Sub(l.start) / token)
+	left := max(l.output-done, l.output/2)
+	return route.Work{
+		Deadline:  l.deadline,
+		Stake:     l.prompt + done,
+		Remaining: time.Duration(left) * token,
+	}
+}
+
+// Marked plans the moves of the work on an instance that leaves or is gone. It
+// is the roster's Marked.
+func (r *Router) Marked(m roster.Mark) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range r.Roster.Instances() {
+		if i.Ref() == m.Instance && m.Condition == fleet.ConditionLeaving {
+			r.hazard.Reclaimed(i.Zone, now)
+		}
+	}
+	s := r.states[m.Instance]
+	if s == nil {
+		return
+	}
+	leases := make([]*lease, 0, len(s.work))
+	for l := range s.work {
+		leases = append(leases, l)
+	}
+	if len(leases) == 0 {
+		return
+	}
+	if m.Condition == fleet.ConditionGone {
+		for _, l := range leases {
+			l.leave()
+		}
+		return
+	}
+	r.plan(leases, m.Leaves, now)
+}
+
+// plan sets the timers of the moves. The lock is held.
+func (r *Router) plan(leases []*lease, leaves, now time.Time) {
+	var speed route.Speed
+	if p := r.pools[leases[0].instance.Pool]; p != nil {
+		speed = p.view.Speed
+	}
+	work := make([]route.Work, len(leases))
+	for i, l := range leases {
+		work[i] = l.work(now, speed)
+	}
+	for _, m := range route.Moves(work, leaves, now, speed) {
+		l := leases[m.Index]
+		if l.move != nil {
+			l.move.Stop()
+		}
+		l.move = time.AfterFunc(m.At.Sub(now), l.leave)
+	}
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/generation"
 	"github.com/skylarkloom/skylarkloom/pkg/order"
+	"github.com/skylarkloom/skylarkloom/pkg/prefix"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
 	"github.com/skylarkloom/skylarkloom/pkg/route"
 )
@@ -24,53 +25,68 @@
 type Router struct {
 	Roster *roster.Roster
 	Client *http.Client
-	// Policy decides; nil takes route.TwoChoices.
+	// Policy decides; nil takes route.Predictor.
 	Policy route.Policy
+	// Weights returns what an account pays attention to on a pool; nil weighs
+	// all the same.
+	Weights func(account fleet.AccountName, pool fleet.PoolName) route.Weights
+	// Allow bars endpoints for a request; nil allows all. It is called with the
+	// router's lock held and must not call the router.
+	Allow func(g generation.Request, c *route.Candidate) bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
-	mu   sync.Mutex
-	used map[fleet.InstanceRef]*usage
+	mu       sync.Mutex
+	version  uint64
+	turn     uint64
+	pools    map[fleet.PoolName]*pool
+	states   map[fleet.InstanceRef]*endpointState
+	hazard   route.Hazard
+	prefixes prefix.Index
+	found    []prefix.Hit
+	hit      []route.Hit
 }
 
-// usage is this node's work on one life of an instance.
-type usage struct {
-	running int
-	stay    context.Context
-	leave   context.CancelFunc
-}
-
-// Marked tells the work on an instance to move. It is the roster's Marked.
-func (r *Router) Marked(m roster.Mark) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if u := r.used[m.Instance]; u != nil {
-		u.leave()
+func (r *Router) now() time.Time {
+	if r.Now != nil {
+		return r.Now()
 	}
+	return time.Now()
 }
 
 // InFlight returns this node's work on one life of an instance.
 func (r *Router) InFlight(ref fleet.InstanceRef) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if u := r.used[ref]; u != nil {
-		return u.running
+	if s := r.states[ref]; s != nil {
+		return len(s.work)
 	}
 	return 0
 }
 
 // Generation leases an engine for one attempt of a generation.
-func (r *Router) Generation(_ context.Context, g generation.Request, _ int, failed []fleet.InstanceRef) (generation.Lease, error) {
-	q := route.Query{Account: g.Account, Pool: g.Pool, Max: g.Max, Deadline: g.Deadline, Failed: failed}
-	c, err := r.pick(q)
+func (r *Router) Generation(_ context.Context, g generation.Request, emitted int, failed []fleet.InstanceRef) (generation.Lease, error) {
+	q := route.Query{
+		Account:  g.Account,
+		Pool:     g.Pool,
+		Deadline: g.Deadline,
+		Prompt:   promptTokens(g.Prompt) + fleet.Tokens(emitted),
+		Failed:   failed,
+	}
+	if r.Allow != nil {
+		q.Allow = func(c *route.Candidate) bool { return r.Allow(g, c) }
+	}
+	l, err := r.lease(q, prefix.Chain(g.Prompt), g.Max)
 	if err != nil {
 		return generation.Lease{}, err
 	}
-	stay, release := r.use(c.Instance.Ref())
+	l.emitted = emitted
 	return generation.Lease{
-		Engine:  endpoint.DialEngine(c.Instance, r.Client),
-		Stay:    stay,
-		Release: func(err error) { release(); r.note(c.Instance, err) },
+		Engine:  endpoint.DialEngine(l.instance, r.Client),
+		Stay:    l.stay,
+		Cached:  l.cached,
+		Observe: l.observe,
+		Release: l.release,
 	}, nil
 }
 
@@ -79,18 +95,16 @@
 func (r *Router) Call(ctx context.Context, pool fleet.PoolName, call endpoint.Call, repeatable bool) (a endpoint.Answer, err error) {
 	q := route.Query{Account: call.Account, Pool: pool}
 	for range generation.DefaultAttempts {
-		c, pickErr := r.pick(q)
+		l, pickErr := r.lease(q, nil, 0)
 		if pickErr != nil {
 			return a, &endpoint.NotStartedError{Cause: pickErr}
 		}
-		_, release := r.use(c.Instance.Ref())
-		a, err = endpoint.DialService(c.Instance, r.Client).CallFunc(ctx, call)
-		release()
-		r.note(c.Instance, err)
+		a, err = endpoint.DialService(l.instance, r.Client).CallFunc(ctx, call)
+		l.release(err)
 		if err == nil || ctx.Err() != nil || (!repeatable && !endpoint.NotStarted(err)) {
 			return a, err
 		}
-		q.Failed = append(q.Failed, c.Instance.Ref())
+		q.Failed = append(q.Failed, l.instance.Ref())
 	}
 	return a, err
 }
@@ -110,58 +124,56 @@
 	return order.Reply{Status: a.Status, Type: a.Type, Body: a.Body}, err
 }
 
-func (r *Router) pick(q route.Query) (route.Candidate, error) {
-	if q.Now = time.Now(); r.Now != nil {
-		q.Now = r.Now()
+// lease decides and counts the work in.
+func (r *Router) lease(q route.Query, chain []uint64, most fleet.Tokens) (*lease, error) {
+	q.Weights = route.Weights{Latency: 1, Recompute: 1, Price: 1}
+	if r.Weights != nil {
+		q.Weights = r.Weights(q.Account, q.Pool)
 	}
+	q.Now = r.now()
 	q.Seed = rand.Uint64()
-	live := r.Roster.Pool(q.Pool)
-	candidates := make([]route.Candidate, len(live))
-	for i, instance := range live {
-		candidates[i] = route.Candidate{Instance: instance, Mine: r.InFlight(instance.Ref())}
-	}
-	policy := r.Policy
-	if policy == nil {
-		policy = route.TwoChoices
-	}
-	return route.Pick(policy, q, candidates)
-}
-
-// use counts work on an instance until release is called.
-func (r *Router) use(ref fleet.InstanceRef) (stay context.Context, release func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	u := r.used[ref]
-	if u == nil {
-		u = &usage{}
-		u.stay, u.leave = context.WithCancel(context.Background())
-		if r.used == nil {
-			r.used = make(map[fleet.InstanceRef]*usage)
-		}
-		r.used[ref] = u
-	}
-	u.running++
-	if r.Roster.Condition(ref).Rank() > 0 {
-		u.leave()
+	index, err := r.decide(&q, chain, most)
+	if err != nil {
+		return nil, err
 	}
-	return u.stay, sync.OnceFunc(func() { r.drop(ref, u) })
+	p := r.pools[q.Pool]
+	c := &p.view.Candidates[index]
+	l := newLease(r, c.Instance, q)
+	l.chain = chain
+	l.alone = c.Mine == 0
+	l.cached = q.Cached(index)
+	r.state(c.Instance.Ref()).work[l] = struct{}{}
+	c.Mine++
+	r.prefixes.Expect(c.Instance.Ref(), chain, q.Now)
+	return l, nil
 }
 
-func (r *Router) drop(ref fleet.InstanceRef, u *usage) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u.running--
-	if u.running == 0 {
-		u.leave()
-		delete(r.used, ref)
+// decide completes the query from the view and picks. The lock is held.
+func (r *Router) decide(q *route.Query, chain []uint64, most fleet.Tokens) (index int, err error) {
+	r.refresh(q.Now)
+	r.turn++
+	q.Turn = r.turn
+	p := r.pools[q.Pool]
+	if p == nil {
+		return route.None, &route.NoEndpointError{Pool: q.Pool}
 	}
+	q.Output = min(most, fleet.Tokens(p.output))
+	q.Hits = r.hits(p, chain, q.Now)
+	policy := r.Policy
+	if policy == nil {
+		policy = route.Predictor{}.Pick
+	}
+	return route.Pick(policy, q, &p.view)
 }
 
-// note records a refused connection as evidence that the instance is gone.
-func (r *Router) note(i fleet.Instance, err error) {
-	var refused *endpoint.NotStartedError
+// promptTokens estimates how many tokens a prompt has.
+func promptTokens(prompt string) fleet.Tokens { return fleet.Tokens(len(prompt)/4 + 1) }
+
+// refused reports whether an error is that of a refused connection.
+func refused(err error) bool {
+	var notStarted *endpoint.NotStartedError
 	var status *endpoint.StatusError
-	if errors.As(err, &refused) && !errors.As(err, &status) {
-		r.Roster.Mark(roster.Mark{Instance: i.Ref(), Condition: fleet.ConditionGone, Source: roster.SourceFailure})
-	}
+	return errors.As(err, &notStarted) && !errors.As(err, &status)
 }
--- /dev/null
+++ b/pkg/router/view.go
@@ -0,0 +1,221 @@
+package router
+
+import (
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/route"
+)
+
+// Report is an engine's load as this node or a peer has read it.
+type Report struct {
+	Instance fleet.InstanceRef
+	Load     engine.Load
+	// At is when the load was read, by this node's clock.
+	At time.Time
+}
+
+// Parameters of what a node learns of the endpoints.
+const (
+	// learning is the share by which a value moves to a new measurement.
+	learning = 0.1
+	// minPrompt is the least uncached prompt that tells the speed of prompts.
+	minPrompt = 64
+	// defaultOutput is the expected length of answers before any was seen.
+	defaultOutput = 128
+	// shunFirst and shunLongest bound how long an endpoint is avoided after a
+	// refused connection; each further one doubles the time.
+	shunFirst   = time.Second
+	shunLongest = 30 * time.Second
+)
+
+// pool is a node's view of one pool.
+type pool struct {
+	view   route.View
+	index  map[fleet.InstanceRef]int
+	output float64
+}
+
+// endpointState is what a node keeps of one life of an instance.
+type endpointState struct {
+	work   map[*lease]struct{}
+	report route.Report
+	slots  int
+	// failures counts the refused connections since the last success.
+	failures int
+	shunned  time.Time
+}
+
+// state returns what is kept of an instance. The lock is held.
+func (r *Router) state(ref fleet.InstanceRef) *endpointState {
+	s := r.states[ref]
+	if s == nil {
+		if r.states == nil {
+			r.states = make(map[fleet.InstanceRef]*endpointState)
+		}
+		s = &endpointState{work: make(map[*lease]struct{})}
+		r.states[ref] = s
+	}
+	return s
+}
+
+// refresh builds the views anew if the roster has changed. The lock is held.
+func (r *Router) refresh(now time.Time) {
+	version := r.Roster.Version()
+	if r.pools != nil && version == r.version {
+		return
+	}
+	r.version = version
+	old := r.pools
+	r.pools = make(map[fleet.PoolName]*pool)
+	listed := make(map[fleet.InstanceRef]bool)
+	for _, i := range r.Roster.Instances() {
+		listed[i.Ref()] = true
+		p := r.pools[i.Pool]
+		if p == nil {
+			p = &pool{index: make(map[fleet.InstanceRef]int), output: defaultOutput}
+			r.pools[i.Pool] = p
+		}
+		if i.Condition.Rank() == 0 {
+			p.add(i, r.state(i.Ref()), r.hazard.Rate(i, now))
+		}
+	}
+	for name, p := range r.pools {
+		if before := old[name]; before != nil {
+			p.view.Speed, p.output = before.view.Speed, before.output
+		}
+		p.view.Refresh()
+	}
+	r.prefixes.Keep(func(ref fleet.InstanceRef) bool { return listed[ref] })
+	for ref, s := range r.states {
+		if !listed[ref] && len(s.work) == 0 {
+			delete(r.states, ref)
+		}
+	}
+}
+
+func (p *pool) add(i fleet.Instance, s *endpointState, hazard float64) {
+	p.index[i.Ref()] = len(p.view.Candidates)
+	p.view.Candidates = append(p.view.Candidates, route.Candidate{
+		Instance: i,
+		Mine:     len(s.work),
+		Slots:    s.slots,
+		Report:   s.report,
+		Hazard:   hazard,
+		Shunned:  s.shunned,
+	})
+}
+
+// find returns the candidate of an instance, if it may take work.
+func (r *Router) find(name fleet.PoolName, ref fleet.InstanceRef) *route.Candidate {
+	p := r.pools[name]
+	if p == nil {
+		return nil
+	}
+	index, ok := p.index[ref]
+	if !ok {
+		return nil
+	}
+	return &p.view.Candidates[index]
+}
+
+// Merge takes a load report, whoever has read it. An older one is ignored.
+func (r *Router) Merge(m Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(m.At)
+	s := r.state(m.Instance)
+	if !m.At.After(s.report.At) {
+		return
+	}
+	s.slots = m.Load.Slots
+	s.report = route.Report{At: m.At, Work: m.Load.Running + m.Load.Waiting, Mine: len(s.work)}
+	s.failures, s.shunned = 0, time.Time{}
+	for name, p := range r.pools {
+		if c := r.find(name, m.Instance); c != nil {
+			c.Slots, c.Report, c.Shunned = s.slots, s.report, s.shunned
+			p.view.Refresh()
+		}
+	}
+}
+
+// MergeEvents takes cache events of an engine.
+func (r *Router) MergeEvents(ref fleet.InstanceRef, events []engine.CacheEvent, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prefixes.Apply(ref, events, now)
+}
+
+// NextEvent returns the sequence number from which an engine's cache events
+// are wanted.
+func (r *Router) NextEvent(ref fleet.InstanceRef) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.prefixes.Next(ref)
+}
+
+// Refused tells of a refused connection. It is weak evidence, because an
+// engine that restarts refuses too: the endpoint is avoided for a while, longer
+// each time, until it answers again.
+func (r *Router) Refused(i fleet.Instance, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(i.Ref())
+	s.shunned = now.Add(min(shunFirst<<min(s.failures, 8), shunLongest))
+	s.failures++
+	if c := r.find(i.Pool, i.Ref()); c != nil {
+		c.Shunned = s.shunned
+	}
+	r.prefixes.Taint(i.Ref())
+}
+
+// Answered tells that an endpoint has served a request.
+func (r *Router) Answered(i fleet.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(i.Ref())
+	s.failures, s.shunned = 0, time.Time{}
+	if c := r.find(i.Pool, i.Ref()); c != nil {
+		c.Shunned = s.shunned
+	}
+}
+
+// observe learns from one attempt. The lock is held.
+func (r *Router) observe(l *lease, o generation.Observation, now time.Time) {
+	p := r.pools[l.instance.Pool]
+	if p == nil || o.Tokens == 0 {
+		return
+	}
+	if uncached := l.prompt - l.cached; uncached >= minPrompt && l.alone {
+		learn(&p.view.Speed.Prompt, o.First.Sub(o.Start)/time.Duration(uncached))
+	}
+	if o.Tokens > 1 {
+		learn(&p.view.Speed.Token, o.Last.Sub(o.First)/time.Duration(o.Tokens-1))
+	}
+	if o.Finish.Done {
+		p.output += learning * (float64(l.emitted+o.Tokens) - p.output)
+		r.prefixes.Prove(l.instance.Ref(), l.chain, o.Finish.Cached, now)
+	}
+}
+
+func learn(value *time.Duration, measured time.Duration) {
+	if *value == 0 {
+		*value = measured
+		return
+	}
+	*value += time.Duration(learning * float64(measured-*value))
+}
+
+// hits returns which candidates hold how much of a chain. The lock is held.
+func (r *Router) hits(p *pool, chain []uint64, now time.Time) []route.Hit {
+	r.found = r.prefixes.Find(chain, now, r.found[:0])
+	r.hit = r.hit[:0]
+	for _, h := range r.found {
+		if index, ok := p.index[h.Instance]; ok {
+			r.hit = append(r.hit, route.Hit{Index: index, Tokens: h.Tokens, Doubtful: h.Doubtful})
+		}
+	}
+	return r.hit
+}
