--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -26,6 +26,7 @@
 	ServiceConfig   kernel.ServiceName = "config"
 	ServiceRoster   kernel.ServiceName = "roster"
 	ServiceRouter   kernel.ServiceName = "router"
+	ServiceSuspect  kernel.ServiceName = "suspect"
 	ServiceOrder    kernel.ServiceName = "order"
 	ServiceEntry    kernel.ServiceName = "entry"
 	ServiceCallers  kernel.ServiceName = "callers"
@@ -82,7 +83,9 @@
 		d.routerService,
 		d.pollerService,
 		d.orderService,
+		d.suspectService,
 		d.entryService,
+		d.ledgerService,
 		d.operatorService,
 		d.callersService,
 	} {
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
 	"github.com/skylarkloom/skylarkloom/pkg/router"
+	"github.com/skylarkloom/skylarkloom/pkg/suspect"
 )
 
 // pollEvery is how often the instance list and the notices are read.
@@ -46,6 +47,9 @@
 			}
 			d.Logs.Emit(id, stream, zap.Error(err))
 		},
+		Lapsed: func(from, asOf fleet.Offset) {
+			d.Logs.Emit(event.LogLapsed, stream, zap.Uint64("from", uint64(from)), zap.Uint64("snapshot", uint64(asOf)))
+		},
 	}
 }
 
@@ -136,7 +140,9 @@
 		g.Go(func() error { return server.Run(ctx) })
 		return g.Wait()
 	}
-	return running(ServiceOrder, desk, run), nil
+	s := running(ServiceOrder, desk, run)
+	s.Drain = server.Drain
+	return s, nil
 }
 
 func (d *Daemon) entryService() (kernel.Service, error) {
@@ -152,7 +158,11 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	runner := &generation.Runner{Pick: r.Generation}
+	guard, err := kernel.Find[*suspect.Guard](&d.kernel, ServiceSuspect)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	runner := &generation.Runner{Pick: guard.Pick}
 	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk}
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -25,6 +25,7 @@
 	SubsystemRoute    Subsystem = "route"
 	SubsystemEntry    Subsystem = "entry"
 	SubsystemPeer     Subsystem = "peer"
+	SubsystemSuspect  Subsystem = "suspect"
 	SubsystemCapacity Subsystem = "capacity"
 )
 
@@ -59,6 +60,8 @@
 	LogAppendFailed ID = 1201 + iota
 	LogReadFailed
 	LogRecordUnreadable
+	LogLapsed
+	ChargeDropped
 )
 
 // The events of the instances.
@@ -68,6 +71,13 @@
 	ListFailed
 )
 
+// The events of the suspects.
+const (
+	ContentSuspect ID = 1901 + iota
+	ContentConvicted
+	SuspectUnreported
+)
+
 // Catalogue lists every event in order of number.
 var Catalogue = []Entry{
 	{NodeStarted, SubsystemNode, zapcore.InfoLevel, "node started", "The daemon listens on the addresses given.", "None."},
@@ -80,9 +90,14 @@
 	{LogAppendFailed, SubsystemJournal, zapcore.WarnLevel, "append failed", "The platform's log did not take an append; it is tried again.", "If it goes on, see the handbook's page on log outages."},
 	{LogReadFailed, SubsystemJournal, zapcore.WarnLevel, "read failed", "The platform's log could not be read; it is tried again.", "If it goes on, see the handbook's page on log outages."},
 	{LogRecordUnreadable, SubsystemJournal, zapcore.ErrorLevel, "record cannot be read", "A record of a stream was skipped because it cannot be read.", "Compare the versions of the nodes; find the writer by the record's offset."},
+	{LogLapsed, SubsystemJournal, zapcore.WarnLevel, "entries lapsed unread", "The next entry to read was no longer kept; the node went on from the newest snapshot.", "None for a node that was cut off for long; else compare the snapshots' interval with the log's retention."},
+	{ChargeDropped, SubsystemJournal, zapcore.WarnLevel, "charge dropped", "The queue of charges is full because the log takes none; a request is not billed.", "None if the log is down; the metric skylarkloom_charges_dropped_total counts them."},
 	{InstanceLeaving, SubsystemRoute, zapcore.InfoLevel, "instance leaving", "An instance takes no new work; its work moves.", "None."},
 	{InstanceGone, SubsystemRoute, zapcore.InfoLevel, "instance gone", "An instance refused a connection or left the list.", "None, unless many go without a notice."},
 	{ListFailed, SubsystemRoute, zapcore.WarnLevel, "instance list failed", "The platform's list or notices could not be read; the last view is used.", "If it goes on, check the platform."},
+	{ContentSuspect, SubsystemSuspect, zapcore.WarnLevel, "content suspect", "An endpoint crashed while it ran a content; the content runs only on trial.", "None, unless contents are convicted."},
+	{ContentConvicted, SubsystemSuspect, zapcore.ErrorLevel, "content convicted", "A content crashed two endpoints and is not run again.", "Look at the engine's crash; release the content with skylarkctl suspect release once the engine is mended."},
+	{SuspectUnreported, SubsystemSuspect, zapcore.WarnLevel, "suspect not reported", "The log took no report of a suspect or cleared content; this node holds it suspect all the same.", "If it goes on, see the handbook's page on log outages."},
 }
 
 // Logs makes the loggers of the subsystems.
--- a/pkg/route/baseline.go
+++ b/pkg/route/baseline.go
@@ -25,24 +25,26 @@
 	return best
 }
 
-// TwoReported takes the one with less work in its last report of two drawn at
-// random.
+// TwoReported takes the one with less work in its last report of the two that
+// rank highest for the seed.
 func TwoReported(q *Query, v *View) int {
 	return better(q, v, func(c *Candidate) int { return c.Report.Work })
 }
 
-// TwoChoices takes the one with less of this node's own work of two drawn at
-// random.
+// TwoChoices takes the one with less of this node's own work of the two that
+// rank highest for the seed.
 func TwoChoices(q *Query, v *View) int {
 	return better(q, v, func(c *Candidate) int { return c.Mine })
 }
 
 func better(q *Query, v *View, work func(*Candidate) int) int {
-	d := newDraw(q.Seed)
-	a := d.candidate(q, v)
-	b := d.candidate(q, v)
-	if a != None && work(&v.Candidates[b]) < work(&v.Candidates[a]) {
-		return b
+	d := draw(q, v)
+	if d.count == 0 {
+		return None
+	}
+	a := d.indices[0]
+	if d.count > 1 && work(&v.Candidates[d.indices[1]]) < work(&v.Candidates[a]) {
+		return d.indices[1]
 	}
 	return a
 }
--- a/pkg/route/predictor.go
+++ b/pkg/route/predictor.go
@@ -1,26 +1,18 @@
 package route
 
-import (
-	"math/bits"
-	"math/rand/v2"
-)
+// DefaultChoices is how many candidates a decision compares.
+const DefaultChoices = 2
 
-// Bounds of the choices that are compared.
-const (
-	// DefaultChoices is how many candidates are drawn at random.
-	DefaultChoices = 3
-	// holderChoices is how many are drawn from those that hold a prefix.
-	holderChoices = 3
-	// drawTries is how often a draw is repeated that met a barred candidate.
-	drawTries = 4
-)
-
-// Predictor chooses by the predicted cost among a few candidates drawn at
-// random and a few that hold a prefix of the prompt. It never compares all, so
-// that nodes with the same stale reports do not all choose the same endpoint.
-// The zero value is ready to use.
+// Predictor chooses by the predicted cost between the candidate that ranks
+// highest for the seed and, of those that hold the longest prefix of the
+// prompt, the one that ranks highest; if none holds any, the candidate that
+// ranks second. Only if those are full does it consider further ones by rank.
+// It never compares all, so nodes with the same stale reports do not all choose
+// the same endpoint; and if the seed is that of the content, copies of one
+// content meet on two endpoints wherever they enter. The zero value is ready to
+// use.
 type Predictor struct {
-	// Choices is how many candidates are drawn; 0 takes DefaultChoices.
+	// Choices is how many candidates are compared; 0 takes DefaultChoices.
 	Choices int
 	// Omit leaves a term out of the score.
 	Omit Term
@@ -28,63 +20,47 @@
 
 // Pick is the policy.
 func (p Predictor) Pick(q *Query, v *View) int {
-	d := newDraw(q.Seed)
+	d := draw(q, v)
 	best, least := None, 0.0
-	consider := func(index int, cached float64) {
-		cost := v.Score(q, &v.Candidates[index], cached).without(p.Omit).Sum()
+	consider := func(index int) {
+		cost := v.Score(q, &v.Candidates[index], q.cached(index)).without(p.Omit).Sum()
 		if best == None || cost < least {
 			best, least = index, cost
 		}
 	}
-	for range or(p.Choices, DefaultChoices) {
-		if i := d.candidate(q, v); i != None {
-			consider(i, q.cached(i))
+	choices := or(p.Choices, DefaultChoices)
+	if p.Omit != TermPrefix {
+		if h := holder(q, v); h != None {
+			consider(h)
+			choices--
 		}
 	}
-	for n := range min(holderChoices, len(q.Hits)) {
-		h := q.Hits[n]
-		if len(q.Hits) > holderChoices {
-			h = q.Hits[d.below(len(q.Hits))]
-		}
-		if q.allows(&v.Candidates[h.Index]) {
-			consider(h.Index, h.cached())
+	for n, i := range d.indices[:d.count] {
+		if n >= choices && !v.full(q, best) {
+			break
 		}
+		consider(i)
 	}
 	return best
 }
 
-// draw is a source of random choices that allocates nothing.
-type draw struct{ source rand.PCG }
-
-func newDraw(seed uint64) (d draw) {
-	d.source.Seed(seed, 0)
-	return d
-}
-
-// below returns a number from 0 to below n.
-func (d *draw) below(n int) int {
-	high, _ := bits.Mul64(d.source.Uint64(), uint64(n))
-	return int(high)
+// full reports whether a candidate has no free slot by the estimate.
+func (v *View) full(q *Query, index int) bool {
+	c := &v.Candidates[index]
+	return v.Work(c, q.Now)+1 > float64(or(c.Slots, DefaultSlots))
 }
 
-// candidate draws a candidate that is allowed. If a few draws meet none, it
-// takes the next allowed one in order.
-func (d *draw) candidate(q *Query, v *View) int {
-	n := len(v.Candidates)
-	if n == 0 {
-		return None
-	}
-	at := 0
-	for range drawTries {
-		at = d.below(n)
-		if q.allows(&v.Candidates[at]) {
-			return at
-		}
-	}
-	for k := range n {
-		if i := (at + k) % n; q.allows(&v.Candidates[i]) {
-			return i
+// holder returns the allowed candidate with the longest cached prefix, and of
+// several the one that ranks highest.
+func holder(q *Query, v *View) int {
+	best, most, high := None, 0.0, uint64(0)
+	for _, h := range q.Hits {
+		c := &v.Candidates[h.Index]
+		cached, rank := h.cached(), mix(q.Seed^c.hash)
+		if cached < most || cached == 0 || (cached == most && rank <= high) || !q.allows(c) {
+			continue
 		}
+		best, most, high = h.Index, cached, rank
 	}
-	return None
+	return best
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -29,7 +29,9 @@
 	Allow func(c *Candidate) bool
 	// desperate makes candidates count that failed.
 	desperate bool
-	Seed      uint64
+	// Seed makes the random choices. With the seed of a content, every node
+	// considers the same endpoints for it.
+	Seed uint64
 	// Turn counts the decisions of this node.
 	Turn uint64
 }
--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
 
@@ -20,6 +22,9 @@
 	Hazard float64
 	// Shunned is the time until which the candidate is avoided after a failure.
 	Shunned time.Time
+
+	// hash ranks the candidate; Refresh sets it.
+	hash uint64
 }
 
 // Report is an endpoint's word on its load, which lags.
@@ -53,12 +58,16 @@
 // halfLife is the age at which a report counts half.
 const halfLife = time.Second
 
-// Refresh computes the values that hold for all candidates.
+// Refresh computes the values that hold for all candidates. It must be called
+// after the candidates or their reports have changed.
 func (v *View) Refresh() {
 	var others, reports float64
 	v.Hourly = 0
 	for i := range v.Candidates {
 		c := &v.Candidates[i]
+		if c.hash == 0 {
+			c.hash = xxhash.Sum64String(string(c.Instance.ID))
+		}
 		if !c.Report.At.IsZero() {
 			others += float64(max(0, c.Report.Work-c.Report.Mine))
 			reports++
--- a/pkg/router/lease.go
+++ b/pkg/router/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/generation"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
@@ -29,7 +30,9 @@
 	move  *time.Timer
 }
 
-func newLease(r *Router, i fleet.Instance, q route.Query) *lease {
+// use counts a lease of an instance in. The lock is held.
+func (r *Router) use(i fleet.Instance, q route.Query) *lease {
+	s := r.state(i.Ref())
 	l := &lease{
 		router:   r,
 		instance: i,
@@ -37,11 +40,30 @@
 		deadline: q.Deadline,
 		prompt:   q.Prompt,
 		output:   q.Output,
+		alone:    len(s.work) == 0,
 	}
 	l.stay, l.leave = context.WithCancel(context.Background())
+	s.work[l] = struct{}{}
+	if c := r.find(i.Pool, i.Ref()); c != nil {
+		c.Mine = len(s.work)
+	}
+	if r.Roster.Condition(i.Ref()).Rank() > 0 {
+		l.leave()
+	}
 	return l
 }
 
+// generation is the lease as a generation sees it.
+func (l *lease) generation() generation.Lease {
+	return generation.Lease{
+		Engine:  endpoint.DialEngine(l.instance, l.router.Client),
+		Stay:    l.stay,
+		Cached:  l.cached,
+		Observe: l.observe,
+		Release: l.release,
+	}
+}
+
 func (l *lease) observe(o generation.Observation) {
 	l.router.mu.Lock()
 	defer l.router.mu.Unlock()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -30,9 +30,9 @@
 	// Weights returns what an account pays attention to on a pool; nil weighs
 	// all the same.
 	Weights func(account fleet.AccountName, pool fleet.PoolName) route.Weights
-	// Allow bars endpoints for a request; nil allows all. It is called with the
-	// router's lock held and must not call the router.
-	Allow func(g generation.Request, c *route.Candidate) bool
+	// Avoid reports whether an endpoint takes no ordinary work; nil means none. It
+	// is called with the router's lock held and must not call the router.
+	Avoid func(ref fleet.InstanceRef) bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
@@ -72,28 +72,20 @@
 		Deadline: g.Deadline,
 		Prompt:   promptTokens(g.Prompt) + fleet.Tokens(emitted),
 		Failed:   failed,
-	}
-	if r.Allow != nil {
-		q.Allow = func(c *route.Candidate) bool { return r.Allow(g, c) }
+		Seed:     contentSeed(g, emitted, len(failed)),
 	}
 	l, err := r.lease(q, prefix.Chain(g.Prompt), g.Max)
 	if err != nil {
 		return generation.Lease{}, err
 	}
 	l.emitted = emitted
-	return generation.Lease{
-		Engine:  endpoint.DialEngine(l.instance, r.Client),
-		Stay:    l.stay,
-		Cached:  l.cached,
-		Observe: l.observe,
-		Release: l.release,
-	}, nil
+	return l.generation(), nil
 }
 
 // Call makes a call of a plain service. It goes on to another endpoint only
 // while none has begun the call, or if the call may be repeated.
 func (r *Router) Call(ctx context.Context, pool fleet.PoolName, call endpoint.Call, repeatable bool) (a endpoint.Answer, err error) {
-	q := route.Query{Account: call.Account, Pool: pool}
+	q := route.Query{Account: call.Account, Pool: pool, Seed: rand.Uint64()}
 	for range generation.DefaultAttempts {
 		l, pickErr := r.lease(q, nil, 0)
 		if pickErr != nil {
@@ -131,22 +123,19 @@
 		q.Weights = r.Weights(q.Account, q.Pool)
 	}
 	q.Now = r.now()
-	q.Seed = rand.Uint64()
+	if r.Avoid != nil {
+		q.Allow = func(c *route.Candidate) bool { return !r.Avoid(c.Instance.Ref()) }
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	index, err := r.decide(&q, chain, most)
 	if err != nil {
 		return nil, err
 	}
-	p := r.pools[q.Pool]
-	c := &p.view.Candidates[index]
-	l := newLease(r, c.Instance, q)
+	l := r.use(r.pools[q.Pool].view.Candidates[index].Instance, q)
 	l.chain = chain
-	l.alone = c.Mine == 0
 	l.cached = q.Cached(index)
-	r.state(c.Instance.Ref()).work[l] = struct{}{}
-	c.Mine++
-	r.prefixes.Expect(c.Instance.Ref(), chain, q.Now)
+	r.prefixes.Expect(l.instance.Ref(), chain, q.Now)
 	return l, nil
 }
 
@@ -159,6 +148,7 @@
 	if p == nil {
 		return route.None, &route.NoEndpointError{Pool: q.Pool}
 	}
+	p.settle(q.Now)
 	q.Output = min(most, fleet.Tokens(p.output))
 	q.Hits = r.hits(p, chain, q.Now)
 	policy := r.Policy
--- a/pkg/router/view.go
+++ b/pkg/router/view.go
@@ -25,6 +25,8 @@
 	minPrompt = 64
 	// defaultOutput is the expected length of answers before any was seen.
 	defaultOutput = 128
+	// settleEvery is the least time between two refreshes of a view.
+	settleEvery = 20 * time.Millisecond
 	// shunFirst and shunLongest bound how long an endpoint is avoided after a
 	// refused connection; each further one doubles the time.
 	shunFirst   = time.Second
@@ -36,6 +38,9 @@
 	view   route.View
 	index  map[fleet.InstanceRef]int
 	output float64
+	// stale is set if a report came since the view was refreshed.
+	stale     bool
+	refreshed time.Time
 }
 
 // endpointState is what a node keeps of one life of an instance.
@@ -136,11 +141,19 @@
 	for name, p := range r.pools {
 		if c := r.find(name, m.Instance); c != nil {
 			c.Slots, c.Report, c.Shunned = s.slots, s.report, s.shunned
-			p.view.Refresh()
+			p.stale = true
 		}
 	}
 }
 
+// settle refreshes the view if reports have come, though not for each of them.
+func (p *pool) settle(now time.Time) {
+	if p.stale && now.Sub(p.refreshed) >= settleEvery {
+		p.view.Refresh()
+		p.stale, p.refreshed = false, now
+	}
+}
+
 // MergeEvents takes cache events of an engine.
 func (r *Router) MergeEvents(ref fleet.InstanceRef, events []engine.CacheEvent, now time.Time) {
 	r.mu.Lock()
