--- a/pkg/router/trial.go
+++ b/pkg/router/trial.go
@@ -7,9 +7,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/prefix"
+	"github.com/skylarkloom/skylarkloom/pkg/route"
 )
 
 // Quiet returns the live endpoints of a pool that no trial has for itself, the
@@ -23,18 +24,14 @@
 }
 
 // On leases one named engine for one attempt of a generation.
-func (r *Router) On(_ context.Context, _ generation.Request, i fleet.Instance) (generation.Lease, error) {
-	return r.lease(i), nil
-}
-
-// lease counts an attempt on an engine until it is released.
-func (r *Router) lease(i fleet.Instance) generation.Lease {
-	stay, release := r.use(i.Ref())
-	return generation.Lease{
-		Engine:  endpoint.DialEngine(i, r.Client),
-		Stay:    stay,
-		Release: func(err error) { release(); r.note(i, err) },
-	}
+func (r *Router) On(_ context.Context, g generation.Request, i fleet.Instance) (generation.Lease, error) {
+	q := route.Query{Deadline: g.Deadline, Prompt: promptTokens(g.Prompt), Output: g.Max, Now: r.now()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(q.Now)
+	l := r.use(i, q)
+	l.chain = prefix.Chain(g.Prompt)
+	return l.generation(), nil
 }
 
 // avoided reports whether an endpoint takes no ordinary work.
