Stop as planned: not ready first, serve on, finish, flush, then end

Cause: a stop cancelled every service's context at once, so that the journals ended before the last settle records were written; the try-out's nodes lived on the signal's context and were cut by the first SIGTERM; idle connections were cut without notice; a starting node took orders before it had read their streams.

Change: Drain makes the node not ready, gives notice for the time that settings name while answers ask callers to close their connections, then refuses, finishes what is in flight and waits for its records to be read back. Stop ends services in reverse order, each before what it uses. A second signal ends both with an error. The try-out drains all its nodes and can replace one.

--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -8,11 +8,9 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/daemon"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
@@ -20,12 +18,6 @@
 	"github.com/skylarkloom/skylarkloom/pkg/trial"
 )
 
-// drainTimeout bounds how long a planned stop waits for requests in flight.
-const drainTimeout = 15 * time.Minute
-
-// stopTimeout bounds how long the services may take to end.
-const stopTimeout = 10 * time.Second
-
 // DaemonTable lists the commands of skylarkloomd.
 var DaemonTable = []Command{
 	{Name: "run", Help: "run an entry node", Example: "skylarkloomd run --settings node.yaml", Flags: runFlags},
@@ -76,68 +68,45 @@
 		return err
 	}
 	<-signals
-	return drain(ctx, d, logs, signals)
-}
-
-func drain(ctx context.Context, d *daemon.Daemon, logs *event.Logs, signals <-chan os.Signal) error {
-	drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
-	defer cancel()
-	forced := make(chan struct{})
-	var watch errgroup.Group
-	watch.Go(func() error {
-		select {
-		case <-signals:
-			close(forced)
-			logs.Emit(event.NodeForced)
-			cancel()
-		case <-drainCtx.Done():
-		}
-		return nil
-	})
-	err := d.Drain(drainCtx)
-	cancel()
-	_ = watch.Wait()
-	stopCtx, done := context.WithTimeout(ctx, stopTimeout)
-	defer done()
-	select {
-	case <-forced:
-		done()
-	default:
-	}
-	if stopErr := d.Stop(stopCtx); err == nil {
-		err = stopErr
-	}
-	return err
+	return stopper{
+		Drain:  d.Drain,
+		Stop:   d.Stop,
+		Limit:  checked.Stop.Limit,
+		Forced: func() { logs.Emit(event.NodeForced) },
+	}.run(ctx, signals)
 }
 
 func tryFlags(sub *flaggy.Subcommand) func(context.Context, Streams) error {
 	var stay bool
 	sub.Bool(&stay, "", "stay", "keep running for tests from outside")
-	return func(ctx context.Context, s Streams) (err error) {
-		ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-		defer cancel()
-		t := &trial.Trial{}
-		if err := t.Start(ctx); err != nil {
-			return err
-		}
-		defer func() {
-			stopCtx, done := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-			defer done()
-			if stopErr := t.Stop(stopCtx); err == nil {
-				err = stopErr
-			}
-		}()
-		addresses, err := t.Open()
-		if err != nil {
-			return err
-		}
-		if !stay {
-			return t.Show(ctx, s.Out, addresses)
-		}
-		if err := json.NewEncoder(s.Out).Encode(addresses); err != nil {
-			return err
+	return func(ctx context.Context, s Streams) error { return try(ctx, s, stay) }
+}
+
+// try runs the try-out: the show, or until a signal.
+func try(ctx context.Context, s Streams, stay bool) (err error) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	t := &trial.Trial{}
+	if err := t.Start(ctx); err != nil {
+		return err
+	}
+	defer func() {
+		end := stopper{Drain: t.Drain, Stop: t.Stop, Limit: settings.DefaultStopLimit, Forced: func() {}}
+		if stopErr := end.run(ctx, signals); err == nil {
+			err = stopErr
 		}
-		<-ctx.Done()
-		return nil
+	}()
+	addresses, err := t.Open()
+	if err != nil {
+		return err
+	}
+	if !stay {
+		return t.Show(ctx, s.Out, addresses)
 	}
+	if err := json.NewEncoder(s.Out).Encode(addresses); err != nil {
+		return err
+	}
+	<-signals
+	return nil
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/settings"
@@ -52,6 +54,9 @@
 	clients  Clients
 	registry *prometheus.Registry
 	cancel   context.CancelFunc
+	streams  []*journal.Stream
+	started  time.Time
+	leaving  atomic.Bool
 	callers  *listener
 	operator *listener
 }
@@ -70,6 +75,7 @@
 	if d.Incarnation == 0 {
 		d.Incarnation = fleet.Incarnation(time.Now().UnixNano())
 	}
+	d.started = time.Now()
 	d.node = fleet.NodeRef{Name: d.Settings.Node, Incarnation: d.Incarnation}
 	d.client = newClient()
 	d.registry = prometheus.NewRegistry()
@@ -108,20 +114,6 @@
 // Operators returns the address that operators use.
 func (d *Daemon) Operators() string { return d.operator.address() }
 
-// Drain takes no new requests and returns once those in flight are finished.
-func (d *Daemon) Drain(ctx context.Context) error {
-	d.Logs.Emit(event.NodeDraining)
-	return d.kernel.Drain(ctx)
-}
-
-// Stop ends the services.
-func (d *Daemon) Stop(ctx context.Context) error {
-	defer d.Logs.Emit(event.NodeStopped)
-	defer d.client.CloseIdleConnections()
-	d.cancel()
-	return d.kernel.Stop(ctx)
-}
-
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +34,7 @@
 // newStream returns a stream whose failures are logged.
 func (d *Daemon) newStream(name platform.StreamName) *journal.Stream {
 	stream := zap.String("stream", string(name))
-	return &journal.Stream{
+	s := &journal.Stream{
 		Log:  d.clients.Log,
 		Name: name,
 		Unreadable: func(pos record.Position, err error) {
@@ -50,24 +51,8 @@
 			d.Logs.Emit(event.LogLapsed, stream, zap.Uint64("from", uint64(from)), zap.Uint64("snapshot", uint64(asOf)))
 		},
 	}
-}
-
-// running returns a service that runs until its context ends.
-func running(name kernel.ServiceName, value any, run func(ctx context.Context) error) kernel.Service {
-	done := make(chan struct{})
-	var g errgroup.Group
-	return kernel.Service{
-		Name:  name,
-		Value: value,
-		Done:  done,
-		Start: func(ctx context.Context) error {
-			g.Go(func() error {
-				defer close(done)
-				return run(ctx)
-			})
-			return nil
-		},
-	}
+	d.streams = append(d.streams, s)
+	return s
 }
 
 func (d *Daemon) configService() (kernel.Service, error) {
@@ -201,8 +186,21 @@
 
 	errDraining  = errors.New("the node is draining")
 	errNoRouting = errors.New("the instance list has not been read yet")
+	errCatchUp   = errors.New("the streams of the log are being read")
 )
 
+// catchUpLimit bounds how long a starting node waits, not ready, for its
+// streams. A node that cannot read the log goes on without: it serves chat and
+// refuses orders.
+const catchUpLimit = 5 * time.Second
+
+func (d *Daemon) catchingUp() bool {
+	if time.Since(d.started) > catchUpLimit {
+		return false
+	}
+	return slices.ContainsFunc(d.streams, func(s *journal.Stream) bool { return !s.Ready() })
+}
+
 // ready returns nil if the node can serve callers.
 func (d *Daemon) ready() error {
 	keeper, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
@@ -218,12 +216,14 @@
 		return err
 	}
 	switch {
-	case h.Draining():
+	case d.leaving.Load() || h.Draining():
 		return errDraining
 	case keeper.Current() == nil:
 		return errNoConfig
 	case !known.Read():
 		return errNoRouting
+	case d.catchingUp():
+		return errCatchUp
 	default:
 		return nil
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -62,6 +62,7 @@
 	Now func() time.Time
 
 	mu       sync.Mutex
+	leaving  bool
 	draining bool
 	inflight sync.WaitGroup
 }
@@ -104,6 +105,14 @@
 	return alice.New(h.recovered, h.counted).Then(mux)
 }
 
+// Leave asks callers, with each answer from now on, to close the connection, so
+// that they connect to another node before this one refuses requests.
+func (h *Handler) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = true
+}
+
 // Drain refuses new requests and waits for those in flight.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.mu.Lock()
@@ -131,15 +140,16 @@
 	return h.draining
 }
 
-// begin counts a request in, unless the node drains.
-func (h *Handler) begin() bool {
+// begin counts a request in, unless the node drains. It reports whether the
+// node is about to leave.
+func (h *Handler) begin() (leaving, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.draining {
-		return false
+		return true, false
 	}
 	h.inflight.Add(1)
-	return true
+	return h.leaving, true
 }
 
 func (h *Handler) now() time.Time {
@@ -152,9 +162,11 @@
 // counted refuses requests while the node drains and counts the others.
 func (h *Handler) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !h.begin() {
+		leaving, ok := h.begin()
+		if leaving {
 			w.Header().Set("Connection", "close")
-			w.Header().Set("Retry-After", "1")
+		}
+		if !ok {
 			h.writeError(w, r, errDraining)
 			return
 		}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -70,6 +70,11 @@
 	ListFailed
 )
 
+// The events of the callers' side.
+const (
+	RecordsUnwritten ID = 1801 + iota
+)
+
 // Catalogue lists every event in order of number.
 var Catalogue = []Entry{
 	{NodeStarted, SubsystemNode, zapcore.InfoLevel, "node started", "The daemon listens on the addresses given.", "None."},
@@ -87,6 +92,7 @@
 	{InstanceLeaving, SubsystemRoute, zapcore.InfoLevel, "instance leaving", "An instance takes no new work; its work moves.", "None."},
 	{InstanceGone, SubsystemRoute, zapcore.InfoLevel, "instance gone", "An instance refused a connection or left the list.", "None, unless many go without a notice."},
 	{ListFailed, SubsystemRoute, zapcore.WarnLevel, "instance list failed", "The platform's list or notices could not be read; the last view is used.", "If it goes on, check the platform."},
+	{RecordsUnwritten, SubsystemEntry, zapcore.ErrorLevel, "records not written before the stop", "The log did not take the last records of this node in time: orders it carried out may be reported as unknown, and charges are lost.", "Check the log; ask the service about the orders that are unknown."},
 }
 
 // Logs makes the loggers of the subsystems.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap/zapcore"
@@ -30,8 +31,24 @@
 	Platform   Platform             `yaml:"platform"`
 	Orders     Orders               `yaml:"orders,omitempty"`
 	Log        Log                  `yaml:"log,omitempty"`
+	Stop       Stop                 `yaml:"stop,omitempty"`
 }
 
+// Stop says how a planned stop goes.
+type Stop struct {
+	// Notice is how long the node, no longer ready, goes on serving so that
+	// balancers see it; longer than two of their checks.
+	Notice time.Duration `yaml:"notice,omitempty"`
+	// Limit is how long requests in flight may take to finish.
+	Limit time.Duration `yaml:"limit,omitempty"`
+}
+
+// Defaults of a planned stop.
+const (
+	DefaultStopNotice = 5 * time.Second
+	DefaultStopLimit  = 15 * time.Minute
+)
+
 // Listener is an address that the daemon listens on.
 type Listener struct {
 	Address string `yaml:"address"`
@@ -106,6 +123,12 @@
 	if s.Orders.Partitions == 0 {
 		s.Orders.Partitions = DefaultPartitions
 	}
+	if s.Stop.Notice == 0 {
+		s.Stop.Notice = DefaultStopNotice
+	}
+	if s.Stop.Limit == 0 {
+		s.Stop.Limit = DefaultStopLimit
+	}
 	return s, c.Err()
 }
 
@@ -119,6 +142,8 @@
 	s.Peers.check(c, strict.Path("peers"))
 	s.Platform.check(c, strict.Path("platform"))
 	c.Require(s.Orders.Partitions >= 0, strict.Path("orders", "partitions"), "expected a count of 1 or more")
+	c.Require(s.Stop.Notice >= 0, strict.Path("stop", "notice"), "expected a duration such as 5s")
+	c.Require(s.Stop.Limit >= 0, strict.Path("stop", "limit"), "expected a duration such as 15m")
 }
 
 func (l Listener) check(c *strict.Checker, at strict.Place) {
--- a/pkg/trial/control.go
+++ b/pkg/trial/control.go
@@ -1,16 +1,10 @@
 package trial
 
 import (
-	"context"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/standin"
 )
@@ -26,72 +20,6 @@
 	Zones     []fleet.ZoneName             `json:"zones"`
 }
 
-// balancer stands in for the platform's balancer: it spreads connections over
-// the nodes that are ready, byte for byte.
-type balancer struct {
-	trial *Trial
-	next  atomic.Uint64
-	net   net.Listener
-	group errgroup.Group
-}
-
-func (b *balancer) start() (err error) {
-	b.net, err = new(net.ListenConfig).Listen(context.Background(), "tcp", loopback)
-	if err != nil {
-		return err
-	}
-	b.group.Go(func() error {
-		for {
-			conn, err := b.net.Accept()
-			if err != nil {
-				return err
-			}
-			b.group.Go(func() error { b.pass(conn); return nil })
-		}
-	})
-	return nil
-}
-
-// stop takes no new connections; those that are open end with their nodes.
-func (b *balancer) stop() {
-	if b.net != nil {
-		_ = b.net.Close()
-	}
-}
-
-// pass joins a connection to the next node that is ready.
-func (b *balancer) pass(caller net.Conn) {
-	defer func() { _ = caller.Close() }()
-	for range b.trial.Nodes {
-		n := b.trial.Nodes[b.next.Add(1)%uint64(len(b.trial.Nodes))]
-		if !n.Ready() {
-			continue
-		}
-		node, err := new(net.Dialer).DialContext(context.Background(), "tcp", n.Callers())
-		if err != nil {
-			continue
-		}
-		join(caller, node)
-		return
-	}
-}
-
-// join copies both ways until both sides have ended.
-func join(caller, node net.Conn) {
-	defer func() { _ = node.Close() }()
-	var g errgroup.Group
-	g.Go(func() error {
-		_, err := io.Copy(node, caller)
-		if c, ok := node.(*net.TCPConn); ok {
-			_ = c.CloseWrite()
-		}
-		return err
-	})
-	_, _ = io.Copy(caller, node)
-	_ = caller.Close()
-	_ = g.Wait()
-}
-
 // Open starts the balancer and the control address and returns how to reach
 // everything. It is for tests from outside.
 func (t *Trial) Open() (a Addresses, err error) {
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
 	"github.com/skylarkloom/skylarkloom/pkg/daemon"
@@ -44,6 +46,7 @@
 	listLag         = 300 * time.Millisecond
 	readyTimeout    = 20 * time.Second
 	readyPoll       = 20 * time.Millisecond
+	stopNotice      = 300 * time.Millisecond
 	hourlyFirst     = fleet.MicroCents(90_000_000)
 	hourlySecond    = fleet.MicroCents(110_000_000)
 )
@@ -58,14 +61,16 @@
 type Trial struct {
 	Logs *event.Logs
 
-	Log     *standin.Log
-	Cloud   *standin.Cloud
-	Runs    *standin.Runs
-	Nodes   []*daemon.Daemon
-	Token   string
-	servers []*standin.Server
-	balance *balancer
-	folder  string
+	Log   *standin.Log
+	Cloud *standin.Cloud
+	Runs  *standin.Runs
+	Nodes []*daemon.Daemon
+	Token string
+
+	servers  []*standin.Server
+	platform settings.Platform
+	balance  *balancer
+	folder   string
 }
 
 // Start starts the stand-ins, publishes a configuration and starts three nodes
@@ -103,7 +108,7 @@
 	if err := t.startNodes(ctx); err != nil {
 		return err
 	}
-	return t.waitReady(ctx)
+	return await(ctx, t.ready)
 }
 
 func (t *Trial) makeToken() error {
@@ -205,45 +210,76 @@
 	if err != nil {
 		return err
 	}
+	t.platform = settings.Platform{Log: log.URL(), List: cloud.URL(), Cloud: cloud.URL()}
 	centres := []fleet.DataCentreName{CentreOne, CentreOne, CentreTwo}
 	for n, centre := range centres {
-		d := &daemon.Daemon{
-			Logs: t.Logs,
-			Settings: settings.Settings{
-				Node:       fleet.NodeName(fmt.Sprintf("entry-%d", n+1)),
-				DataCentre: centre,
-				Callers:    settings.Listener{Address: loopback},
-				Operators:  settings.Listener{Address: loopback, Token: settings.Secret{File: t.tokenFile()}},
-				Platform:   settings.Platform{Log: log.URL(), List: cloud.URL(), Cloud: cloud.URL()},
-				Orders:     settings.Orders{Partitions: settings.DefaultPartitions},
-			},
-		}
-		if err := d.Start(ctx); err != nil {
+		d, err := t.StartNode(ctx, fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), centre)
+		if err != nil {
 			return err
 		}
 		t.Nodes = append(t.Nodes, d)
 	}
-	t.balance = &balancer{trial: t}
+	t.balance = &balancer{}
+	t.balance.set(t.Nodes)
 	return nil
 }
 
+// StartNode starts one more node. It lives until it is stopped, whatever
+// becomes of the context.
+func (t *Trial) StartNode(ctx context.Context, name fleet.NodeName, centre fleet.DataCentreName) (*daemon.Daemon, error) {
+	d := &daemon.Daemon{
+		Logs: t.Logs,
+		Settings: settings.Settings{
+			Node:       name,
+			DataCentre: centre,
+			Callers:    settings.Listener{Address: loopback},
+			Operators:  settings.Listener{Address: loopback, Token: settings.Secret{File: t.tokenFile()}},
+			Platform:   t.platform,
+			Orders:     settings.Orders{Partitions: settings.DefaultPartitions},
+			Stop:       settings.Stop{Notice: stopNotice},
+		},
+	}
+	return d, d.Start(context.WithoutCancel(ctx))
+}
+
+// Replace starts a node in place of another one, waits until it is ready, and
+// ends the old one as a planned stop does.
+func (t *Trial) Replace(ctx context.Context, n int) error {
+	old := t.Nodes[n]
+	name := fleet.NodeName(fmt.Sprintf("%s-again", old.Settings.Node))
+	d, err := t.StartNode(ctx, name, old.Settings.DataCentre)
+	if err != nil {
+		return err
+	}
+	t.Nodes = slices.Clone(t.Nodes)
+	t.Nodes[n] = d
+	t.balance.set(append(slices.Clone(t.Nodes), old))
+	if err := await(ctx, d.Ready); err != nil {
+		return err
+	}
+	if err := old.Drain(ctx); err != nil {
+		return err
+	}
+	t.balance.set(t.Nodes)
+	return old.Stop(ctx)
+}
+
 const loopback = "127.0.0.1:0"
 
-func (t *Trial) waitReady(ctx context.Context) error {
+// await polls until a node or all of them are ready.
+func await(ctx context.Context, ready func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	tick := time.NewTicker(readyPoll)
 	defer tick.Stop()
-	for {
-		if t.ready() {
-			return nil
-		}
+	for !ready() {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "wait for the nodes")
 		}
 	}
+	return nil
 }
 
 func (t *Trial) ready() bool {
@@ -255,17 +291,28 @@
 	return true
 }
 
-// Stop drains and stops the nodes and ends the stand-ins.
+// Drain drains every node at the same time, as a planned stop of the whole
+// try-out does.
+func (t *Trial) Drain(ctx context.Context) error {
+	var g errgroup.Group
+	for _, n := range t.Nodes {
+		g.Go(func() error { return n.Drain(ctx) })
+	}
+	return g.Wait()
+}
+
+// Stop ends the nodes and the stand-ins. Requests in flight are cut, unless a
+// Drain came before.
 func (t *Trial) Stop(ctx context.Context) (err error) {
 	if t.balance != nil {
 		t.balance.stop()
 	}
-	for _, n := range t.Nodes {
-		err = errors.CombineErrors(err, n.Drain(ctx))
-	}
 	for _, n := range t.Nodes {
 		err = errors.CombineErrors(err, n.Stop(ctx))
 	}
+	if t.balance != nil {
+		t.balance.wait()
+	}
 	for _, s := range t.servers {
 		s.Close()
 	}
