Tell callers within five seconds that the log takes no order

Change: the accept is waited for no longer than five seconds; withdrawal and revocation are as before.

--- a/pkg/order/accept.go
+++ b/pkg/order/accept.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return mine, &NotRunError{Detail: err.Error()}
 	}
-	waitCtx, cancel := context.WithDeadline(ctx, a.request.Deadline)
+	waitCtx, cancel := context.WithDeadline(ctx, earlier(a.request.Deadline, d.now().Add(acceptWait)))
 	defer cancel()
 	if err := t.Wait(waitCtx); err != nil {
 		if t.Withdraw() {
@@ -60,6 +60,13 @@
 	return d.read(p, a.request.Ref)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (d *Desk) read(p *Partition, ref fleet.KeyRef) (Order, error) {
 	o, ok := p.Get(ref)
 	if !ok {
--- a/pkg/order/desk.go
+++ b/pkg/order/desk.go
@@ -13,6 +13,9 @@
 
 // Delays of the desk.
 const (
+	// acceptWait is how long an order waits for its accept to be read back; a
+	// caller learns early that the log does not answer.
+	acceptWait = 5 * time.Second
 	// settleWait is how long an answer waits for its settle record to be read
 	// back before it goes to the caller all the same.
 	settleWait = 500 * time.Millisecond
