--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -55,6 +55,7 @@
 	cancel   context.CancelFunc
 	callers  *listener
 	operator *listener
+	admitter *admitter
 }
 
 // Clients are the clients of the platform's services.
@@ -82,6 +83,7 @@
 		d.rosterService,
 		d.routerService,
 		d.pollerService,
+		d.limitService,
 		d.orderService,
 		d.suspectService,
 		d.entryService,
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -108,6 +108,9 @@
 		return kernel.Service{}, err
 	}
 	r := &router.Router{Roster: known, Client: d.client, Weights: weights(keeper)}
+	r.Shunned = func(i fleet.Instance, until time.Time) {
+		d.Logs.Emit(event.EndpointShunned, zap.String("instance", string(i.ID)), zap.Time("until", until))
+	}
 	known.Marked = func(m roster.Mark) {
 		r.Marked(m)
 		id := event.InstanceLeaving
@@ -162,8 +165,8 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	runner := &generation.Runner{Pick: guard.Pick}
-	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk}
+	runner := &generation.Runner{Pick: guard.Pick, Pause: d.admitter.pause}
+	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk, Admit: d.admitter.admit}
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -27,6 +27,7 @@
 	SubsystemPeer     Subsystem = "peer"
 	SubsystemSuspect  Subsystem = "suspect"
 	SubsystemCapacity Subsystem = "capacity"
+	SubsystemLimit    Subsystem = "limit"
 )
 
 // Entry describes one event.
@@ -69,6 +70,7 @@
 	InstanceLeaving ID = 1301 + iota
 	InstanceGone
 	ListFailed
+	EndpointShunned
 )
 
 // The events of the suspects.
@@ -78,6 +80,11 @@
 	SuspectUnreported
 )
 
+// The events of the limits.
+const (
+	RequestsRefused ID = 1501 + iota
+)
+
 // Catalogue lists every event in order of number.
 var Catalogue = []Entry{
 	{NodeStarted, SubsystemNode, zapcore.InfoLevel, "node started", "The daemon listens on the addresses given.", "None."},
@@ -93,8 +100,10 @@
 	{LogLapsed, SubsystemJournal, zapcore.WarnLevel, "entries lapsed unread", "The next entry to read was no longer kept; the node went on from the newest snapshot.", "None for a node that was cut off for long; else compare the snapshots' interval with the log's retention."},
 	{ChargeDropped, SubsystemJournal, zapcore.WarnLevel, "charge dropped", "The queue of charges is full because the log takes none; a request is not billed.", "None if the log is down; the metric skylarkloom_charges_dropped_total counts them."},
 	{InstanceLeaving, SubsystemRoute, zapcore.InfoLevel, "instance leaving", "An instance takes no new work; its work moves.", "None."},
-	{InstanceGone, SubsystemRoute, zapcore.InfoLevel, "instance gone", "An instance refused a connection or left the list.", "None, unless many go without a notice."},
+	{InstanceGone, SubsystemRoute, zapcore.InfoLevel, "instance gone", "An instance is known to have ended.", "None, unless many go without a notice."},
 	{ListFailed, SubsystemRoute, zapcore.WarnLevel, "instance list failed", "The platform's list or notices could not be read; the last view is used.", "If it goes on, check the platform."},
+	{EndpointShunned, SubsystemRoute, zapcore.InfoLevel, "endpoint avoided", "An instance refused a connection; it gets no work for a while, longer each time, until it answers.", "None, unless it goes on while the instance is listed as live."},
+	{RequestsRefused, SubsystemLimit, zapcore.WarnLevel, "requests refused", "The limits refuse requests, of this account and maybe of others; at most one line in ten seconds.", "Reason rate: see the account's limit. Reason capacity: see the handbook's page on load."},
 	{ContentSuspect, SubsystemSuspect, zapcore.WarnLevel, "content suspect", "An endpoint crashed while it ran a content; the content runs only on trial.", "None, unless contents are convicted."},
 	{ContentConvicted, SubsystemSuspect, zapcore.ErrorLevel, "content convicted", "A content crashed two endpoints and is not run again.", "Look at the engine's crash; release the content with skylarkctl suspect release once the engine is mended."},
 	{SuspectUnreported, SubsystemSuspect, zapcore.WarnLevel, "suspect not reported", "The log took no report of a suspect or cleared content; this node holds it suspect all the same.", "If it goes on, see the handbook's page on log outages."},
--- a/pkg/generation/generation.go
+++ b/pkg/generation/generation.go
@@ -110,6 +110,9 @@
 	Pick func(ctx context.Context, r Request, emitted int, failed []fleet.InstanceRef) (Lease, error)
 	// Attempts bounds how often a request is tried; 0 takes the default.
 	Attempts int
+	// Pause waits before a retry after a failure; retry counts from 1. Moves off a
+	// leaving instance do not pause. Nil does not wait.
+	Pause func(ctx context.Context, retry int) error
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -172,14 +175,25 @@
 		if errors.As(broke, &stop) || ctx.Err() != nil {
 			return res, broke
 		}
-		if !errors.Is(broke, errMoved) {
-			failed = append(failed, lease.Engine.Instance.Ref())
-		}
 		err = broke
+		if errors.Is(broke, errMoved) {
+			continue
+		}
+		failed = append(failed, lease.Engine.Instance.Ref())
+		if err := g.pause(ctx, len(failed)); err != nil {
+			return res, err
+		}
 	}
 	return res, &ExhaustedError{Attempts: res.Attempts, Emitted: len(a.Tokens()), Cause: err}
 }
 
+func (g *Runner) pause(ctx context.Context, retry int) error {
+	if g.Pause == nil {
+		return nil
+	}
+	return g.Pause(ctx, retry)
+}
+
 // recomputed returns the tokens that an attempt after the first computed again.
 func recomputed(attempts, start int, f engine.Frame) fleet.Tokens {
 	if attempts < 2 {
--- /dev/null
+++ b/pkg/limit/suite_test.go
@@ -0,0 +1,17 @@
+package limit_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLimit(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limit")
+}
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -57,7 +57,13 @@
 
 func (v *View) token() float64 { return or(v.Speed.Token, DefaultToken).Seconds() }
 
-// Service is the machine time of a request, in seconds.
+// Service predicts the time of a request of which nothing is cached.
+func (v *View) Service(prompt, output fleet.Tokens) time.Duration {
+	q := Query{Prompt: prompt, Output: output}
+	return time.Duration(v.service(&q) * float64(time.Second))
+}
+
+// service is the machine time of a request, in seconds.
 func (v *View) service(q *Query) float64 {
 	return float64(q.Prompt)*v.prompt() + float64(q.Output)*v.token()
 }
--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -42,6 +42,8 @@
 	Candidates []Candidate
 	// Others is the mean work of other nodes at one endpoint, by the reports.
 	Others float64
+	// Slots is the sum of the candidates' slots.
+	Slots int
 	// Hourly is the lowest price among the candidates.
 	Hourly fleet.MicroCents
 	Speed  Speed
@@ -62,12 +64,13 @@
 // after the candidates or their reports have changed.
 func (v *View) Refresh() {
 	var others, reports float64
-	v.Hourly = 0
+	v.Hourly, v.Slots = 0, 0
 	for i := range v.Candidates {
 		c := &v.Candidates[i]
 		if c.hash == 0 {
 			c.hash = xxhash.Sum64String(string(c.Instance.ID))
 		}
+		v.Slots += c.Slots
 		if !c.Report.At.IsZero() {
 			others += float64(max(0, c.Report.Work-c.Report.Mine))
 			reports++
--- a/pkg/router/lease.go
+++ b/pkg/router/lease.go
@@ -44,9 +44,7 @@
 	}
 	l.stay, l.leave = context.WithCancel(context.Background())
 	s.work[l] = struct{}{}
-	if c := r.find(i.Pool, i.Ref()); c != nil {
-		c.Mine = len(s.work)
-	}
+	r.count(i, s)
 	if r.Roster.Condition(i.Ref()).Rank() > 0 {
 		l.leave()
 	}
@@ -89,7 +87,13 @@
 		return
 	}
 	delete(s.work, l)
-	if c := r.find(l.instance.Pool, l.instance.Ref()); c != nil {
+	r.count(l.instance, s)
+}
+
+// count brings the view to the work on an instance. The lock is held.
+func (r *Router) count(i fleet.Instance, s *endpointState) {
+	if c := r.find(i.Pool, i.Ref()); c != nil {
+		r.pools[i.Pool].mine += len(s.work) - c.Mine
 		c.Mine = len(s.work)
 	}
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -33,6 +33,9 @@
 	// Avoid reports whether an endpoint takes no ordinary work; nil means none. It
 	// is called with the router's lock held and must not call the router.
 	Avoid func(ref fleet.InstanceRef) bool
+	// Shunned is told of an endpoint that is avoided after a refused connection.
+	// It must not call the router. Nil tells nobody.
+	Shunned func(i fleet.Instance, until time.Time)
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
--- a/pkg/router/view.go
+++ b/pkg/router/view.go
@@ -27,6 +27,9 @@
 	defaultOutput = 128
 	// settleEvery is the least time between two refreshes of a view.
 	settleEvery = 20 * time.Millisecond
+	// overcommit is how much more than its slots an endpoint is given, so that it
+	// has the next request at hand when one ends.
+	overcommit = 1.25
 	// shunFirst and shunLongest bound how long an endpoint is avoided after a
 	// refused connection; each further one doubles the time.
 	shunFirst   = time.Second
@@ -38,6 +41,8 @@
 	view   route.View
 	index  map[fleet.InstanceRef]int
 	output float64
+	// mine is this node's work in the pool.
+	mine int
 	// stale is set if a report came since the view was refreshed.
 	stale     bool
 	refreshed time.Time
@@ -103,6 +108,7 @@
 
 func (p *pool) add(i fleet.Instance, s *endpointState, hazard float64) {
 	p.index[i.Ref()] = len(p.view.Candidates)
+	p.mine += len(s.work)
 	p.view.Candidates = append(p.view.Candidates, route.Candidate{
 		Instance: i,
 		Mine:     len(s.work),
@@ -182,6 +188,9 @@
 		c.Shunned = s.shunned
 	}
 	r.prefixes.Taint(i.Ref())
+	if r.Shunned != nil {
+		r.Shunned(i, s.shunned)
+	}
 }
 
 // Answered tells that an endpoint has served a request.
@@ -232,3 +241,44 @@
 	}
 	return r.hit
 }
+
+// Room returns how many requests this node may have in a pool at a time: what
+// it has, and its part of what is free by the reports. It is 0, no bound, for a
+// pool whose endpoints report no slots.
+func (r *Router) Room(name fleet.PoolName, nodes int) int {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(now)
+	p := r.pools[name]
+	if p == nil {
+		return 0
+	}
+	p.settle(now)
+	if p.view.Slots == 0 {
+		return 0
+	}
+	slots := overcommit * float64(p.view.Slots)
+	others := p.view.Others * float64(len(p.view.Candidates))
+	free := max(0, slots-others-float64(p.mine))
+	part := float64(max(nodes, 1))
+	return max(1, p.mine+int(free/part), int(slots/part))
+}
+
+// Forecast predicts the time from the dispatch to the end of a request for at
+// most so many tokens; 0 stands for no bound.
+func (r *Router) Forecast(name fleet.PoolName, prompt, most fleet.Tokens) time.Duration {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(now)
+	p := r.pools[name]
+	if p == nil || p.view.Slots == 0 {
+		return 0
+	}
+	output := fleet.Tokens(p.output)
+	if most > 0 {
+		output = min(most, output)
+	}
+	return p.view.Service(prompt, output)
+}
