--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -60,6 +60,7 @@
 	leaving  atomic.Bool
 	callers  *listener
 	operator *listener
+	admitter *admitter
 }
 
 // Clients are the clients of the platform's services.
@@ -88,6 +89,7 @@
 		d.rosterService,
 		d.routerService,
 		d.pollerService,
+		d.limitService,
 		d.orderService,
 		d.suspectService,
 		d.entryService,
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -29,6 +29,7 @@
 	SubsystemPeer     Subsystem = "peer"
 	SubsystemSuspect  Subsystem = "suspect"
 	SubsystemCapacity Subsystem = "capacity"
+	SubsystemLimit    Subsystem = "limit"
 )
 
 // Entry describes one event.
@@ -48,6 +49,7 @@
 	configEvents,
 	journalEvents,
 	instanceEvents,
+	limitEvents,
 	suspectEvents,
 	entryEvents,
 )
