Replace reclaimed instances from the daemon

Cause: the try-out ended with half its endpoints after one reclaim and with none after two; nothing in the daemon started instances.

Change: the lease and capacity services run on every node; the lease of the log says which one acts. Demand comes from the load reports. Endpoints on hold under a lease take no new work.

--- a/pkg/daemon/suspect.go
+++ b/pkg/daemon/suspect.go
@@ -8,6 +8,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/lease"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
 	"github.com/skylarkloom/skylarkloom/pkg/router"
@@ -24,9 +25,13 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
+	leases, err := kernel.Find[*lease.Book](&d.kernel, ServiceLease)
+	if err != nil {
+		return kernel.Service{}, err
+	}
 	b := &suspect.Book{Stream: d.newStream(platform.StreamSuspect), Changed: d.suspectChanged}
 	b.Stream.Apply, b.Stream.Save, b.Stream.Load = b.Apply, b.Save, b.Load
-	r.Avoid = b.Reserved
+	r.Avoid = func(ref fleet.InstanceRef) bool { return b.Reserved(ref) || leases.Held(ref) }
 	losses := &suspect.Losses{}
 	g := &suspect.Guard{
 		Book:  b,
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -52,6 +52,7 @@
 	limitEvents,
 	suspectEvents,
 	entryEvents,
+	capacityEvents,
 )
 
 func catalogue(tables ...[]Entry) []Entry {
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -131,13 +131,17 @@
     kind: model
     model: loom
     slots: 16
-    workers: {min: 2, max: 12}
+    workers: {min: 3, max: 12}
     weights: {latency: 2}
     offers:
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
   - name: %s
     kind: service
+    workers: {min: 2, max: 6}
+    offers:
+      - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
+      - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
 accounts:
   - name: dezerter-sellers
     keys: [%q]
@@ -146,6 +150,7 @@
     keys: [%q]
     pools: [%s, %s]
 `, PoolModel, ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond, PoolService,
+		ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond,
 		fleet.HashKey(Keys["dezerter-sellers"]), PoolModel, PoolService,
 		fleet.HashKey(Keys["season-plans"]), PoolModel, PoolService)
 }
