--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_CHECKS ?= 20000
 FUZZ_SEED ?= 1
 
-.PHONY: try test build lint format fuzz mutate measure docs generate ci
+.PHONY: try test build lint format fuzz mutate measure measure-orders docs generate ci
 
 try: build
 	bin/skylarkloomd try
@@ -36,6 +36,17 @@
 mutate:
 	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order
 
+# measure writes the figures under docs/measured.
+measure: measure-orders
+
+MACHINE := $(shell nproc) cores, $(shell go env GOOS)/$(shell go env GOARCH), $(shell go env GOVERSION)
+COMMIT := $(shell git describe --always --dirty 2>/dev/null)
+
+measure-orders:
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/orders.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		go test -tags measure -count=1 -timeout 30m -run TestOrder ./pkg/order -ginkgo.focus Measure
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
