--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -41,7 +41,7 @@
 	DefaultProbe = time.Second
 	// DefaultSnapshotEvery is the age at which a stream's newest snapshot is
 	// followed by the next.
-	DefaultSnapshotEvery = time.Hour
+	DefaultSnapshotEvery = 4 * time.Hour
 )
 
 // Stream is one stream of the log, folded and written. Log, Name and Apply
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -268,11 +268,15 @@
 	}
 }
 
-// end notes the outcome of an order and lets go of the body, which no one will
-// send any more.
+// end notes the outcome of an order and lets go of what only its sending needs
+// and of what stands in it twice.
 func (f *Fold) end(o *Order, outcome fleet.Outcome) {
 	o.Outcome = outcome
 	o.Request.Body = nil
+	o.Request.Method, o.Request.Path, o.Request.Type = "", "", ""
+	o.Request.Owner, o.Request.Window = fleet.NodeRef{}, 0
+	r := o.Result
+	o.Result = record.Settle{Outcome: r.Outcome, Status: r.Status, Type: r.Type, Answer: r.Answer, Detail: r.Detail, Cost: r.Cost}
 	delete(f.open, o.Request.Ref)
 }
 
