Show that a planned stop cuts nothing, and mend what cut

Cause: under load with streams open, replacing the nodes one after the other cut requests: a caller whose stream had begun before the notice could not know that its connection would close, and its next request was refused or met a closed connection.

Change: a draining node refuses requests on connections opened after the drain began; one that was open before may bring one more request, whose answer asks the caller to close it. The drain ends when nothing was in flight for half the notice, then idle connections close.

--- a/pkg/daemon/listener.go
+++ b/pkg/daemon/listener.go
@@ -27,6 +27,8 @@
 type listener struct {
 	settings settings.Listener
 	handler  http.Handler
+	// connection is the ConnContext of the server; it may be nil.
+	connection func(ctx context.Context, c net.Conn) context.Context
 
 	net    net.Listener
 	server *http.Server
@@ -50,6 +52,7 @@
 	l.net = netutil.LimitListener(l.net, maxConnections)
 	l.server = &http.Server{
 		Handler:           l.handler,
+		ConnContext:       l.connection,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -77,5 +80,8 @@
 	if err := l.server.Shutdown(ctx); err != nil {
 		return errors.CombineErrors(err, l.server.Close())
 	}
+	if err := l.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
 	return nil
 }
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -139,7 +139,7 @@
 		return kernel.Service{}, err
 	}
 	runner := &generation.Runner{Pick: r.Generation}
-	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk}
+	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk, Linger: d.Settings.Stop.Notice / 2}
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
 }
@@ -149,7 +149,7 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	d.callers = &listener{settings: d.Settings.Callers, handler: h.Routes()}
+	d.callers = &listener{settings: d.Settings.Callers, handler: h.Routes(), connection: h.Connection}
 	return d.callers.service(ServiceCallers), nil
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/justinas/alice"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/config"
 	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
@@ -61,10 +60,15 @@
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
+	// Linger is how long a drain serves on after the last request in flight, for
+	// callers whose connection was never told to close.
+	Linger time.Duration
+
 	mu       sync.Mutex
 	leaving  bool
-	draining bool
-	inflight sync.WaitGroup
+	draining time.Time
+	inflight int
+	idle     time.Time
 }
 
 // Report is what became of one request.
@@ -105,53 +109,6 @@
 	return alice.New(h.recovered, h.counted).Then(mux)
 }
 
-// Leave asks callers, with each answer from now on, to close the connection, so
-// that they connect to another node before this one refuses requests.
-func (h *Handler) Leave() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.leaving = true
-}
-
-// Drain refuses new requests and waits for those in flight.
-func (h *Handler) Drain(ctx context.Context) error {
-	h.mu.Lock()
-	h.draining = true
-	h.mu.Unlock()
-	var g errgroup.Group
-	idle := make(chan struct{})
-	g.Go(func() error {
-		defer close(idle)
-		h.inflight.Wait()
-		return nil
-	})
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// Draining reports whether the node refuses new requests.
-func (h *Handler) Draining() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.draining
-}
-
-// begin counts a request in, unless the node drains. It reports whether the
-// node is about to leave.
-func (h *Handler) begin() (leaving, ok bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.draining {
-		return true, false
-	}
-	h.inflight.Add(1)
-	return h.leaving, true
-}
-
 func (h *Handler) now() time.Time {
 	if h.Now != nil {
 		return h.Now()
@@ -159,23 +116,6 @@
 	return time.Now()
 }
 
-// counted refuses requests while the node drains and counts the others.
-func (h *Handler) counted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		leaving, ok := h.begin()
-		if leaving {
-			w.Header().Set("Connection", "close")
-		}
-		if !ok {
-			h.writeError(w, r, errDraining)
-			return
-		}
-		defer h.inflight.Done()
-		r.Body = http.MaxBytesReader(w, r.Body, MaxBody)
-		next.ServeHTTP(w, r)
-	})
-}
-
 // recovered turns a panic into an error answer; what it ran is not known.
 func (h *Handler) recovered(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/trial/outside_test.go
+++ b/pkg/trial/outside_test.go
@@ -122,6 +122,10 @@
 		return "", false, err
 	}
 	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		data, err := io.ReadAll(res.Body)
+		return string(data), false, err
+	}
 	var b strings.Builder
 	lines := bufio.NewScanner(res.Body)
 	for lines.Scan() {
