--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -25,6 +25,9 @@
 type Router struct {
 	Roster *roster.Roster
 	Client *http.Client
+	// Orders is used for orders, if set: a client that opens a connection for
+	// each, so that none is lost on a connection that its endpoint has closed.
+	Orders *http.Client
 	// Policy decides; nil takes route.Predictor.
 	Policy route.Policy
 	// Weights returns what an account pays attention to on a pool; nil weighs
@@ -94,7 +97,7 @@
 		if pickErr != nil {
 			return a, &endpoint.NotStartedError{Cause: pickErr}
 		}
-		a, err = endpoint.DialService(l.instance, r.Client).CallFunc(ctx, call)
+		a, err = endpoint.DialService(l.instance, r.client(call)).CallFunc(ctx, call)
 		l.release(err)
 		if err == nil || ctx.Err() != nil || (!repeatable && !endpoint.NotStarted(err)) {
 			return a, err
@@ -104,6 +107,13 @@
 	return a, err
 }
 
+func (r *Router) client(call endpoint.Call) *http.Client {
+	if call.Key != "" && r.Orders != nil {
+		return r.Orders
+	}
+	return r.Client
+}
+
 // Send gives an order to an endpoint; it is the desk's Send.
 func (r *Router) Send(ctx context.Context, o order.Order) (order.Reply, error) {
 	q := o.Request
