Hold a content back, not on trial, when its endpoint refused the connection

Cause: a content whose first endpoint refused the connection ran on trial, alone on an endpoint, though nothing said that it had crashed one. With many connections refused at once that takes the endpoints from everybody.

Change: a refused connection makes the pool's contents wait out the pause after a loss, in which reports of a crash arrive; only a crash puts one on trial.

--- a/pkg/suspect/guard.go
+++ b/pkg/suspect/guard.go
@@ -114,7 +114,7 @@
 	if err := g.pause(ctx, r.Pool, content); err != nil {
 		return l, err
 	}
-	if !g.suspicious(content, failed) {
+	if !g.suspicious(content) {
 		l, err = g.Next(ctx, r, emitted, failed)
 		if err != nil {
 			return l, err
@@ -124,10 +124,9 @@
 	return g.hold(ctx, r, emitted, content)
 }
 
-// suspicious reports whether a content may run only on trial. A content that
-// was not seen to finish and whose endpoint failed is suspect at once, before
-// the stream says so.
-func (g *Guard) suspicious(content fleet.Digest, failed []fleet.InstanceRef) bool {
+// suspicious reports whether a content may run only on trial. A content whose
+// endpoint crashed is suspect on its node at once, before the stream says so.
+func (g *Guard) suspicious(content fleet.Digest) bool {
 	if g.Book.Case(content).Verdict != VerdictClear {
 		return true
 	}
@@ -141,7 +140,7 @@
 		delete(g.local, content)
 		marked = false
 	}
-	return marked || len(failed) > 0
+	return marked
 }
 
 // Lost notes that an endpoint of a pool was lost without notice.
