--- /dev/null
+++ b/pkg/rollout/keeper.go
@@ -0,0 +1,153 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/lease"
+)
+
+// LeaseRollout is the duty to bring engines to their version.
+const LeaseRollout record.LeaseName = "rollout"
+
+// Times of the keeper.
+const (
+	// DefaultEvery is how often the pools are looked at.
+	DefaultEvery = 2 * time.Second
+	// leaseWindow is how long the lease holds without renewal.
+	leaseWindow = 30 * time.Second
+	// holdWindow is how long an engine is kept from new work at most.
+	holdWindow = 30 * time.Minute
+	// callTimeout bounds one call.
+	callTimeout = 10 * time.Second
+)
+
+// Keeper brings the engines of the pools to their version. One node does so at
+// a time, under a lease of the log; without the log nothing is changed.
+type Keeper struct {
+	Book *lease.Book
+	// Pools returns the pools of the configuration in force.
+	Pools func() []fleet.Pool
+	// Endpoints returns the live engines of a pool, without Held and Commanded.
+	Endpoints func(pool fleet.PoolName) []Endpoint
+	// Command gives an engine a command.
+	Command func(ctx context.Context, i fleet.Instance, c engine.Command) error
+	// Candidate reports whether this node should hold the lease.
+	Candidate func() bool
+	// Did is told of every step.
+	Did func(s Step, pool fleet.PoolName, err error)
+	// Every overrides DefaultEvery.
+	Every time.Duration
+
+	once      sync.Once
+	done      chan struct{}
+	commanded map[fleet.InstanceRef]time.Time
+	loaded    map[fleet.PoolName]time.Time
+}
+
+func (k *Keeper) init() {
+	k.once.Do(func() {
+		k.done = make(chan struct{})
+		k.commanded = make(map[fleet.InstanceRef]time.Time)
+		k.loaded = make(map[fleet.PoolName]time.Time)
+	})
+}
+
+// Done is closed when Run has returned.
+func (k *Keeper) Done() <-chan struct{} {
+	k.init()
+	return k.done
+}
+
+// Run keeps the pools until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.init()
+	defer close(k.done)
+	every := k.Every
+	if every == 0 {
+		every = DefaultEvery
+	}
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			k.Step(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Step looks at every pool once. The lease is claimed only while there is
+// something to do, so that an idle fleet appends nothing.
+func (k *Keeper) Step(ctx context.Context) {
+	k.init()
+	if !k.Candidate() {
+		return
+	}
+	for _, p := range k.Pools() {
+		steps := Decide(k.view(p))
+		if len(steps) == 0 {
+			continue
+		}
+		claimCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		l, mine, err := k.Book.Claim(claimCtx, LeaseRollout, leaseWindow)
+		cancel()
+		if err != nil || !mine {
+			return
+		}
+		for _, s := range steps {
+			k.take(ctx, l, p, s)
+		}
+	}
+}
+
+func (k *Keeper) view(p fleet.Pool) View {
+	v := View{Pool: p, Now: time.Now(), Loaded: k.loaded[p.Name]}
+	for _, e := range k.Endpoints(p.Name) {
+		e.Held = k.Book.Held(e.Instance.Ref())
+		e.Commanded = k.commanded[e.Instance.Ref()]
+		v.Endpoints = append(v.Endpoints, e)
+	}
+	return v
+}
+
+// take carries out one step under the lease.
+func (k *Keeper) take(ctx context.Context, l lease.Lease, p fleet.Pool, s Step) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var err error
+	switch s.Verb {
+	case VerbHold:
+		err = k.hold(ctx, l, s.Instance, holdWindow)
+	case VerbFree:
+		err = k.hold(ctx, l, s.Instance, 0)
+	case VerbLoad:
+		k.loaded[p.Name], k.commanded[s.Instance.Ref()] = time.Now(), time.Now()
+		err = k.load(ctx, l, p, s.Instance)
+	}
+	if k.Did != nil {
+		k.Did(s, p.Name, err)
+	}
+}
+
+func (k *Keeper) hold(ctx context.Context, l lease.Lease, i fleet.Instance, window time.Duration) error {
+	return k.Book.Write(ctx, record.KindHold, record.Hold{Lease: LeaseRollout, Fence: l.Fence, Instance: i.Ref(), Window: window})
+}
+
+func (k *Keeper) load(ctx context.Context, l lease.Lease, p fleet.Pool, i fleet.Instance) error {
+	for _, c := range Commands(p, l.Fence) {
+		if _, mine := k.Book.Mine(LeaseRollout); !mine {
+			return nil
+		}
+		if err := k.Command(ctx, i, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
