--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -179,7 +179,7 @@
 			e.cancelled()
 			return
 		}
-		e.progress(g.ID, i+1)
+		e.progress(g.ID, int(prompt)+i+1)
 	}
 	send(w, control, engine.Frame{
 		Attempt:  g.Attempt,
@@ -222,13 +222,15 @@
 	e.cancels++
 }
 
-func (e *Engine) progress(id fleet.RequestID, position int) {
+// progress notes how many tokens of a request, prompt included, are in the KV
+// cache.
+func (e *Engine) progress(id fleet.RequestID, tokens int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.served == nil {
 		e.served = make(map[fleet.RequestID]int)
 	}
-	e.served[id] = position
+	e.served[id] = tokens
 }
 
 // lookUp returns how many tokens are cached and stores the prompt's blocks.
@@ -247,7 +249,7 @@
 		e.store(b)
 	}
 	if n, ok := e.imported[g.ID]; ok {
-		return min(prompt+fleet.Tokens(len(g.Emitted)), n)
+		return max(cached, min(prompt+fleet.Tokens(len(g.Emitted)), n))
 	}
 	return cached
 }
