--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -28,6 +28,7 @@
 	ServiceConfig   kernel.ServiceName = "config"
 	ServiceRoster   kernel.ServiceName = "roster"
 	ServiceRouter   kernel.ServiceName = "router"
+	ServiceSuspect  kernel.ServiceName = "suspect"
 	ServiceOrder    kernel.ServiceName = "order"
 	ServiceEntry    kernel.ServiceName = "entry"
 	ServiceCallers  kernel.ServiceName = "callers"
@@ -59,6 +60,7 @@
 	leaving  atomic.Bool
 	callers  *listener
 	operator *listener
+	admitter *admitter
 }
 
 // Clients are the clients of the platform's services.
@@ -86,7 +88,10 @@
 		d.configService,
 		d.rosterService,
 		d.routerService,
+		d.pollerService,
+		d.limitService,
 		d.orderService,
+		d.suspectService,
 		d.entryService,
 		d.ledgerService,
 		d.operatorService,
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -26,6 +26,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
 	"github.com/skylarkloom/skylarkloom/pkg/router"
+	"github.com/skylarkloom/skylarkloom/pkg/suspect"
 )
 
 // pollEvery is how often the instance list and the notices are read.
@@ -87,7 +88,14 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	r := &router.Router{Roster: known, Client: d.client, Orders: newClient(false)}
+	keeper, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	r := &router.Router{Roster: known, Client: d.client, Orders: newClient(false), Weights: weights(keeper)}
+	r.Shunned = func(i fleet.Instance, until time.Time) {
+		d.Logs.Emit(event.EndpointShunned, zap.String("instance", string(i.ID)), zap.Time("until", until))
+	}
 	known.Marked = func(m roster.Mark) {
 		r.Marked(m)
 		id := event.InstanceLeaving
@@ -138,8 +146,19 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	runner := &generation.Runner{Pick: r.Generation}
-	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk, Linger: d.Settings.Stop.Notice / 2}
+	guard, err := kernel.Find[*suspect.Guard](&d.kernel, ServiceSuspect)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	runner := &generation.Runner{Pick: guard.Pick, Pause: d.admitter.pause}
+	h := &entry.Handler{
+		Config:   keeper.Current,
+		Generate: runner.Run,
+		Call:     r.Call,
+		Desk:     desk,
+		Admit:    d.admitter.admit,
+		Linger:   d.Settings.Stop.Notice / 2,
+	}
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
 }
--- a/pkg/endpoint/service.go
+++ b/pkg/endpoint/service.go
@@ -91,17 +91,22 @@
 	}}
 }
 
+// forbidReplay keeps the transport from sending a request a second time by
+// itself, which net/http does with requests that carry an idempotency key when
+// they have no body or one that can be read again.
+func forbidReplay(req *http.Request) {
+	req.GetBody = nil
+	if req.Body == http.NoBody {
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+	}
+}
+
 func callService(ctx context.Context, i fleet.Instance, client *http.Client, c Call) (a Answer, err error) {
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+i.Address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return a, &NotStartedError{Instance: i.ID, Cause: err}
 	}
-	if c.Key != "" {
-		// The transport sends a request again by itself if it carries an idempotency
-		// key and its body is absent or can be had again. An order must not be.
-		req.GetBody = nil
-		req.Body = io.NopCloser(bytes.NewReader(c.Body))
-	}
+	forbidReplay(req)
 	maps.Copy(req.Header, c.Header)
 	if c.Type != "" {
 		req.Header.Set("Content-Type", c.Type)
