--- a/pkg/endpoint/service.go
+++ b/pkg/endpoint/service.go
@@ -106,7 +106,9 @@
 	if err != nil {
 		return a, &NotStartedError{Instance: i.ID, Cause: err}
 	}
-	forbidReplay(req)
+	if c.Key != "" {
+		forbidReplay(req)
+	}
 	maps.Copy(req.Header, c.Header)
 	if c.Type != "" {
 		req.Header.Set("Content-Type", c.Type)
