--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -151,7 +151,6 @@
 		return kernel.Service{}, err
 	}
 	runner := &generation.Runner{Pick: guard.Pick, Pause: d.admitter.pause}
-<<<<<<< HEAD
 	h := &entry.Handler{
 		Config:   keeper.Current,
 		Generate: runner.Run,
@@ -160,9 +159,6 @@
 		Admit:    d.admitter.admit,
 		Linger:   d.Settings.Stop.Notice / 2,
 	}
-=======
-	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk, Admit: d.admitter.admit, Linger: d.Settings.Stop.Notice / 2}
->>>>>>> main
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
 }
