--- /dev/null
+++ b/pkg/endpoint/suite_test.go
@@ -0,0 +1,13 @@
+package endpoint_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEndpoint(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "endpoint")
+}
