--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -95,6 +95,7 @@
 		d.suspectService,
 		d.entryService,
 		d.capacityService,
+		d.rolloutService,
 		d.ledgerService,
 		d.operatorService,
 		d.callersService,
--- /dev/null
+++ b/pkg/daemon/rollout.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/config"
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
+	"github.com/skylarkloom/skylarkloom/pkg/event"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/lease"
+	"github.com/skylarkloom/skylarkloom/pkg/rollout"
+	"github.com/skylarkloom/skylarkloom/pkg/roster"
+	"github.com/skylarkloom/skylarkloom/pkg/router"
+)
+
+// ServiceRollout brings engines to their version.
+const ServiceRollout kernel.ServiceName = "rollout"
+
+// rolloutService brings the engines to the version of the configuration.
+func (d *Daemon) rolloutService() (kernel.Service, error) {
+	b, err := kernel.Find[*lease.Book](&d.kernel, ServiceLease)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	r, err := kernel.Find[*router.Router](&d.kernel, ServiceRouter)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	known, err := kernel.Find[*roster.Roster](&d.kernel, ServiceRoster)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	if err != nil {
+		return kernel.Service{}, err
+	}
+	c := &rollout.Keeper{
+		Book:      b,
+		Pools:     modelPools(k),
+		Endpoints: func(pool fleet.PoolName) []rollout.Endpoint { return rolloutEndpoints(known, r, pool) },
+		Command: func(ctx context.Context, i fleet.Instance, c engine.Command) error {
+			return endpoint.DialEngine(i, d.client).CommandFunc(ctx, c)
+		},
+		Candidate: func() bool { return known.Read() && !d.leaving.Load() },
+		Did: func(s rollout.Step, pool fleet.PoolName, err error) {
+			id := event.RolloutStep
+			if err != nil {
+				id = event.RolloutFailed
+			}
+			d.Logs.Emit(id, zap.String("pool", string(pool)), zap.String("instance", string(s.Instance.ID)), zap.String("step", string(s.Verb)), zap.Error(err))
+		},
+	}
+	return running(ServiceRollout, c, c.Run), nil
+}
+
+func rolloutEndpoints(known *roster.Roster, r *router.Router, pool fleet.PoolName) (list []rollout.Endpoint) {
+	for _, i := range known.Pool(pool) {
+		load := r.Load(i.Ref())
+		list = append(list, rollout.Endpoint{
+			Instance: i,
+			Model:    load.Model,
+			Version:  load.Version,
+			Idle:     r.Idle(i.Ref()),
+		})
+	}
+	return list
+}
+
+// modelPools returns the pools of model engines in the configuration in force.
+func modelPools(k *config.Keeper) func() []fleet.Pool {
+	all := pools(k)
+	return func() (models []fleet.Pool) {
+		for _, p := range all() {
+			if p.Kind == fleet.KindModel {
+				models = append(models, p)
+			}
+		}
+		return models
+	}
+}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -28,6 +28,7 @@
 	SubsystemEntry    Subsystem = "entry"
 	SubsystemPeer     Subsystem = "peer"
 	SubsystemSuspect  Subsystem = "suspect"
+	SubsystemRollout  Subsystem = "rollout"
 	SubsystemCapacity Subsystem = "capacity"
 	SubsystemLimit    Subsystem = "limit"
 )
@@ -53,6 +54,7 @@
 	suspectEvents,
 	entryEvents,
 	capacityEvents,
+	rolloutEvents,
 )
 
 func catalogue(tables ...[]Entry) []Entry {
--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -1,6 +1,9 @@
 package router
 
-import "github.com/skylarkloom/skylarkloom/pkg/fleet"
+import (
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
 
 // Demand returns the work on the endpoints of a pool: by their newest reports,
 // and by this node's own work where that is more.
@@ -26,3 +29,13 @@
 	s := r.states[ref]
 	return s == nil || (len(s.work) == 0 && s.report.Work == 0)
 }
+
+// Load returns the newest load report of an endpoint as it gave it.
+func (r *Router) Load(ref fleet.InstanceRef) engine.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.states[ref]; s != nil {
+		return s.load
+	}
+	return engine.Load{}
+}
--- a/pkg/router/view.go
+++ b/pkg/router/view.go
@@ -52,7 +52,9 @@
 type endpointState struct {
 	work   map[*lease]struct{}
 	report route.Report
-	slots  int
+	// load is the load report as the engine gave it.
+	load  engine.Load
+	slots int
 	// failures counts the refused connections since the last success.
 	failures int
 	shunned  time.Time
@@ -142,6 +144,7 @@
 		return
 	}
 	s.slots = m.Load.Slots
+	s.load = m.Load
 	s.report = route.Report{At: m.At, Work: m.Load.Running + m.Load.Waiting, Mine: len(s.work)}
 	s.failures, s.shunned = 0, time.Time{}
 	for name, p := range r.pools {
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -367,3 +367,10 @@
 	}
 	writeJSON(w, http.StatusOK, struct{}{})
 }
+
+// Version returns the version that the engine was commanded to serve.
+func (e *Engine) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
