Operators' tool: one table of commands over the operators' interface

Cause: skylarkctl had an empty table, flaggy drops unknown flags without a word, a lost answer of a publish could not be resolved, and a node whose port is in use never exited: the services already started waited for a context that nothing ended. Change: config check, publish, show, history, diff and wait, status, order, bill and completion; each row declares its flags and its own check of the arguments reports mistakes. A publish carries an ID that the client makes; GET /v1/config/changes/{id} says what became of it. The kernel ends the context of the services it started when a later one fails. The bill is read over operator.Handler.Bill, which nothing sets yet.

--- a/pkg/api/operate/operate.go
+++ b/pkg/api/operate/operate.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
 	"github.com/skylarkloom/skylarkloom/pkg/config"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/journal"
@@ -15,12 +16,17 @@
 const (
 	ConfigPath  = "/v1/config"
 	HistoryPath = "/v1/config/history"
+	ChangePath  = "/v1/config/changes"
 	StatusPath  = "/v1/status"
 	OrderPath   = "/v1/orders"
+	BillPath    = "/v1/bill"
 )
 
 // Publish asks to put a document in force.
 type Publish struct {
+	// ID names the change, so that a lost answer can be resolved by it. The node
+	// makes one if it is zero.
+	ID       record.ID      `json:"id,omitzero"`
 	Base     fleet.Revision `json:"base"`
 	Document string         `json:"document"`
 	Author   string         `json:"author"`
@@ -33,6 +39,29 @@
 	Revision fleet.Revision `json:"revision"`
 }
 
+// ChangeState says what is known of a published change.
+type ChangeState string
+
+// The states of a change.
+const (
+	// ChangePending: the log shows nothing of the change yet.
+	ChangePending ChangeState = "pending"
+	// ChangeInForce: the change was put in force.
+	ChangeInForce ChangeState = "in-force"
+	// ChangeConflict: another change came first; this one never comes in force.
+	ChangeConflict ChangeState = "conflict"
+)
+
+// Outcome says what became of a published change.
+type Outcome struct {
+	ID    record.ID   `json:"id"`
+	State ChangeState `json:"state"`
+	// Revision is the revision that the change took.
+	Revision fleet.Revision `json:"revision,omitempty"`
+	// Current is the change in force, after a conflict.
+	Current *config.Change `json:"current,omitempty"`
+}
+
 // Failure answers a call that failed.
 type Failure struct {
 	Error string `json:"error"`
--- /dev/null
+++ b/pkg/command/completion.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+)
+
+// completionCommand writes the completion script of a shell.
+func (p Program) completionCommand() Command {
+	return Command{
+		Name:    "completion",
+		Help:    "write the completion script of a shell: bash, zsh or fish",
+		Example: "source <(" + p.Name + " completion bash)",
+		Flags: func(sub *flaggy.Subcommand) func(context.Context, Streams) error {
+			var shell string
+			sub.AddPositionalValue(&shell, "SHELL", 1, true, "bash, zsh or fish")
+			return func(_ context.Context, s Streams) error { return p.complete(shell, s) }
+		},
+	}
+}
+
+func (p Program) complete(shell string, s Streams) error {
+	parser := p.parser(p.leaves())
+	switch shell {
+	case "bash":
+		fmt.Fprint(s.Out, flaggy.GenerateBashCompletion(parser))
+	case "zsh":
+		fmt.Fprint(s.Out, flaggy.GenerateZshCompletion(parser))
+	case "fish":
+		fmt.Fprint(s.Out, flaggy.GenerateFishCompletion(parser))
+	default:
+		return usagef("no completion for shell %q; expected bash, zsh or fish", shell)
+	}
+	return nil
+}
--- a/pkg/command/control.go
+++ b/pkg/command/control.go
@@ -3,12 +3,28 @@
 import (
 	"context"
 	"io"
+	"os/signal"
+	"syscall"
 )
 
-// ControlTable lists the commands of skylarkctl.
-var ControlTable = []Command{}
+// ControlProgram returns skylarkctl.
+func ControlProgram() Program {
+	return Program{Name: "skylarkctl", About: "operators' tool for skylarkloom", Table: []Command{
+		{Name: "config check", Help: "check a configuration file and report every mistake", Example: "skylarkctl config check fleet.yaml", Flags: configCheck},
+		{Name: "config publish", Help: "put a configuration file in force", Example: `skylarkctl config publish fleet.yaml --author nino --message "more carts for May"`, Flags: configPublish},
+		{Name: "config show", Help: "show the configuration in force, or with --why where each value comes from", Example: "skylarkctl config show --why dezerter-sellers loom-servers", Flags: configShow},
+		{Name: "config history", Help: "list the configurations that were in force", Example: "skylarkctl config history", Flags: configHistory},
+		{Name: "config diff", Help: "compare a configuration file with the one in force", Example: "skylarkctl config diff fleet.yaml", Flags: configDiff},
+		{Name: "config wait", Help: "wait until a revision is in force on every node", Example: "skylarkctl config wait 17 --timeout 10s", Flags: configWait},
+		{Name: "status", Help: "show the fleet, the nodes, the log and what is degraded", Example: "skylarkctl status --json", Flags: showStatus},
+		{Name: "order", Help: "show the state of a keyed request", Example: "skylarkctl order dezerter-sellers reserve-trolley-7", Flags: showOrder},
+		{Name: "bill", Help: "show charges per account and pool against what instances cost", Example: "skylarkctl bill --json", Flags: showBill},
+	}}
+}
 
 // Control runs skylarkctl with its arguments and returns the exit code.
 func Control(args []string, out, errs io.Writer) int {
-	return run(context.Background(), "skylarkctl", "operators' tool for skylarkloom", ControlTable, args, Streams{Out: out, Err: errs})
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return ControlProgram().Run(ctx, args, Streams{Out: out, Err: errs})
 }
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -26,16 +26,18 @@
 // stopTimeout bounds how long the services may take to end.
 const stopTimeout = 10 * time.Second
 
-// DaemonTable lists the commands of skylarkloomd.
-var DaemonTable = []Command{
-	{Name: "run", Help: "run an entry node", Example: "skylarkloomd run --settings node.yaml", Flags: runFlags},
-	{Name: "check", Help: "check a settings file and report every mistake", Example: "skylarkloomd check --settings node.yaml", Flags: checkFlags},
-	{Name: "try", Help: "show the main job on embedded stand-ins; --stay keeps them running", Example: "skylarkloomd try --stay", Flags: tryFlags},
+// DaemonProgram returns skylarkloomd.
+func DaemonProgram() Program {
+	return Program{Name: "skylarkloomd", About: "entry daemon for model engines and plain services", Table: []Command{
+		{Name: "run", Help: "run an entry node", Example: "skylarkloomd run --settings node.yaml", Flags: runFlags},
+		{Name: "check", Help: "check a settings file and report every mistake", Example: "skylarkloomd check --settings node.yaml", Flags: checkFlags},
+		{Name: "try", Help: "show the main job on embedded stand-ins; --stay keeps them running", Example: "skylarkloomd try --stay", Flags: tryFlags},
+	}}
 }
 
 // Daemon runs skylarkloomd with its arguments and returns the exit code.
 func Daemon(args []string, out, errs io.Writer) int {
-	return run(context.Background(), "skylarkloomd", "entry daemon for model engines and plain services", DaemonTable, args, Streams{Out: out, Err: errs})
+	return DaemonProgram().Run(context.Background(), args, Streams{Out: out, Err: errs})
 }
 
 func runFlags(sub *flaggy.Subcommand) func(context.Context, Streams) error {
--- /dev/null
+++ b/pkg/command/status.go
@@ -0,0 +1,180 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/operator"
+)
+
+func showStatus(sub *flaggy.Subcommand) func(context.Context, Streams) error {
+	var (
+		c      connection
+		asJSON bool
+	)
+	c.declare(sub)
+	sub.Bool(&asJSON, "j", "json", "write JSON")
+	return func(ctx context.Context, s Streams) error {
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		status, err := client.Status(ctx)
+		if err != nil {
+			return explain(err)
+		}
+		if asJSON {
+			return writeJSON(s.Out, status)
+		}
+		return writeStatus(s.Out, status)
+	}
+}
+
+func writeStatus(w io.Writer, s operate.Status) error {
+	fmt.Fprintf(w, "node %s in %s: ready %t, revision %d\n\n", s.Node, s.DataCentre, s.Ready, s.Revision)
+	if len(s.Degraded) == 0 {
+		fmt.Fprintf(w, "nothing is degraded\n\n")
+	}
+	for _, d := range s.Degraded {
+		fmt.Fprintf(w, "degraded since %s: %s\n", d.Since.UTC().Format(time.RFC3339), d.What)
+	}
+	if err := table(w, fleetRows(s.Instances)...); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	rows := []string{row("NODE", "DATA CENTRE", "REVISION", "ALIVE", "HEARD")}
+	for _, n := range s.Nodes {
+		rows = append(rows, row(n.Name, n.DataCentre, n.Revision, n.Alive, n.Heard.UTC().Format(time.RFC3339)))
+	}
+	if err := table(w, rows...); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	rows = []string{row("STREAM", "APPENDS", "FAILED", "RECORDS", "FOLDED", "UNREADABLE", "SNAPSHOTS")}
+	for _, name := range slices.Sorted(maps.Keys(s.Streams)) {
+		t := s.Streams[name]
+		rows = append(rows, row(name, t.Appends, t.FailedWrites, t.Records, t.Folded, t.Unreadable, t.Snapshots))
+	}
+	return table(w, rows...)
+}
+
+// place is where instances of a pool run.
+type place struct {
+	pool fleet.PoolName
+	zone fleet.ZoneName
+}
+
+// fleetRows counts the instances by pool, zone and condition.
+func fleetRows(instances []fleet.Instance) []string {
+	counts := map[place]map[fleet.Condition]int{}
+	for _, i := range instances {
+		at := place{i.Pool, i.Zone}
+		if counts[at] == nil {
+			counts[at] = map[fleet.Condition]int{}
+		}
+		counts[at][i.Condition]++
+	}
+	places := slices.SortedFunc(maps.Keys(counts), func(a, b place) int {
+		return slices.Compare([]string{string(a.pool), string(a.zone)}, []string{string(b.pool), string(b.zone)})
+	})
+	rows := []string{row("POOL", "ZONE", "LIVE", "LEAVING", "GONE")}
+	for _, at := range places {
+		c := counts[at]
+		rows = append(rows, row(at.pool, at.zone, c[fleet.ConditionLive], c[fleet.ConditionLeaving], c[fleet.ConditionGone]))
+	}
+	return rows
+}
+
+func showOrder(sub *flaggy.Subcommand) func(context.Context, Streams) error {
+	var (
+		c            connection
+		asJSON       bool
+		account, key string
+	)
+	c.declare(sub)
+	sub.Bool(&asJSON, "j", "json", "write JSON")
+	sub.AddPositionalValue(&account, "ACCOUNT", 1, true, "the client account")
+	sub.AddPositionalValue(&key, "KEY", 2, true, "the idempotency key")
+	return func(ctx context.Context, s Streams) error {
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		state, err := client.Order(ctx, fleet.KeyRef{Account: fleet.AccountName(account), Key: fleet.Key(key)})
+		var answer *operator.AnswerError
+		if errors.As(err, &answer) && answer.Status == http.StatusNotFound {
+			return errors.Newf("account %q has no request with key %q", account, key)
+		}
+		if err != nil {
+			return explain(err)
+		}
+		if asJSON {
+			return writeJSON(s.Out, state)
+		}
+		rows := []string{row("key", state.Key), row("pool", state.Pool), row("status", state.Status), row("outcome", state.Outcome)}
+		if !state.Deadline.IsZero() {
+			rows = append(rows, row("deadline", state.Deadline.UTC().Format(time.RFC3339)))
+		}
+		if state.Answer != nil {
+			rows = append(rows, row("answer", state.Answer.Status))
+		}
+		if state.Detail != "" {
+			rows = append(rows, row("detail", state.Detail))
+		}
+		return table(s.Out, rows...)
+	}
+}
+
+func showBill(sub *flaggy.Subcommand) func(context.Context, Streams) error {
+	var (
+		c      connection
+		asJSON bool
+	)
+	c.declare(sub)
+	sub.Bool(&asJSON, "j", "json", "write JSON")
+	return func(ctx context.Context, s Streams) error {
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		bill, err := client.Bill(ctx)
+		if err != nil {
+			return explain(err)
+		}
+		if asJSON {
+			return writeJSON(s.Out, bill)
+		}
+		return writeBill(s.Out, bill)
+	}
+}
+
+func writeBill(w io.Writer, b operate.Bill) error {
+	if b.Since.IsZero() {
+		fmt.Fprintln(w, "no charges are known")
+	} else {
+		fmt.Fprintf(w, "charges since %s\n", b.Since.UTC().Format(time.RFC3339))
+	}
+	rows := []string{row("ACCOUNT", "POOL", "REQUESTS", "PROMPT", "GENERATED", "RECOMPUTED", "CHARGED")}
+	for _, l := range b.Lines {
+		rows = append(rows, row(l.Account, l.Pool, l.Requests, l.Prompt, l.Generated, l.Recomputed, money(l.Charged)))
+	}
+	if err := table(w, rows...); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	rows = []string{row("POOL", "MARKET", "INSTANCES", "COST AN HOUR")}
+	for _, c := range b.Costs {
+		rows = append(rows, row(c.Pool, c.Market, c.Instances, money(c.Hourly)))
+	}
+	return table(w, rows...)
+}
--- /dev/null
+++ b/pkg/command/suite_test.go
@@ -0,0 +1,63 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/command"
+	"github.com/skylarkloom/skylarkloom/pkg/trial"
+)
+
+func TestCommand(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "command")
+}
+
+var (
+	fleetTrial *trial.Trial
+	addresses  trial.Addresses
+	tokenFile  string
+)
+
+var _ = BeforeSuite(func() {
+	fleetTrial = &trial.Trial{}
+	Expect(fleetTrial.Start(context.Background())).To(Succeed())
+	DeferCleanup(func(ctx context.Context) { Expect(fleetTrial.Stop(ctx)).To(Succeed()) })
+	var err error
+	addresses, err = fleetTrial.Open()
+	Expect(err).NotTo(HaveOccurred())
+	tokenFile = filepath.Join(GinkgoT().TempDir(), "token")
+	Expect(os.WriteFile(tokenFile, []byte(fleetTrial.Token), 0o600)).To(Succeed())
+})
+
+// result is what a command did.
+type result struct {
+	Code int
+	Out  string
+	Err  string
+}
+
+// run runs a program of this package in the test's own process.
+func run(program command.Program, args ...string) result {
+	var out, errs bytes.Buffer
+	code := program.Run(context.Background(), args, command.Streams{Out: &out, Err: &errs})
+	return result{Code: code, Out: out.String(), Err: errs.String()}
+}
+
+// control runs skylarkctl against the first node of the try-out.
+func control(args ...string) result {
+	args = append(args, "--address", addresses.Operators, "--token-file", tokenFile)
+	return run(command.ControlProgram(), args...)
+}
+
+func writeFile(name, content string) string {
+	file := filepath.Join(GinkgoT().TempDir(), name)
+	ExpectWithOffset(1, os.WriteFile(file, []byte(content), 0o600)).To(Succeed())
+	return file
+}
--- a/pkg/config/keeper.go
+++ b/pkg/config/keeper.go
@@ -122,6 +122,12 @@
 // *strict.Error for a bad document, or a *ConflictError. After another error
 // the change may still come into force; Outcome tells by its ID.
 func (k *Keeper) Publish(ctx context.Context, r record.Publish) (id record.ID, c Change, err error) {
+	return k.PublishAs(ctx, record.NewID(time.Now()), r)
+}
+
+// PublishAs publishes like Publish under an ID that the caller chose. An ID
+// that was published before has the outcome of the first.
+func (k *Keeper) PublishAs(ctx context.Context, id record.ID, r record.Publish) (_ record.ID, c Change, err error) {
 	if _, err := fleet.ParseDocument("document", r.Document); err != nil {
 		return id, c, err
 	}
@@ -129,6 +135,7 @@
 	if err != nil {
 		return id, c, err
 	}
+	e.ID = id
 	t, err := k.Stream.Submit(e)
 	if err != nil {
 		return e.ID, c, err
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -89,14 +89,20 @@
 	return names
 }
 
-// Start starts the services in order. If one fails, those already started are
-// stopped again.
+// Start starts the services in order. If one fails, the context of those
+// already started ends and they are stopped again.
 func (k *Kernel) Start(ctx context.Context) (err error) {
+	lives, end := context.WithCancel(ctx)
+	defer func() {
+		if err != nil {
+			end()
+			err = errors.CombineErrors(err, k.Stop(ctx))
+		}
+	}()
 	for _, s := range k.list() {
 		if s.Start != nil {
-			if err = s.Start(ctx); err != nil {
-				err = errors.Wrapf(err, "start service %q", s.Name)
-				return errors.CombineErrors(err, k.Stop(ctx))
+			if err = s.Start(lives); err != nil {
+				return errors.Wrapf(err, "start service %q", s.Name)
 			}
 		}
 		k.mu.Lock()
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/justinas/alice"
@@ -34,6 +35,8 @@
 	Metrics http.Handler
 	// Order returns the state of a keyed request.
 	Order func(ref fleet.KeyRef) (edge.State, bool)
+	// Bill returns the charges and costs; nil if the node keeps none.
+	Bill func() operate.Bill
 }
 
 // Routes returns the handler of the operators' side. Health checks need no token.
@@ -46,6 +49,8 @@
 	mux.Handle("GET "+operate.ConfigPath, guarded.ThenFunc(h.config))
 	mux.Handle("POST "+operate.ConfigPath, guarded.ThenFunc(h.publish))
 	mux.Handle("GET "+operate.HistoryPath, guarded.ThenFunc(h.history))
+	mux.Handle("GET "+operate.ChangePath+"/{id}", guarded.ThenFunc(h.change))
+	mux.Handle("GET "+operate.BillPath, guarded.Then(answer(h.Bill)))
 	mux.Handle("GET "+operate.StatusPath, guarded.ThenFunc(h.status))
 	mux.Handle("GET "+operate.OrderPath+"/{account}/{key}", guarded.ThenFunc(h.order))
 	return mux
@@ -94,6 +99,37 @@
 	write(w, http.StatusOK, h.Status())
 }
 
+// answer serves what a function returns, or a failure if there is none.
+func answer[T any](read func() T) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if read == nil {
+			write(w, http.StatusNotFound, operate.Failure{Error: "this node does not keep what was asked for"})
+			return
+		}
+		write(w, http.StatusOK, read())
+	})
+}
+
+// change answers what became of a published change.
+func (h *Handler) change(w http.ResponseWriter, r *http.Request) {
+	o := operate.Outcome{State: operate.ChangeInForce}
+	if err := o.ID.UnmarshalText([]byte(r.PathValue("id"))); err != nil {
+		write(w, http.StatusBadRequest, operate.Failure{Error: err.Error()})
+		return
+	}
+	c, err := h.Keeper.Outcome(o.ID, 0)
+	var conflict *config.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		o.State, o.Current = operate.ChangeConflict, &conflict.Current
+	case err != nil:
+		o.State = operate.ChangePending
+	default:
+		o.Revision = c.Revision
+	}
+	write(w, http.StatusOK, o)
+}
+
 func (h *Handler) order(w http.ResponseWriter, r *http.Request) {
 	ref := fleet.KeyRef{Account: fleet.AccountName(r.PathValue("account")), Key: fleet.Key(r.PathValue("key"))}
 	s, ok := h.Order(ref)
@@ -120,7 +156,10 @@
 }
 
 func (h *Handler) put(ctx context.Context, p operate.Publish) (record.ID, config.Change, error) {
-	return h.Keeper.Publish(ctx, record.Publish{
+	if p.ID == (record.ID{}) {
+		p.ID = record.NewID(time.Now())
+	}
+	return h.Keeper.PublishAs(ctx, p.ID, record.Publish{
 		Base:     p.Base,
 		Document: []byte(p.Document),
 		Author:   p.Author,
