--- /dev/null
+++ b/pkg/entry/keyed_test.go
@@ -0,0 +1,70 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
+
+func keyed(key string, more ...string) map[string]string {
+	h := map[string]string{edge.KeyHeader: key}
+	for i := 0; i < len(more); i += 2 {
+		h[more[i]] = more[i+1]
+	}
+	return h
+}
+
+var _ = Describe("A keyed request", func() {
+	It("joins the first, conflicts with another body, and belongs to its account", func() {
+		e := serve()
+		const path = "/v1/services/guichet/coins"
+		first := e.send(http.MethodPost, path, `{"coins":2}`, keyed("k"))
+		Expect(first.Status).To(Equal(http.StatusOK), first.Body)
+		Expect(e.send(http.MethodPost, path, `{"coins":2}`, keyed("k")).Body).To(Equal(first.Body))
+		conflict := e.send(http.MethodPost, path, `{"coins":3}`, keyed("k"))
+		Expect(conflict.Status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(e.calls).To(HaveLen(1))
+		Expect(e.send(http.MethodPost, path, `{"coins":3}`, keyed("k", "Authorization", "Bearer two")).Status).To(Equal(http.StatusOK))
+		Expect(e.calls).To(HaveLen(2))
+	})
+
+	It("is answered later, under the place that it was told", func() {
+		e := serve()
+		const key = "a/b ü?"
+		r := e.send(http.MethodPost, "/v1/chat/completions", `{`+ask+`}`, keyed(key, "Prefer", "respond-async"))
+		Expect(r.Status).To(Equal(http.StatusAccepted), r.Body)
+		place := r.Header.Get("Location")
+		Expect(place).To(Equal("/v1/requests/" + url.PathEscape(key)))
+		Eventually(func(g Gomega) {
+			var s edge.State
+			g.Expect(json.Unmarshal([]byte(e.send(http.MethodGet, place, "", nil).Body), &s)).To(Succeed())
+			g.Expect(s.Outcome).To(Equal(fleet.OutcomeDone))
+			var a edge.Answer
+			g.Expect(json.Unmarshal([]byte(s.Answer.Body), &a)).To(Succeed())
+			g.Expect(a.Choices[0].Message.Content).To(Equal(strings.Join(tokens, "")))
+		}).WithTimeout(patient).Should(Succeed())
+		other := e.send(http.MethodGet, place, "", map[string]string{"Authorization": "Bearer two"})
+		Expect(other.Status).To(Equal(http.StatusNotFound))
+		Expect(other.outcome()).To(Equal(fleet.OutcomeUnknown))
+	})
+
+	It("streams the stored answer to a keyed stream, each time", func() {
+		e := serve()
+		var bodies []string
+		for range 2 {
+			r := e.send(http.MethodPost, "/v1/chat/completions", `{"stream":true,"stream_options":{"include_usage":true},`+ask+`}`, keyed("s"))
+			Expect(r.Header.Get("Content-Type")).To(Equal("text/event-stream"))
+			Expect(r.Body).To(HaveSuffix("data: [DONE]\n\n"))
+			Expect(r.Body).To(ContainSubstring(`"total_tokens":11`))
+			bodies = append(bodies, r.Body)
+		}
+		Expect(bodies[1]).To(Equal(bodies[0]))
+	})
+})
--- /dev/null
+++ b/pkg/entry/suite_test.go
@@ -0,0 +1,154 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/config"
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
+	"github.com/skylarkloom/skylarkloom/pkg/entry"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
+	"github.com/skylarkloom/skylarkloom/pkg/order"
+	"github.com/skylarkloom/skylarkloom/pkg/standin"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+const patient = 20 * time.Second
+
+// The tokens that the fake generation answers with.
+var tokens = []string{"Tulips ", "<fit> ", "სამი ", "& “four”\n"}
+
+// edgeCase is a handler behind a server, with fakes for what it calls.
+type edgeCase struct {
+	handler *entry.Handler
+	server  *httptest.Server
+	// broken ends generations after their tokens.
+	broken error
+	// service answers the calls of plain services.
+	service func(c endpoint.Call) (endpoint.Answer, error)
+
+	mu    sync.Mutex
+	calls []endpoint.Call
+}
+
+func serve() *edgeCase {
+	e := &edgeCase{service: func(endpoint.Call) (endpoint.Answer, error) {
+		return endpoint.Answer{Status: http.StatusOK, Type: "text/plain", Body: []byte("done"), Length: 4}, nil
+	}}
+	force := &config.InForce{Change: config.Change{Revision: 1}, Document: fleet.Document{
+		Pools: []fleet.Pool{
+			{Name: "plume", Kind: fleet.KindModel},
+			{Name: "guichet", Kind: fleet.KindService, Repeatable: []string{"/quotes"}},
+			{Name: "other", Kind: fleet.KindModel},
+		},
+		Accounts: []fleet.Account{
+			{Name: "dentists", Keys: []fleet.KeyHash{fleet.HashKey("one")}, Pools: []fleet.PoolName{"plume", "guichet"}},
+			{Name: "bookshops", Keys: []fleet.KeyHash{fleet.HashKey("two")}, Pools: []fleet.PoolName{"plume", "guichet"}},
+		},
+	}}
+	e.handler = &entry.Handler{
+		Config:   func() *config.InForce { return force },
+		Generate: e.generate,
+		Call: func(_ context.Context, _ fleet.PoolName, c endpoint.Call, _ bool) (endpoint.Answer, error) {
+			return e.call(c)
+		},
+		Desk: e.desk(),
+	}
+	e.server = httptest.NewUnstartedServer(e.handler.Routes())
+	e.server.Config.ConnContext = e.handler.Connection
+	e.server.Start()
+	DeferCleanup(e.server.Close)
+	return e
+}
+
+func (e *edgeCase) generate(_ context.Context, _ generation.Request, emit func(string) error) (res generation.Result, err error) {
+	for _, t := range tokens {
+		if err := emit(t); err != nil {
+			return res, err
+		}
+	}
+	res.Finish = engine.Frame{Done: true, Reason: engine.FinishStop, Prompt: 7}
+	res.Tokens, res.Attempts = fleet.Tokens(len(tokens)), 1
+	return res, e.broken
+}
+
+func (e *edgeCase) call(c endpoint.Call) (endpoint.Answer, error) {
+	e.mu.Lock()
+	e.calls = append(e.calls, c)
+	e.mu.Unlock()
+	return e.service(c)
+}
+
+// desk returns a desk on a log of its own.
+func (e *edgeCase) desk() *order.Desk {
+	p := &order.Partition{Stream: &journal.Stream{Log: new(standin.Log).Client(), Name: "order.0"}}
+	p.Stream.Apply, p.Stream.Applied, p.Stream.Save, p.Stream.Load = p.Apply, p.Applied, p.Save, p.Load
+	desk := &order.Desk{Node: fleet.NodeRef{Name: "entry-1", Incarnation: 1}, Partitions: []*order.Partition{p}, NotStarted: endpoint.NotStarted}
+	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) {
+		return e.handler.Execute(ctx, o, func(_ context.Context, o order.Order) (order.Reply, error) {
+			a, err := e.call(endpoint.Call{Method: o.Request.Method, Path: o.Request.Path, Key: o.Request.Ref.Key, Body: o.Request.Body})
+			return order.Reply{Status: a.Status, Type: a.Type, Body: a.Body}, err
+		})
+	}
+	server := &order.Server{Desk: desk, Alive: func(fleet.NodeRef) bool { return true }, Candidate: func(fleet.KeyRef) bool { return true }}
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return p.Stream.Run(ctx) })
+	g.Go(func() error { return server.Run(ctx) })
+	DeferCleanup(func() {
+		cancel()
+		Expect(g.Wait()).To(Or(Succeed(), MatchError(context.Canceled)))
+	})
+	Expect(p.Stream.WaitReady(ctx)).To(Succeed())
+	return desk
+}
+
+// reply is an answer that was read whole.
+type reply struct {
+	Status int
+	Header http.Header
+	Body   string
+}
+
+func (r reply) outcome() fleet.Outcome { return fleet.Outcome(r.Header.Get(edge.OutcomeHeader)) }
+
+func (e *edgeCase) send(method, path, body string, header map[string]string) reply {
+	GinkgoHelper()
+	req, err := http.NewRequest(method, e.server.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer one")
+	if body != "" {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	client := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	res, err := client.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { Expect(res.Body.Close()).To(Succeed()) }()
+	data, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return reply{Status: res.StatusCode, Header: res.Header, Body: string(data)}
+}
+
+var errBroken = errors.New("the engine went away")
