--- a/pkg/trial/faults_test.go
+++ b/pkg/trial/faults_test.go
@@ -119,6 +119,19 @@
 		o.control(ctx, "/reclaim?zone="+string(trial.ZoneFirst)+"&notice=20ms")
 		Expect(g.Wait()).To(Succeed())
 	}, NodeTimeout(time.Minute))
+
+	It("cancels the stream at the engine of a caller who leaves", func(ctx context.Context) {
+		o := start(ctx)
+		leaving, leave := context.WithCancel(ctx)
+		_, whole, _ := o.stream(leaving, "A question not waited for", leave)
+		Expect(whole).To(BeFalse())
+		Eventually(func() (cancels int) {
+			for _, e := range o.trial.Cloud.Engines(trial.PoolModel) {
+				cancels += e.Cancels()
+			}
+			return cancels
+		}).WithTimeout(patient).Should(Equal(1))
+	}, NodeTimeout(time.Minute))
 })
 
 // judge checks that an answer to an order agrees with how often it was run.
