Complete the endpoint clients and their stand-ins

Cause: nothing tested cancel, resume, fencing, load, cache events or the KV cache of the engines' client; the stand-ins of endpoints could not be slow, down or lose answers; the weight store had no client.

--- a/pkg/endpoint/engine.go
+++ b/pkg/endpoint/engine.go
@@ -66,7 +66,7 @@
 			return c.call(ctx, http.MethodPost, engine.ImportPath, i, nil)
 		},
 		CommandFunc: func(ctx context.Context, cmd engine.Command) error {
-			return c.call(ctx, http.MethodPost, engine.CommandPath, cmd, nil)
+			return c.fenced(ctx, http.MethodPost, engine.CommandPath, cmd.Fence, cmd, nil)
 		},
 	}
 }
@@ -76,7 +76,7 @@
 	client   *http.Client
 }
 
-func (c *engineCaller) do(ctx context.Context, method, path string, body any) (res *http.Response, err error) {
+func (c *engineCaller) do(ctx context.Context, method, path string, fence fleet.Fence, body any) (res *http.Response, err error) {
 	var data []byte
 	if body != nil {
 		if data, err = json.Marshal(body); err != nil {
@@ -88,6 +88,9 @@
 		return nil, &NotStartedError{Instance: c.instance.ID, Cause: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if fence > 0 {
+		req.Header.Set(engine.FenceHeader, strconv.FormatUint(uint64(fence), 10))
+	}
 	res, err = c.client.Do(req)
 	if err != nil {
 		return nil, classify(c.instance.ID, err)
@@ -112,8 +115,13 @@
 	return &BrokenError{Instance: c.instance.ID, Cause: status}
 }
 
-func (c *engineCaller) call(ctx context.Context, method, path string, body, answer any) (err error) {
-	res, err := c.do(ctx, method, path, body)
+func (c *engineCaller) call(ctx context.Context, method, path string, body, answer any) error {
+	return c.fenced(ctx, method, path, 0, body, answer)
+}
+
+// fenced makes a call that carries a fencing number; 0 is none.
+func (c *engineCaller) fenced(ctx context.Context, method, path string, fence fleet.Fence, body, answer any) (err error) {
+	res, err := c.do(ctx, method, path, fence, body)
 	if err != nil {
 		return err
 	}
@@ -125,7 +133,7 @@
 }
 
 func (c *engineCaller) generate(ctx context.Context, g engine.Generate, emit func(engine.Frame) error) (err error) {
-	res, err := c.do(ctx, http.MethodPost, engine.GeneratePath, g)
+	res, err := c.do(ctx, http.MethodPost, engine.GeneratePath, g.Fence, g)
 	if err != nil {
 		return err
 	}
--- a/pkg/platform/caller.go
+++ b/pkg/platform/caller.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,6 +26,8 @@
 	Message string `json:"error"`
 	// Oldest is the lowest offset kept, with status 410 of the log.
 	Oldest fleet.Offset `json:"oldest"`
+	// RetryAfter is what the answer's header says, in whole seconds.
+	RetryAfter time.Duration `json:"-"`
 }
 
 // Error implements error.
@@ -59,7 +63,7 @@
 		return &UnsureError{Service: c.service, Cause: err}
 	}
 	if res.StatusCode/100 != 2 {
-		return c.refused(res.StatusCode, data)
+		return c.refused(res, data)
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
 		return &UnsureError{Service: c.service, Cause: err}
@@ -75,12 +79,16 @@
 	return &UnsureError{Service: c.service, Cause: err}
 }
 
-func (c *caller) refused(code int, data []byte) error {
+func (c *caller) refused(res *http.Response, data []byte) error {
+	code := res.StatusCode
 	status := &StatusError{}
 	if err := json.Unmarshal(data, status); err != nil {
 		status.Message = http.StatusText(code)
 	}
 	status.Service, status.Code = c.service, code
+	if seconds, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
+		status.RetryAfter = time.Duration(seconds) * time.Second
+	}
 	if code/100 == 4 || code == http.StatusServiceUnavailable {
 		return &NotSentError{Service: c.service, Cause: status}
 	}
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -31,6 +31,9 @@
 	Length int
 	// CacheBlocks bounds the prefix cache; 0 takes 4096.
 	CacheBlocks int
+	Switch      Switch
+	// Lag is how old the load report is.
+	Lag time.Duration
 	// Crash is called when a prompt crashes the engine; the caller closes it.
 	Crash func()
 
@@ -48,6 +51,9 @@
 	cancels  int
 	imported map[fleet.RequestID]fleet.Tokens
 	served   map[fleet.RequestID]int
+	// report is the load as of the time reported.
+	report   engine.Load
+	reported time.Time
 }
 
 // Poison makes prompts that hold the text crash the engine.
@@ -106,7 +112,9 @@
 	mux.HandleFunc("POST "+engine.ExportPath, e.export)
 	mux.HandleFunc("POST "+engine.ImportPath, e.importKV)
 	mux.HandleFunc("POST "+engine.CommandPath, e.command)
-	return mux
+	return e.Switch.guard(mux, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusServiceUnavailable, engine.Failure{Error: "not started"})
+	})
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
@@ -295,14 +303,18 @@
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, http.StatusOK, engine.Load{
-		Running: len(e.running),
-		Slots:   e.Slots,
-		Cache:   fleet.Tokens(len(e.cache)) * prefix.BlockTokens,
-		Model:   e.model,
-		Version: e.version,
-		Role:    e.role,
-	})
+	if now := time.Now(); now.Sub(e.reported) >= e.Lag {
+		e.reported = now
+		e.report = engine.Load{
+			Running: len(e.running),
+			Slots:   e.Slots,
+			Cache:   fleet.Tokens(len(e.cache)) * prefix.BlockTokens,
+			Model:   e.model,
+			Version: e.version,
+			Role:    e.role,
+		}
+	}
+	writeJSON(w, http.StatusOK, e.report)
 }
 
 func (e *Engine) listEvents(w http.ResponseWriter, r *http.Request) {
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -42,55 +42,40 @@
 
 // Service is a stand-in of a plain service.
 type Service struct {
-	Runs *Runs
+	Switch Switch
+	Runs   *Runs
 	// Time is how long a call takes.
 	Time time.Duration
-
-	mu     sync.Mutex
-	refuse bool
-}
-
-// Refuse makes the service say, in its documented way, that it starts nothing.
-func (s *Service) Refuse(refuse bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refuse = refuse
-}
-
-func (s *Service) refusing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.refuse
 }
 
 // Handler serves the plain service. It answers every call with what it was.
 func (s *Service) Handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.refusing() {
-			w.Header().Set(endpoint.NotStartedHeader, "true")
-			writeError(w, http.StatusServiceUnavailable, "not started")
-			return
-		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			writeError(w, http.StatusBadRequest, err.Error())
-			return
-		}
-		key := r.Header.Get(edge.KeyHeader)
-		if key != "" && s.Runs != nil {
-			s.Runs.add(fleet.Key(key))
-		}
-		if !wait(r.Context(), s.Time) {
-			return
-		}
-		writeJSON(w, http.StatusOK, receipt{
-			Method:  r.Method,
-			Path:    r.URL.RequestURI(),
-			Account: r.Header.Get("Skylarkloom-Account"),
-			Key:     key,
-			Fence:   r.Header.Get(engine.FenceHeader),
-			Echo:    echo(body),
-		})
+	return s.Switch.guard(http.HandlerFunc(s.serve), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(endpoint.NotStartedHeader, "true")
+		writeError(w, http.StatusServiceUnavailable, "not started")
+	})
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	key := r.Header.Get(edge.KeyHeader)
+	if key != "" && s.Runs != nil {
+		s.Runs.add(fleet.Key(key))
+	}
+	if !wait(r.Context(), s.Time) {
+		return
+	}
+	writeJSON(w, http.StatusOK, receipt{
+		Method:  r.Method,
+		Path:    r.URL.RequestURI(),
+		Account: r.Header.Get("Skylarkloom-Account"),
+		Key:     key,
+		Fence:   r.Header.Get(engine.FenceHeader),
+		Echo:    echo(body),
 	})
 }
 
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -27,6 +27,8 @@
 	StateSlow State = "slow"
 	// StateLost carries a call out and never answers it.
 	StateLost State = "lost"
+	// StateRefusing answers that nothing was started. Not all stand-ins know it.
+	StateRefusing State = "refusing"
 )
 
 // SlowDelay is how long a slow stand-in takes for a call.
