--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	r := &router.Router{Roster: known, Client: d.client, Weights: weights(keeper)}
+	r := &router.Router{Roster: known, Client: d.client, Orders: newClient(false), Weights: weights(keeper)}
 	r.Shunned = func(i fleet.Instance, until time.Time) {
 		d.Logs.Emit(event.EndpointShunned, zap.String("instance", string(i.ID)), zap.Time("until", until))
 	}
@@ -151,7 +151,14 @@
 		return kernel.Service{}, err
 	}
 	runner := &generation.Runner{Pick: guard.Pick, Pause: d.admitter.pause}
-	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk, Admit: d.admitter.admit}
+	h := &entry.Handler{
+		Config:   keeper.Current,
+		Generate: runner.Run,
+		Call:     r.Call,
+		Desk:     desk,
+		Admit:    d.admitter.admit,
+		Linger:   d.Settings.Stop.Notice / 2,
+	}
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
 }
@@ -161,7 +168,7 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	d.callers = &listener{settings: d.Settings.Callers, handler: h.Routes()}
+	d.callers = &listener{settings: d.Settings.Callers, handler: h.Routes(), connection: h.Connection}
 	return d.callers.service(ServiceCallers), nil
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/justinas/alice"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/config"
 	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
@@ -28,6 +27,8 @@
 	MaxOrderBody = 64 << 10
 	// MaxKey bounds an idempotency key, in bytes.
 	MaxKey = 200
+	// bodyTimeout bounds how long a caller may take to send a body.
+	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a caller who reads slowly.
 	writeTimeout = 10 * time.Second
 	// asyncDeadline is the least time that asynchronous work is given.
@@ -61,10 +62,19 @@
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
+	// BodyTimeout and WriteTimeout bound how long a caller takes to send a body
+	// and to read one piece of an answer; 0 takes the defaults.
+	BodyTimeout  time.Duration
+	WriteTimeout time.Duration
+	// Linger is how long a drain serves on after the last request in flight, for
+	// callers whose connection was never told to close.
+	Linger time.Duration
+
 	mu       sync.Mutex
 	leaving  bool
-	draining bool
-	inflight sync.WaitGroup
+	draining time.Time
+	inflight int
+	idle     time.Time
 }
 
 // Report is what became of one request.
@@ -90,66 +100,42 @@
 	OnTime bool
 }
 
-// Routes returns the handler of the callers' side.
-func (h *Handler) Routes() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", h.openAI(h.chat))
-	mux.HandleFunc("POST /v1/completions", h.openAI(h.completion))
-	mux.HandleFunc("GET /v1/models", h.openAI(h.models))
-	mux.HandleFunc("GET /v1/models/{model}", h.openAI(h.model))
-	mux.HandleFunc("/v1/services/{pool}/{path...}", h.problem(h.service))
-	mux.HandleFunc("GET /v1/requests/{key}", h.problem(h.request))
-	mux.HandleFunc("/", h.problem(func(http.ResponseWriter, *http.Request, *call) error {
-		return &Error{Status: http.StatusNotFound, Code: "not_found", Message: "no such path", Outcome: fleet.OutcomeNotRun}
-	}))
-	return alice.New(h.recovered, h.counted).Then(mux)
-}
-
-// Leave asks callers, with each answer from now on, to close the connection, so
-// that they connect to another node before this one refuses requests.
-func (h *Handler) Leave() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.leaving = true
+func noPath(http.ResponseWriter, *http.Request, *call) error {
+	return &Error{Status: http.StatusNotFound, Code: "not_found", Message: "no such path", Outcome: fleet.OutcomeNotRun}
 }
 
-// Drain refuses new requests and waits for those in flight.
-func (h *Handler) Drain(ctx context.Context) error {
-	h.mu.Lock()
-	h.draining = true
-	h.mu.Unlock()
-	var g errgroup.Group
-	idle := make(chan struct{})
-	g.Go(func() error {
-		defer close(idle)
-		h.inflight.Wait()
-		return nil
-	})
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// otherMethod refuses a method that a path does not take.
+func otherMethod(allowed string) handle {
+	return func(http.ResponseWriter, *http.Request, *call) error {
+		return &Error{
+			Status:  http.StatusMethodNotAllowed,
+			Code:    "method_not_allowed",
+			Message: "this path takes the method " + allowed,
+			Outcome: fleet.OutcomeNotRun,
+			Allow:   allowed,
+		}
 	}
 }
 
-// Draining reports whether the node refuses new requests.
-func (h *Handler) Draining() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.draining
-}
-
-// begin counts a request in, unless the node drains. It reports whether the
-// node is about to leave.
-func (h *Handler) begin() (leaving, ok bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.draining {
-		return true, false
+// Routes returns the handler of the callers' side.
+func (h *Handler) Routes() http.Handler {
+	mux := http.NewServeMux()
+	for _, r := range []struct {
+		method, path string
+		handle       handle
+	}{
+		{http.MethodPost, "/v1/chat/completions", h.chat},
+		{http.MethodPost, "/v1/completions", h.completion},
+		{http.MethodGet, "/v1/models", h.models},
+		{http.MethodGet, "/v1/models/{model}", h.model},
+		{http.MethodGet, "/v1/requests/{key}", h.request},
+	} {
+		mux.HandleFunc(r.method+" "+r.path, h.authenticated(r.handle))
+		mux.HandleFunc(r.path, h.authenticated(otherMethod(r.method)))
 	}
-	h.inflight.Add(1)
-	return h.leaving, true
+	mux.HandleFunc("/v1/services/{pool}/{path...}", h.authenticated(h.service))
+	mux.HandleFunc("/", h.authenticated(noPath))
+	return alice.New(h.recovered, h.counted).Then(mux)
 }
 
 func (h *Handler) now() time.Time {
@@ -159,40 +145,44 @@
 	return time.Now()
 }
 
-// counted refuses requests while the node drains and counts the others.
-func (h *Handler) counted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		leaving, ok := h.begin()
-		if leaving {
-			w.Header().Set("Connection", "close")
-		}
-		if !ok {
-			h.writeError(w, r, errDraining)
-			return
-		}
-		defer h.inflight.Done()
-		r.Body = http.MaxBytesReader(w, r.Body, MaxBody)
-		next.ServeHTTP(w, r)
-	})
-}
-
-// recovered turns a panic into an error answer; what it ran is not known.
+// recovered turns a panic into an error answer; what it ran is not known. An
+// answer that has begun is broken off instead, so that it cannot pass for whole.
 func (h *Handler) recovered(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t := &tracked{ResponseWriter: w}
 		defer func() {
 			p := recover()
 			if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 				panic(p)
 			}
-			if p != nil {
-				h.logger().Error("panic in a handler", zap.Any("panic", p), zap.Stack("stack"))
-				h.writeError(w, r, &Error{Status: http.StatusInternalServerError, Code: "internal_error", Message: "internal error", Outcome: fleet.OutcomeUnknown})
+			if p == nil {
+				return
 			}
+			h.logger().Error("panic in a handler", zap.Any("panic", p), zap.Stack("stack"))
+			if t.begun {
+				panic(http.ErrAbortHandler)
+			}
+			h.writeError(w, r, &Error{Status: http.StatusInternalServerError, Code: "internal_error", Message: "internal error", Outcome: fleet.OutcomeUnknown})
 		}()
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(t, r)
 	})
 }
 
+// tracked notes whether an answer has begun.
+type tracked struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (t *tracked) WriteHeader(status int) {
+	t.begun = true
+	t.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives http.ResponseController the writer below.
+func (t *tracked) Unwrap() http.ResponseWriter { return t.ResponseWriter }
+
 func (h *Handler) logger() *zap.Logger {
 	if h.Log == nil {
 		return zap.NewNop()
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -31,6 +31,9 @@
 	Length int
 	// CacheBlocks bounds the prefix cache; 0 takes 4096.
 	CacheBlocks int
+	Switch      Switch
+	// Lag is how old the load report is.
+	Lag time.Duration
 	// Crash is called when a prompt crashes the engine; the caller closes it.
 	Crash func()
 
@@ -48,6 +51,9 @@
 	cancels  int
 	imported map[fleet.RequestID]fleet.Tokens
 	served   map[fleet.RequestID]int
+	// report is the load as of the time reported.
+	report   engine.Load
+	reported time.Time
 }
 
 // Poison makes prompts that hold the text crash the engine.
@@ -106,7 +112,9 @@
 	mux.HandleFunc("POST "+engine.ExportPath, e.export)
 	mux.HandleFunc("POST "+engine.ImportPath, e.importKV)
 	mux.HandleFunc("POST "+engine.CommandPath, e.command)
-	return mux
+	return e.Switch.guard(mux, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusServiceUnavailable, engine.Failure{Error: "not started"})
+	})
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
@@ -179,7 +187,7 @@
 			e.cancelled()
 			return
 		}
-		e.progress(g.ID, i+1)
+		e.progress(g.ID, int(prompt)+i+1)
 	}
 	send(w, control, engine.Frame{
 		Attempt:  g.Attempt,
@@ -222,13 +230,15 @@
 	e.cancels++
 }
 
-func (e *Engine) progress(id fleet.RequestID, position int) {
+// progress notes how many tokens of a request, prompt included, are in the KV
+// cache.
+func (e *Engine) progress(id fleet.RequestID, tokens int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.served == nil {
 		e.served = make(map[fleet.RequestID]int)
 	}
-	e.served[id] = position
+	e.served[id] = tokens
 }
 
 // lookUp returns how many tokens are cached and stores the prompt's blocks.
@@ -247,7 +257,7 @@
 		e.store(b)
 	}
 	if n, ok := e.imported[g.ID]; ok {
-		return min(prompt+fleet.Tokens(len(g.Emitted)), n)
+		return max(cached, min(prompt+fleet.Tokens(len(g.Emitted)), n))
 	}
 	return cached
 }
@@ -293,14 +303,18 @@
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, http.StatusOK, engine.Load{
-		Running: len(e.running),
-		Slots:   e.Slots,
-		Cache:   fleet.Tokens(len(e.cache)) * prefix.BlockTokens,
-		Model:   e.model,
-		Version: e.version,
-		Role:    e.role,
-	})
+	if now := time.Now(); now.Sub(e.reported) >= e.Lag {
+		e.reported = now
+		e.report = engine.Load{
+			Running: len(e.running),
+			Slots:   e.Slots,
+			Cache:   fleet.Tokens(len(e.cache)) * prefix.BlockTokens,
+			Model:   e.model,
+			Version: e.version,
+			Role:    e.role,
+		}
+	}
+	writeJSON(w, http.StatusOK, e.report)
 }
 
 func (e *Engine) listEvents(w http.ResponseWriter, r *http.Request) {
@@ -365,3 +379,10 @@
 	}
 	writeJSON(w, http.StatusOK, struct{}{})
 }
+
+// Version returns the version that the engine was commanded to serve.
+func (e *Engine) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
