Claim no trial before the log has taken the crash that came before

Cause: seen in the try-out by hand: right after an outage of the log one poison content took three endpoints. The stream's breaker still refused the report of the first crash, the report was dropped, and the trial's crash then counted as the first.

Change: a node keeps the crashes it saw of a content until the stream has taken them, reports them before it claims a trial, and refuses a content that it saw crash two endpoints itself.

Conclusion: the bound no longer depends on the breaker's state.

--- a/pkg/suspect/guard.go
+++ b/pkg/suspect/guard.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,10 +86,18 @@
 	once    sync.Once
 	vouched *lru.Cache[fleet.Digest, struct{}]
 	mu      sync.Mutex
-	local   map[fleet.Digest]time.Time
+	local   map[fleet.Digest]*suspicion
 	losses  map[fleet.PoolName]time.Time
 }
 
+// suspicion is what this node knows of a content by itself.
+type suspicion struct {
+	until   time.Time
+	crashes []fleet.InstanceRef
+	// reported counts the crashes that the stream has taken.
+	reported int
+}
+
 // Content returns the digest by which a request's content is known.
 func Content(r generation.Request) fleet.Digest {
 	h := sha256.New()
@@ -100,7 +109,7 @@
 func (g *Guard) init() {
 	g.once.Do(func() {
 		g.vouched, _ = lru.New[fleet.Digest, struct{}](vouchedContents)
-		g.local = make(map[fleet.Digest]time.Time)
+		g.local = make(map[fleet.Digest]*suspicion)
 		g.losses = make(map[fleet.PoolName]time.Time)
 	})
 }
@@ -135,12 +144,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	until, marked := g.local[content]
-	if marked && time.Now().After(until) {
+	s := g.local[content]
+	if s != nil && time.Now().After(s.until) {
 		delete(g.local, content)
-		marked = false
+		s = nil
 	}
-	return marked
+	return s != nil
 }
 
 // Lost notes that an endpoint of a pool was lost without notice.
@@ -233,9 +242,53 @@
 		return
 	}
 	g.mu.Lock()
-	g.local[content] = time.Now().Add(SuspicionWindow)
+	s := g.local[content]
+	if s == nil {
+		s = &suspicion{}
+		g.local[content] = s
+	}
+	s.until = time.Now().Add(SuspicionWindow)
+	if !slices.Contains(s.crashes, i.Ref()) {
+		s.crashes = append(s.crashes, i.Ref())
+	}
 	g.mu.Unlock()
-	g.write(content, record.KindSuspect, record.Suspect{Content: content, Pool: r.Pool, Instance: i.Ref()})
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if err := g.flush(ctx, r.Pool, content); err != nil && g.Failed != nil {
+		g.Failed(content, err)
+	}
+}
+
+// flush reports the crashes that the stream has not taken yet. No trial is
+// claimed before it has them all.
+func (g *Guard) flush(ctx context.Context, pool fleet.PoolName, content fleet.Digest) error {
+	for {
+		g.mu.Lock()
+		s := g.local[content]
+		if s == nil || s.reported == len(s.crashes) {
+			g.mu.Unlock()
+			return nil
+		}
+		next := s.reported
+		body := record.Suspect{Content: content, Pool: pool, Instance: s.crashes[next]}
+		g.mu.Unlock()
+		if _, err := g.Book.write(ctx, record.KindSuspect, body); err != nil {
+			return err
+		}
+		g.mu.Lock()
+		s.reported = max(s.reported, next+1)
+		g.mu.Unlock()
+	}
+}
+
+// crashes returns how many endpoints this node saw a content crash.
+func (g *Guard) crashes(content fleet.Digest) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.local[content]; s != nil {
+		return len(s.crashes)
+	}
+	return 0
 }
 
 func (g *Guard) write(content fleet.Digest, kind record.Kind, body any) {
@@ -257,6 +310,8 @@
 		switch {
 		case c.Verdict == VerdictConvicted:
 			return l, &ConvictedError{Content: content, Until: c.Expires}
+		case g.crashes(content) >= MaxCrashes:
+			return l, &ConvictedError{Content: content, Until: time.Now().Add(SuspicionWindow)}
 		case c.Verdict == VerdictClear && known:
 			g.vouch(content)
 			return g.Pick(ctx, r, emitted, nil)
@@ -300,6 +355,9 @@
 
 // appendClaim opens a case if there is none and claims the first endpoint.
 func (g *Guard) appendClaim(ctx context.Context, r generation.Request, content fleet.Digest, quiet []fleet.Instance) (id record.ID, err error) {
+	if err := g.flush(ctx, r.Pool, content); err != nil {
+		return id, err
+	}
 	if g.Book.Case(content).Verdict == VerdictClear {
 		body := record.Suspect{Content: content, Pool: r.Pool}
 		if _, err := g.Book.write(ctx, record.KindSuspect, body); err != nil {
--- /dev/null
+++ b/pkg/suspect/guard_test.go
@@ -0,0 +1,72 @@
+package suspect_test
+
+import (
+	"context"
+	"io"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
+	"github.com/skylarkloom/skylarkloom/pkg/platform"
+	"github.com/skylarkloom/skylarkloom/pkg/standin"
+	"github.com/skylarkloom/skylarkloom/pkg/suspect"
+)
+
+var _ = Describe("The guard", func() {
+	It("claims no trial before the log has taken the crash that came before", func(ctx context.Context) {
+		log := &standin.Log{}
+		b := &suspect.Book{}
+		b.Stream = &journal.Stream{Log: log.Client(), Name: platform.StreamSuspect, Apply: b.Apply, AppendTimeout: time.Second}
+		running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		var g errgroup.Group
+		g.Go(func() error { return b.Stream.Run(running) })
+		DeferCleanup(func() {
+			cancel()
+			Expect(g.Wait()).To(Succeed())
+		})
+		Expect(b.Stream.WaitReady(ctx)).To(Succeed())
+		hosts := []fleet.Instance{{ID: "one"}, {ID: "two"}, {ID: "three"}}
+		lost := 0
+		lease := func() generation.Lease {
+			i := hosts[lost]
+			return generation.Lease{Engine: &endpoint.Engine{Instance: i}, Stay: context.Background(), Release: func(error) {}}
+		}
+		guard := &suspect.Guard{
+			Book: b,
+			Next: func(context.Context, generation.Request, int, []fleet.InstanceRef) (generation.Lease, error) {
+				return lease(), nil
+			},
+			Quiet: func(fleet.PoolName) []fleet.Instance { return hosts[lost:] },
+			On: func(context.Context, generation.Request, fleet.Instance) (generation.Lease, error) {
+				return lease(), nil
+			},
+			Reclaimed: func(fleet.Instance) bool { return false },
+		}
+		crash := func() error {
+			l, err := guard.Pick(ctx, generation.Request{Pool: "plume", Prompt: "nettles"}, 0, nil)
+			if err != nil {
+				return err
+			}
+			lost++
+			l.Release(&endpoint.BrokenError{Instance: l.Engine.Instance.ID, Cause: io.EOF})
+			return nil
+		}
+		log.Set(standin.StateDown)
+		Eventually(func() bool {
+			short, done := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer done()
+			_ = b.Release(short, fleet.Digest{})
+			return b.Stream.Healthy()
+		}).WithContext(ctx).WithTimeout(30 * time.Second).Should(BeFalse())
+		Expect(crash()).To(Succeed())
+		log.Set(standin.StateUp)
+		Eventually(crash).WithContext(ctx).Should(MatchError(ContainSubstring("is not run again")))
+		Expect(lost).To(Equal(suspect.MaxCrashes))
+	}, NodeTimeout(time.Minute))
+})
