--- a/pkg/member/reports_test.go
+++ b/pkg/member/reports_test.go
@@ -171,6 +171,22 @@
 		})
 	})
 
+	It("do not take for held what lies before a part that came alone", func() {
+		c := newCluster()
+		c.publish(0, 1)
+		late := c.views[0].Missing(member.Digest{member.LifeOf(c.refs[0].Ref): 2}, c.now)[0]
+		late.Node = c.refs[0]
+		c.views[1].Merge(late, c.now)
+		c.ask(1, 0, 1000)
+		for i := range c.flying {
+			c.deliver(i)
+		}
+		o, _ := c.views[1].Origin("n0")
+		_, first := o.Item(member.Key{Kind: member.KindLoad, Subject: 0})
+		_, second := o.Item(member.Key{Kind: member.KindLoad, Subject: 1})
+		Expect([]bool{first, second}).To(Equal([]bool{true, true}))
+	})
+
 	It("drop what is older than MaxAge", func() {
 		c := newCluster()
 		c.ask(1, 0, 1000)
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -187,6 +187,12 @@
 	})
 }
 
+// Ask exchanges with one peer now and takes in all that it has.
+func (s *Service) Ask(ctx context.Context, p Peer) error {
+	s.init()
+	return s.exchange(ctx, p, purpose{reports: true, configuration: true})
+}
+
 func (s *Service) exchange(ctx context.Context, p Peer, why purpose) (err error) {
 	defer func() { err = errors.Wrapf(err, "exchange with %s", p.Name) }()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/skylarkloom/skylarkloom/pkg/api/peer/v1"
 	"github.com/skylarkloom/skylarkloom/pkg/config"
@@ -153,7 +154,7 @@
 		bubble(20, 1, 0, func(g Gomega, w *network) {
 			for second := range 60 {
 				for k, n := range w.list {
-					for e := range 20 {
+					for e := range 60 {
 						n.Report(fleet.Instance{ID: fleet.InstanceID(fmt.Sprint(k, e)), DataCentre: centreOf(0)}, []byte{byte(second), 1, 2, 3, 4, 5, 6, 7})
 					}
 				}
@@ -161,13 +162,39 @@
 				time.Sleep(time.Second)
 			}
 			for _, n := range w.list {
-				g.Expect(n.sentSince()).To(BeNumerically("<", 61*peer.BudgetRate+peer.BudgetBurst))
+				sent := n.sentSince()
+				g.Expect(sent).To(BeNumerically("<", 61*peer.BudgetRate+peer.BudgetBurst))
+				g.Expect(sent).To(BeNumerically(">", 40*peer.BudgetRate), "there was more to report than the budget lets through")
 			}
 			time.Sleep(2 * time.Second)
 			g.Expect(w.unmarked(leaving("i-59").Instance, everyone)).To(BeEmpty(), "marks go before load reports")
 		})
 	})
 
+	It("answer without reports once the budget is spent", func(ctx context.Context) {
+		n := newNetwork(2, 1).list[0]
+		now := time.Now()
+		n.Now = func() time.Time { return now }
+		part := &peerv1.Part{Life: uint64(member.LifeOf(fleet.NodeRef{Name: "x", Incarnation: 1})), To: 200, Node: &peerv1.Node{Name: "x", Incarnation: 1}}
+		for i := range uint64(200) {
+			part.Items = append(part.Items, &peerv1.Item{Kind: 1, Subject: i, Sequence: i + 1, Data: make([]byte, 8)})
+		}
+		n.Exchange = func(context.Context, peer.Peer, *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+			return &peerv1.ExchangeResponse{Version: peer.Version, From: &peerv1.Node{Name: "entry-001"}, Parts: []*peerv1.Part{part}}, nil
+		}
+		Expect(n.Ask(ctx, n.Peers[1])).To(Succeed())
+		sent := 0
+		for range 50 {
+			answer, err := n.Answer(ctx, &peerv1.ExchangeRequest{Version: peer.Version, From: &peerv1.Node{Name: "asker"}, Digest: &peerv1.Digest{}})
+			Expect(err).NotTo(HaveOccurred())
+			for _, p := range answer.GetParts() {
+				sent += proto.Size(p)
+			}
+		}
+		Expect(sent).To(BeNumerically(">", 0))
+		Expect(sent).To(BeNumerically("<", peer.BudgetBurst))
+	})
+
 	It("refuse a peer without a version and take one of a later version", func(ctx context.Context) {
 		w := newNetwork(2, 1)
 		from := &peerv1.Node{Name: "entry-001", Incarnation: 1, Datacentre: "dc0"}
