--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/journal"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/settings"
@@ -26,6 +28,7 @@
 	ServiceConfig   kernel.ServiceName = "config"
 	ServiceRoster   kernel.ServiceName = "roster"
 	ServiceRouter   kernel.ServiceName = "router"
+	ServiceSuspect  kernel.ServiceName = "suspect"
 	ServiceOrder    kernel.ServiceName = "order"
 	ServiceEntry    kernel.ServiceName = "entry"
 	ServiceCallers  kernel.ServiceName = "callers"
@@ -52,8 +55,12 @@
 	clients  Clients
 	registry *prometheus.Registry
 	cancel   context.CancelFunc
+	streams  []*journal.Stream
+	started  time.Time
+	leaving  atomic.Bool
 	callers  *listener
 	operator *listener
+	admitter *admitter
 }
 
 // Clients are the clients of the platform's services.
@@ -70,8 +77,9 @@
 	if d.Incarnation == 0 {
 		d.Incarnation = fleet.Incarnation(time.Now().UnixNano())
 	}
+	d.started = time.Now()
 	d.node = fleet.NodeRef{Name: d.Settings.Node, Incarnation: d.Incarnation}
-	d.client = newClient()
+	d.client = newClient(true)
 	d.registry = prometheus.NewRegistry()
 	if err := d.dial(); err != nil {
 		return err
@@ -80,8 +88,15 @@
 		d.configService,
 		d.rosterService,
 		d.routerService,
+		d.pollerService,
+		d.limitService,
 		d.orderService,
+		d.leaseService,
+		d.suspectService,
 		d.entryService,
+		d.capacityService,
+		d.rolloutService,
+		d.ledgerService,
 		d.operatorService,
 		d.callersService,
 	} {
@@ -107,29 +122,22 @@
 // Operators returns the address that operators use.
 func (d *Daemon) Operators() string { return d.operator.address() }
 
-// Drain takes no new requests and returns once those in flight are finished.
-func (d *Daemon) Drain(ctx context.Context) error {
-	d.Logs.Emit(event.NodeDraining)
-	return d.kernel.Drain(ctx)
-}
-
-// Stop ends the services.
-func (d *Daemon) Stop(ctx context.Context) error {
-	defer d.Logs.Emit(event.NodeStopped)
-	defer d.client.CloseIdleConnections()
-	d.cancel()
-	return d.kernel.Stop(ctx)
-}
-
-func newClient() *http.Client {
+// newClient returns a client of endpoints and platform. Without reuse it opens a
+// connection for each request.
+func newClient(reuse bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConns:        idleConnections,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}}
+	return &http.Client{
+		// A redirect is the caller's to follow; it must not lead the node elsewhere.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConns:        idleConnections,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+			DisableKeepAlives:   !reuse,
+		},
+	}
 }
 
 func (d *Daemon) dial() error {
--- /dev/null
+++ b/pkg/event/node.go
@@ -0,0 +1,20 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// The events of the node.
+const (
+	NodeStarted ID = 1001 + iota
+	NodeReady
+	NodeDraining
+	NodeStopped
+	NodeForced
+)
+
+var nodeEvents = []Entry{
+	{NodeStarted, SubsystemNode, zapcore.InfoLevel, "node started", "The daemon listens on the addresses given.", "None."},
+	{NodeReady, SubsystemNode, zapcore.InfoLevel, "node ready", "A configuration is in force and the streams are read to their end.", "None."},
+	{NodeDraining, SubsystemNode, zapcore.InfoLevel, "node draining", "The node takes no new requests and finishes those in flight.", "None; wait for 1004."},
+	{NodeStopped, SubsystemNode, zapcore.InfoLevel, "node stopped", "Every request in flight was finished and the services have ended.", "None."},
+	{NodeForced, SubsystemNode, zapcore.WarnLevel, "node stopped by a second signal", "Requests in flight were cut.", "Find out who sent the second signal."},
+}
--- /dev/null
+++ b/pkg/generation/assembly.go
@@ -0,0 +1,42 @@
+package generation
+
+import "github.com/skylarkloom/skylarkloom/pkg/api/engine"
+
+// Assembly is the answer so far. The zero value is an empty answer.
+type Assembly struct {
+	attempt int
+	tokens  []string
+	dropped int
+	done    bool
+	finish  engine.Frame
+}
+
+// Begin starts the next attempt and returns its number. Frames of earlier
+// attempts are dropped from now on.
+func (a *Assembly) Begin() int {
+	a.attempt++
+	return a.attempt
+}
+
+// Add takes a frame and reports whether it extended or ended the answer.
+func (a *Assembly) Add(f engine.Frame) bool {
+	if a.done || f.Attempt != a.attempt || f.Position != len(a.tokens) {
+		a.dropped++
+		return false
+	}
+	if f.Done {
+		a.done, a.finish = true, f
+		return true
+	}
+	a.tokens = append(a.tokens, f.Text)
+	return true
+}
+
+// Tokens returns the tokens so far. The slice must not be changed.
+func (a *Assembly) Tokens() []string { return a.tokens }
+
+// Dropped returns how many frames did not fit.
+func (a *Assembly) Dropped() int { return a.dropped }
+
+// Finish returns the last frame, if it has come.
+func (a *Assembly) Finish() (engine.Frame, bool) { return a.finish, a.done }
--- a/pkg/generation/generation.go
+++ b/pkg/generation/generation.go
@@ -6,55 +6,13 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
 	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
 
-// Assembly is the answer so far. The zero value is an empty answer.
-type Assembly struct {
-	attempt int
-	tokens  []string
-	dropped int
-	done    bool
-	finish  engine.Frame
-}
-
-// Begin starts the next attempt and returns its number. Frames of earlier
-// attempts are dropped from now on.
-func (a *Assembly) Begin() int {
-	a.attempt++
-	return a.attempt
-}
-
-// Add takes a frame and reports whether it extended or ended the answer.
-func (a *Assembly) Add(f engine.Frame) bool {
-	if a.done || f.Attempt != a.attempt || f.Position != len(a.tokens) {
-		a.dropped++
-		return false
-	}
-	if f.Done {
-		a.done, a.finish = true, f
-		return true
-	}
-	a.tokens = append(a.tokens, f.Text)
-	return true
-}
-
-// Tokens returns the tokens so far. The slice must not be changed.
-func (a *Assembly) Tokens() []string { return a.tokens }
-
-// Dropped returns how many frames did not fit.
-func (a *Assembly) Dropped() int { return a.dropped }
-
-// Finish returns the last frame, if it has come.
-func (a *Assembly) Finish() (engine.Frame, bool) { return a.finish, a.done }
-
 // Request is a request for a generation.
 type Request struct {
 	ID       fleet.RequestID
@@ -74,6 +32,16 @@
 	Attempts int
 	// Recomputed counts the tokens that attempts after the first computed again.
 	Recomputed fleet.Tokens
+	// Causes splits them by why the attempt was made.
+	Causes Causes
+}
+
+// Causes counts recomputed tokens by cause.
+type Causes struct {
+	// Reclaim is for moves off leaving instances.
+	Reclaim fleet.Tokens
+	// Failure is for endpoints that broke without a notice.
+	Failure fleet.Tokens
 }
 
 // Lease is the use of an endpoint for one attempt.
@@ -81,119 +49,24 @@
 	Engine *endpoint.Engine
 	// Stay ends when the attempt should continue elsewhere.
 	Stay context.Context
+	// Cached is how much of the prompt and the tokens so far is expected to be
+	// cached there.
+	Cached fleet.Tokens
 	// Release ends the use and reports how it went.
 	Release func(err error)
+	// Observe, if set, is told what the attempt measured before its release.
+	Observe func(o Observation)
 }
 
-// Runner runs generations over endpoints.
-type Runner struct {
-	// Pick chooses an endpoint for the next attempt; failed lists those that
-	// this request has tried in vain.
-	Pick func(ctx context.Context, r Request, emitted int, failed []fleet.InstanceRef) (Lease, error)
-	// Attempts bounds how often a request is tried; 0 takes the default.
-	Attempts int
-}
-
-// DefaultAttempts is how often a generation is tried.
-const DefaultAttempts = 6
-
-var errMoved = errors.New("the instance is leaving")
-
-// ExhaustedError reports a generation that no attempt could finish.
-type ExhaustedError struct {
-	Attempts int
-	Emitted  int
-	Cause    error
-}
-
-// Error implements error.
-func (e *ExhaustedError) Error() string {
-	return fmt.Sprintf("gave up after %d attempts with %d tokens: %v", e.Attempts, e.Emitted, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ExhaustedError) Unwrap() error { return e.Cause }
-
-// Run generates an answer and calls emit for each token, in order. It moves to
-// another endpoint when one breaks or leaves, and continues from what was
-// emitted. An error of emit ends the generation.
-func (g *Runner) Run(ctx context.Context, r Request, emit func(text string) error) (res Result, err error) {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
-	a := &Assembly{}
-	var failed []fleet.InstanceRef
-	for res.Attempts < or(g.Attempts, DefaultAttempts) {
-		lease, pickErr := g.Pick(ctx, r, len(a.Tokens()), failed)
-		if pickErr != nil {
-			return res, &ExhaustedError{Attempts: res.Attempts, Emitted: len(a.Tokens()), Cause: pickErr}
-		}
-		res.Attempts++
-		start := len(a.Tokens())
-		broke := attempt(ctx, a, lease, r, emit)
-		lease.Release(broke)
-		if f, done := a.Finish(); done {
-			res.Finish, res.Tokens = f, fleet.Tokens(len(a.Tokens()))
-			res.Recomputed += recomputed(res.Attempts, start, f)
-			return res, nil
-		}
-		var stop *emitError
-		if errors.As(broke, &stop) || ctx.Err() != nil {
-			return res, broke
-		}
-		if !errors.Is(broke, errMoved) {
-			failed = append(failed, lease.Engine.Instance.Ref())
-		}
-		err = broke
-	}
-	return res, &ExhaustedError{Attempts: res.Attempts, Emitted: len(a.Tokens()), Cause: err}
-}
-
-// recomputed returns the tokens that an attempt after the first computed again.
-func recomputed(attempts, start int, f engine.Frame) fleet.Tokens {
-	if attempts < 2 {
-		return 0
-	}
-	return max(0, f.Prompt+fleet.Tokens(start)-f.Cached)
-}
-
-// emitError marks an error of the caller's side.
-type emitError struct{ error }
-
-// Unwrap returns the cause.
-func (e *emitError) Unwrap() error { return e.error }
-
-func attempt(ctx context.Context, a *Assembly, l Lease, r Request, emit func(string) error) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stop := context.AfterFunc(l.Stay, func() { cancel(errMoved) })
-	defer stop()
-	g := engine.Generate{
-		ID:       r.ID,
-		Attempt:  a.Begin(),
-		Model:    r.Model,
-		Prompt:   r.Prompt,
-		Emitted:  a.Tokens(),
-		Max:      r.Max,
-		Priority: r.Priority,
-	}
-	err := l.Engine.GenerateFunc(ctx, g, func(f engine.Frame) error {
-		if !a.Add(f) || f.Done {
-			return nil
-		}
-		if err := emit(f.Text); err != nil {
-			return &emitError{err}
-		}
-		return nil
-	})
-	if cause := context.Cause(ctx); errors.Is(cause, errMoved) {
-		return cause
-	}
-	return err
-}
-
-func or(value, fallback int) int {
-	if value == 0 {
-		return fallback
-	}
-	return value
+// Observation is what one attempt measured of its endpoint.
+type Observation struct {
+	Start time.Time
+	// First and Last are the times of the attempt's first and last tokens; zero
+	// if there was none.
+	First time.Time
+	Last  time.Time
+	// Tokens is how many tokens the attempt delivered.
+	Tokens int
+	// Finish is the last frame, if the attempt ended the answer.
+	Finish engine.Frame
 }
--- /dev/null
+++ b/pkg/router/trial.go
@@ -0,0 +1,46 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/generation"
+	"github.com/skylarkloom/skylarkloom/pkg/prefix"
+	"github.com/skylarkloom/skylarkloom/pkg/route"
+)
+
+// Quiet returns the live endpoints of a pool that no trial has for itself, the
+// one with the least of this node's work first.
+func (r *Router) Quiet(pool fleet.PoolName) []fleet.Instance {
+	live := slices.DeleteFunc(slices.Clone(r.Roster.Pool(pool)), func(i fleet.Instance) bool { return r.avoided(i.Ref()) })
+	slices.SortStableFunc(live, func(a, b fleet.Instance) int {
+		return cmp.Compare(r.InFlight(a.Ref()), r.InFlight(b.Ref()))
+	})
+	return live
+}
+
+// On leases one named engine for one attempt of a generation.
+func (r *Router) On(_ context.Context, g generation.Request, i fleet.Instance) (generation.Lease, error) {
+	q := route.Query{Deadline: g.Deadline, Prompt: promptTokens(g.Prompt), Output: g.Max, Now: r.now()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(q.Now)
+	l := r.use(i, q)
+	l.chain = prefix.Chain(g.Prompt)
+	return l.generation(), nil
+}
+
+// avoided reports whether an endpoint takes no ordinary work.
+func (r *Router) avoided(ref fleet.InstanceRef) bool {
+	return r.Avoid != nil && r.Avoid(ref)
+}
+
+// contentSeed makes every node consider the same endpoints for the same
+// content, so that copies of one content meet on few of them.
+func contentSeed(g generation.Request, emitted, failed int) uint64 {
+	return xxhash.Sum64String(g.Prompt) + uint64(emitted) + uint64(failed)
+}
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -13,11 +13,9 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/prefix"
 )
 
-// blockTokens is how many tokens of a prompt share one cache entry.
-const blockTokens = 16
-
 // Engine is a stand-in of a model engine. Its answers are a function of the
 // prompt and the position, so an answer continued elsewhere is the same answer.
 // The zero value works, without delays.
@@ -33,6 +31,9 @@
 	Length int
 	// CacheBlocks bounds the prefix cache; 0 takes 4096.
 	CacheBlocks int
+	Switch      Switch
+	// Lag is how old the load report is.
+	Lag time.Duration
 	// Crash is called when a prompt crashes the engine; the caller closes it.
 	Crash func()
 
@@ -50,6 +51,9 @@
 	cancels  int
 	imported map[fleet.RequestID]fleet.Tokens
 	served   map[fleet.RequestID]int
+	// report is the load as of the time reported.
+	report   engine.Load
+	reported time.Time
 }
 
 // Poison makes prompts that hold the text crash the engine.
@@ -108,7 +112,9 @@
 	mux.HandleFunc("POST "+engine.ExportPath, e.export)
 	mux.HandleFunc("POST "+engine.ImportPath, e.importKV)
 	mux.HandleFunc("POST "+engine.CommandPath, e.command)
-	return mux
+	return e.Switch.guard(mux, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusServiceUnavailable, engine.Failure{Error: "not started"})
+	})
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
@@ -181,7 +187,7 @@
 			e.cancelled()
 			return
 		}
-		e.progress(g.ID, i+1)
+		e.progress(g.ID, int(prompt)+i+1)
 	}
 	send(w, control, engine.Frame{
 		Attempt:  g.Attempt,
@@ -224,26 +230,15 @@
 	e.cancels++
 }
 
-func (e *Engine) progress(id fleet.RequestID, position int) {
+// progress notes how many tokens of a request, prompt included, are in the KV
+// cache.
+func (e *Engine) progress(id fleet.RequestID, tokens int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.served == nil {
 		e.served = make(map[fleet.RequestID]int)
 	}
-	e.served[id] = position
-}
-
-// Prefixes returns the chain of hashes of a prompt's full blocks, of 16 tokens
-// of about 4 bytes each.
-func Prefixes(prompt string) []uint64 {
-	const blockBytes = blockTokens * 4
-	var chain []uint64
-	h := fnv.New64a()
-	for at := 0; at+blockBytes <= len(prompt); at += blockBytes {
-		_, _ = h.Write([]byte(prompt[at : at+blockBytes]))
-		chain = append(chain, h.Sum64())
-	}
-	return chain
+	e.served[id] = tokens
 }
 
 // lookUp returns how many tokens are cached and stores the prompt's blocks.
@@ -254,15 +249,15 @@
 		e.cache = make(map[uint64]bool)
 	}
 	hit := true
-	for _, b := range Prefixes(g.Prompt) {
+	for _, b := range prefix.Chain(g.Prompt) {
 		hit = hit && e.cache[b]
 		if hit {
-			cached += blockTokens
+			cached += prefix.BlockTokens
 		}
 		e.store(b)
 	}
 	if n, ok := e.imported[g.ID]; ok {
-		return min(prompt+fleet.Tokens(len(g.Emitted)), n)
+		return max(cached, min(prompt+fleet.Tokens(len(g.Emitted)), n))
 	}
 	return cached
 }
@@ -291,7 +286,7 @@
 		Sequence: uint64(len(e.events)),
 		Change:   c,
 		Prefix:   block,
-		Tokens:   blockTokens,
+		Tokens:   prefix.BlockTokens,
 	})
 }
 
@@ -308,14 +303,18 @@
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, http.StatusOK, engine.Load{
-		Running: len(e.running),
-		Slots:   e.Slots,
-		Cache:   fleet.Tokens(len(e.cache) * blockTokens),
-		Model:   e.model,
-		Version: e.version,
-		Role:    e.role,
-	})
+	if now := time.Now(); now.Sub(e.reported) >= e.Lag {
+		e.reported = now
+		e.report = engine.Load{
+			Running: len(e.running),
+			Slots:   e.Slots,
+			Cache:   fleet.Tokens(len(e.cache)) * prefix.BlockTokens,
+			Model:   e.model,
+			Version: e.version,
+			Role:    e.role,
+		}
+	}
+	writeJSON(w, http.StatusOK, e.report)
 }
 
 func (e *Engine) listEvents(w http.ResponseWriter, r *http.Request) {
@@ -380,3 +379,10 @@
 	}
 	writeJSON(w, http.StatusOK, struct{}{})
 }
+
+// Version returns the version that the engine was commanded to serve.
+func (e *Engine) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
