--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,10 @@
 mutate:
 	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order
 
+# docs writes the pages of docs/ that are made from the code.
+docs: build
+	bin/skylarkloomd docs docs
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
--- a/pkg/api/operate/operate.go
+++ b/pkg/api/operate/operate.go
@@ -20,6 +20,7 @@
 	StatusPath  = "/v1/status"
 	OrderPath   = "/v1/orders"
 	BillPath    = "/v1/bill"
+	BurnPath    = "/v1/burn"
 )
 
 // Publish asks to put a document in force.
--- a/pkg/command/control.go
+++ b/pkg/command/control.go
@@ -19,6 +19,7 @@
 		{Name: "status", Help: "show the fleet, the nodes, the log and what is degraded", Example: "skylarkctl status --json", Flags: showStatus},
 		{Name: "order", Help: "show the state of a keyed request", Example: "skylarkctl order dezerter-sellers reserve-trolley-7", Flags: showOrder},
 		{Name: "bill", Help: "show charges per account and pool against what instances cost", Example: "skylarkctl bill --json", Flags: showBill},
+		{Name: "burn", Help: "show how fast each account and pool uses up its error budget, and what burned it", Example: "skylarkctl burn --address 10.0.0.1:7001 --address 10.0.0.2:7001 --html burn.html", Flags: showBurn},
 	}}
 }
 
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -24,6 +24,7 @@
 		{Name: "run", Help: "run an entry node", Example: "skylarkloomd run --settings node.yaml", Flags: runFlags},
 		{Name: "check", Help: "check a settings file and report every mistake", Example: "skylarkloomd check --settings node.yaml", Flags: checkFlags},
 		{Name: "try", Help: "show the main job on embedded stand-ins; --stay keeps them running", Example: "skylarkloomd try --stay", Flags: tryFlags},
+		{Name: "docs", Help: "write the pages that are made from the code", Hidden: true, Flags: docsFlags},
 	}}
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -97,6 +97,7 @@
 		d.capacityService,
 		d.rolloutService,
 		d.ledgerService,
+		d.metricsService,
 		d.operatorService,
 		d.callersService,
 	} {
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -196,6 +196,9 @@
 			return entry.State(o), ok
 		},
 	}
+	if err := d.operate(h); err != nil {
+		return kernel.Service{}, err
+	}
 	d.operator = &listener{settings: d.Settings.Operators, handler: h.Routes()}
 	return d.operator.service(ServiceOperator), nil
 }
@@ -259,6 +262,7 @@
 		Time:       time.Now(),
 		Ready:      d.Ready(),
 		Streams:    map[platform.StreamName]journal.Stats{},
+		Degraded:   d.degraded(),
 	}
 	if k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig); err == nil {
 		s.Revision = k.Revision()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -87,7 +87,9 @@
 	Prompt     fleet.Tokens
 	Generated  fleet.Tokens
 	Recomputed fleet.Tokens
-	Attempts   int
+	// Causes splits the recomputed tokens.
+	Causes   generation.Causes
+	Attempts int
 	// Keyed is set for orders and asynchronous work, whose outcome the log keeps.
 	Keyed bool
 	Start time.Time
@@ -117,6 +119,13 @@
 	}
 }
 
+// InFlight returns how many requests are served now.
+func (h *Handler) InFlight() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.inflight
+}
+
 // Routes returns the handler of the callers' side.
 func (h *Handler) Routes() http.Handler {
 	mux := http.NewServeMux()
--- a/pkg/entry/model.go
+++ b/pkg/entry/model.go
@@ -183,6 +183,7 @@
 
 func (w *watch) end(res generation.Result) {
 	r := &w.c.report
+	r.Causes = res.Causes
 	r.Prompt, r.Generated, r.Recomputed, r.Attempts = res.Finish.Prompt, res.Tokens, res.Recomputed, res.Attempts
 	if w.count == 0 {
 		return
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -31,6 +31,7 @@
 	SubsystemRollout  Subsystem = "rollout"
 	SubsystemCapacity Subsystem = "capacity"
 	SubsystemLimit    Subsystem = "limit"
+	SubsystemOperator Subsystem = "operator"
 )
 
 // Entry describes one event.
@@ -55,6 +56,7 @@
 	entryEvents,
 	capacityEvents,
 	rolloutEvents,
+	operatorEvents,
 )
 
 func catalogue(tables ...[]Entry) []Entry {
--- a/pkg/journal/follow.go
+++ b/pkg/journal/follow.go
@@ -61,6 +61,7 @@
 	s.noteStart(page)
 	s.mu.Lock()
 	next := s.next
+	s.stats.LastRead = time.Now()
 	if next >= page.Next {
 		s.caught = true
 	}
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -117,6 +117,8 @@
 	Folded       int
 	Unreadable   int
 	Snapshots    int
+	// LastRead is when the log last answered a read.
+	LastRead time.Time
 	// Lapsed counts the recoveries from a snapshot.
 	Lapsed int
 }
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
 	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/burn"
 	"github.com/skylarkloom/skylarkloom/pkg/config"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
@@ -101,6 +102,12 @@
 	return b, err
 }
 
+// Burn returns what the node has counted for the report on service-level burn.
+func (c *Client) Burn(ctx context.Context) (a burn.Answer, err error) {
+	err = c.call(ctx, http.MethodGet, operate.BurnPath, nil, &a)
+	return a, err
+}
+
 // call makes one call and decodes its answer. The error is an
 // *UnreachableError or an *AnswerError.
 func (c *Client) call(ctx context.Context, method, path string, body, answer any) (err error) {
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
 	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/burn"
 	"github.com/skylarkloom/skylarkloom/pkg/config"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/journal"
@@ -37,6 +38,8 @@
 	Order func(ref fleet.KeyRef) (edge.State, bool)
 	// Bill returns the charges and costs; nil if the node keeps none.
 	Bill func() operate.Bill
+	// Burn returns what the node has counted for the report on service-level burn.
+	Burn func() burn.Answer
 }
 
 // Routes returns the handler of the operators' side. Health checks need no token.
@@ -51,6 +54,7 @@
 	mux.Handle("GET "+operate.HistoryPath, guarded.ThenFunc(h.history))
 	mux.Handle("GET "+operate.ChangePath+"/{id}", guarded.ThenFunc(h.change))
 	mux.Handle("GET "+operate.BillPath, guarded.Then(answer(h.Bill)))
+	mux.Handle("GET "+operate.BurnPath, guarded.Then(answer(h.Burn)))
 	mux.Handle("GET "+operate.StatusPath, guarded.ThenFunc(h.status))
 	mux.Handle("GET "+operate.OrderPath+"/{account}/{key}", guarded.ThenFunc(h.order))
 	return mux
