--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,10 @@
 	MEASURE_FILE=$(CURDIR)/docs/measured/orders.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		go test -tags measure -count=1 -timeout 30m -run TestOrder ./pkg/order -ginkgo.focus Measure
 
+# docs writes the pages of docs/ that are made from the code.
+docs: build
+	bin/skylarkloomd docs docs
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -66,6 +66,8 @@
 	Runs  *standin.Runs
 	Nodes []*daemon.Daemon
 	Token string
+	// Bare starts the stand-ins only, for daemons that run as processes.
+	Bare bool
 
 	servers  []*standin.Server
 	platform settings.Platform
@@ -105,6 +107,9 @@
 	if err := t.startInstances(); err != nil {
 		return err
 	}
+	if err := t.servePlatform(); err != nil || t.Bare {
+		return err
+	}
 	if err := t.startNodes(ctx); err != nil {
 		return err
 	}
@@ -206,7 +211,7 @@
 	return s, err
 }
 
-func (t *Trial) startNodes(ctx context.Context) error {
+func (t *Trial) servePlatform() error {
 	log, err := t.serve(t.Log.Handler())
 	if err != nil {
 		return err
@@ -216,6 +221,10 @@
 		return err
 	}
 	t.platform = settings.Platform{Log: log.URL(), List: cloud.URL(), Cloud: cloud.URL()}
+	return nil
+}
+
+func (t *Trial) startNodes(ctx context.Context) error {
 	centres := []fleet.DataCentreName{CentreOne, CentreOne, CentreTwo}
 	for n, centre := range centres {
 		d, err := t.StartNode(ctx, fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), centre)
