skylarkctl load: open-loop load with a seed

Cause: there was no way to put a bounded load on a fleet and see latency, cost and recomputed tokens. Change: pkg/load draws a Poisson process from a seed, starts each request at its time whatever became of earlier ones, and counts latency from the intended start, also where the bound on requests in flight held it back.

--- /dev/null
+++ b/pkg/command/load_test.go
@@ -0,0 +1,30 @@
+package command_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/command"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/load"
+)
+
+var _ = It("skylarkctl load measures a mix of chat and orders", func() {
+	plot := filepath.Join(GinkgoT().TempDir(), "latency.svg")
+	key := writeFile("key", addresses.Keys["dezerter-sellers"])
+	r := control("load", "--callers", addresses.Callers, "--key-file", key, "--model", "loom-servers", "--service", "cart-desk",
+		"--orders", "0.4", "--rate", "20", "--duration", "1500ms", "--seed", "5", "--json", "--plot", plot)
+	Expect(r.Code).To(Equal(command.ExitOK), r.Err)
+	var s load.Summary
+	Expect(json.Unmarshal([]byte(r.Out), &s)).To(Succeed())
+	planned := len(load.Plan{Seed: 5, Rate: 20, Duration: 1500e6, Orders: .4}.Arrivals(""))
+	Expect(s.Requests).To(Equal(planned))
+	Expect(s.Outcomes[load.KindChat][fleet.OutcomeDone] + s.Outcomes[load.KindOrder][fleet.OutcomeDone]).To(Equal(planned))
+	Expect(s.Generated).To(BeNumerically(">", 0))
+	Expect(s.Cost).NotTo(BeNil())
+	Expect(os.ReadFile(plot)).To(ContainSubstring("<svg"))
+})
--- a/pkg/command/mistake_test.go
+++ b/pkg/command/mistake_test.go
@@ -32,6 +32,7 @@
 var _ = DescribeTable("A mistake gets one clear message and its exit code", func(m mistake) {
 	GinkgoT().Setenv(command.AddressVariable, "")
 	GinkgoT().Setenv(command.TokenVariable, "")
+	GinkgoT().Setenv(command.KeyVariable, "")
 	dir := GinkgoT().TempDir()
 	for name, content := range mistakenFiles {
 		Expect(os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600)).To(Succeed())
@@ -67,6 +68,11 @@
 	Entry("no message", mistake{command.ControlProgram, "config publish @wrong.yaml --author a", 2, "needs --message and --author"}),
 	Entry("unknown account", mistake{command.ControlProgram, "config show --why nobody loom-servers --address ADDRESS --token-file TOKEN", 2, `no account "nobody"`}),
 	Entry("not a revision", mistake{command.ControlProgram, "config wait latest --address ADDRESS --token-file TOKEN", 2, "is not a revision"}),
+	Entry("load without an address", mistake{command.ControlProgram, "load --model m", 2, "no callers' side is named"}),
+	Entry("load not on loopback", mistake{command.ControlProgram, "load --callers http://10.0.0.1:80 --model m", 2, "give --anywhere"}),
+	Entry("load without a key", mistake{command.ControlProgram, "load --callers http://127.0.0.1:80 --model m", 2, "SKYLARKCTL_KEY is not set"}),
+	Entry("load without a model", mistake{command.ControlProgram, "load --callers http://127.0.0.1:80", 2, "chat needs --model"}),
+	Entry("load too large", mistake{command.ControlProgram, "load --rate 1e9", 2, "more than 1000000 requests"}),
 	Entry("settings file absent", mistake{command.DaemonProgram, "run --settings @none.yaml", 2, "no such file"}),
 	Entry("settings broken", mistake{command.DaemonProgram, "check --settings @broken.yaml", 2, "broken.yaml:"}),
 	Entry("port in use", mistake{command.DaemonProgram, "run --settings @taken.yaml", 1, "address already in use"}),
--- /dev/null
+++ b/pkg/load/load_test.go
@@ -0,0 +1,93 @@
+package load_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/load"
+)
+
+func TestLoad(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "load")
+}
+
+// A server that stalls once must show in every request that came meanwhile,
+// also if a bound on requests in flight held them back.
+func TestStallCountsFromTheIntendedStart(t *testing.T) {
+	for _, inFlight := range []int{1, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			begin := time.Now()
+			stalledUntil := begin.Add(5 * time.Second)
+			r := &load.Runner{
+				Plan:    load.Plan{Seed: 7, Rate: 100, Duration: 10 * time.Second, InFlight: inFlight},
+				Targets: load.Targets{FirstToken: time.Second},
+				Send: func(context.Context, load.Arrival) load.Reply {
+					time.Sleep(time.Until(stalledUntil))
+					return load.Reply{Status: 200, First: time.Now(), End: time.Now(), Tokens: 1}
+				},
+			}
+			s := r.Run(t.Context(), "test").Summary()
+			var late int
+			for _, a := range r.Plan.Arrivals("test") {
+				if a.At < 4*time.Second {
+					late++
+				}
+			}
+			g.Expect(s.OnTime).To(BeNumerically("~", 1-float64(late)/float64(s.Requests), 1e-9))
+			g.Expect(s.Latencies[0].Max).To(BeNumerically(">", 4900*time.Millisecond))
+			g.Expect(s.Latencies[0].P50).To(BeNumerically("<", 200*time.Millisecond))
+		})
+	}
+}
+
+var _ = Describe("A plan", func() {
+	plan := load.Plan{Seed: 3, Rate: 200, Duration: 20 * time.Second, Orders: .25, InFlight: 10}
+
+	It("gives the same requests for the same seed, at the wanted rate and mix", func() {
+		list := plan.Arrivals("x")
+		Expect(plan.Arrivals("x")).To(Equal(list))
+		Expect(len(list)).To(BeNumerically("~", 4000, 200))
+		orders := 0
+		keys := map[fleet.Key]bool{}
+		for _, a := range list {
+			if a.Kind == load.KindOrder {
+				orders++
+				keys[a.Key] = true
+			}
+		}
+		Expect(orders).To(BeNumerically("~", len(list)/4, 120))
+		Expect(keys).To(HaveLen(orders))
+		other := plan
+		other.Seed = 4
+		Expect(other.Arrivals("x")).NotTo(Equal(list))
+	})
+
+	DescribeTable("is refused outside its bounds", func(change func(*load.Plan)) {
+		Expect(plan.Check()).To(Succeed())
+		p := plan
+		change(&p)
+		Expect(p.Check()).NotTo(Succeed())
+	},
+		Entry("no rate", func(p *load.Plan) { p.Rate = 0 }),
+		Entry("no duration", func(p *load.Plan) { p.Duration = 0 }),
+		Entry("share above 1", func(p *load.Plan) { p.Orders = 1.1 }),
+		Entry("nothing in flight", func(p *load.Plan) { p.InFlight = 0 }),
+		Entry("too many in flight", func(p *load.Plan) { p.InFlight = load.MaxInFlight + 1 }),
+		Entry("too many requests", func(p *load.Plan) { p.Rate = 1e6 }),
+	)
+
+	DescribeTable("knows loopback", func(address string, loopback bool) {
+		Expect(load.Loopback(address)).To(Equal(loopback))
+	},
+		Entry(nil, "http://127.0.0.1:80", true), Entry(nil, "http://[::1]:80", true), Entry(nil, "http://10.0.0.1:80", false),
+		Entry(nil, "http://localhost.example.org", false), Entry(nil, "http://127.0.0.1.example.org", false), Entry(nil, "::", false),
+	)
+})
