Join the nodes of a fleet by their peers

Nodes ran beside each other without a word. The daemon now listens for peers on the settings' address with the shared token, or over TLS, and exchanges with the nodes that the settings name and those that it hears of. Takeover of orders asks the peers who lives and who is the candidate; without peers every node counts as alive, as before. Marks of the roster spread; a configuration in force is learnt from a peer when the log does not bring it; the status names the nodes.

Before: a node that started with the log down was never ready.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/journal"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/peer"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/settings"
 )
@@ -61,6 +62,8 @@
 	callers  *listener
 	operator *listener
 	admitter *admitter
+	peers    *peer.Service
+	traffic  peer.Traffic
 }
 
 // Clients are the clients of the platform's services.
@@ -89,6 +92,8 @@
 		d.rosterService,
 		d.routerService,
 		d.pollerService,
+		d.peerService,
+		d.peersService,
 		d.limitService,
 		d.orderService,
 		d.leaseService,
--- a/pkg/daemon/listener.go
+++ b/pkg/daemon/listener.go
@@ -29,6 +29,10 @@
 	handler  http.Handler
 	// connection is the ConnContext of the server; it may be nil.
 	connection func(ctx context.Context, c net.Conn) context.Context
+	// protocols are those that the server speaks; nil means the usual ones.
+	protocols *http.Protocols
+	// wrap wraps the network listener; it may be nil.
+	wrap func(l net.Listener) net.Listener
 
 	net    net.Listener
 	server *http.Server
@@ -50,9 +54,13 @@
 		return errors.Wrapf(err, "listen on %s", l.settings.Address)
 	}
 	l.net = netutil.LimitListener(l.net, maxConnections)
+	if l.wrap != nil {
+		l.net = l.wrap(l.net)
+	}
 	l.server = &http.Server{
 		Handler:           l.handler,
 		ConnContext:       l.connection,
+		Protocols:         l.protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -117,8 +117,8 @@
 	}
 	server := &order.Server{
 		Desk:      desk,
-		Alive:     func(fleet.NodeRef) bool { return true },
-		Candidate: func(fleet.KeyRef) bool { return true },
+		Alive:     d.alive,
+		Candidate: d.peers.Candidate,
 	}
 	run := func(ctx context.Context) error {
 		g, ctx := errgroup.WithContext(ctx)
@@ -259,6 +259,7 @@
 		Time:       time.Now(),
 		Ready:      d.Ready(),
 		Streams:    map[platform.StreamName]journal.Stats{},
+		Nodes:      d.peers.Nodes(),
 	}
 	if k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig); err == nil {
 		s.Revision = k.Revision()
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -51,6 +51,7 @@
 	journalEvents,
 	instanceEvents,
 	limitEvents,
+	peerEvents,
 	suspectEvents,
 	entryEvents,
 	capacityEvents,
--- a/pkg/peer/answer.go
+++ b/pkg/peer/answer.go
@@ -25,6 +25,7 @@
 	change := s.change(r, own)
 	s.mu.Lock()
 	state := s.meet(from)
+	s.welcome(from, r.GetSequence(), now)
 	facts, next := s.factsFor(r)
 	news := s.mergeFacts(r.GetFacts(), now)
 	if len(facts) < maxFacts {
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -70,10 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var live, dead []Peer
-	for _, p := range s.Peers {
-		if p.DataCentre != s.Self.DataCentre || p.Name == s.Self.Ref.Name {
-			continue
-		}
+	for _, p := range s.centrePeers() {
 		if s.seen[p.Name] {
 			live = append(live, p)
 		} else {
@@ -90,6 +87,38 @@
 	return from[s.random.IntN(len(from))], true
 }
 
+// centrePeers returns the other nodes of this data centre: those that the
+// settings name and those that have been heard of. The lock is held.
+func (s *Service) centrePeers() (list []Peer) {
+	for _, p := range s.Peers {
+		if p.DataCentre == s.Self.DataCentre && p.Name != s.Self.Ref.Name {
+			list = append(list, p)
+		}
+	}
+	for _, o := range s.reports.Origins() {
+		n := o.Node
+		if n.DataCentre != s.Self.DataCentre || n.Ref.Name == s.Self.Ref.Name || n.Address == "" {
+			continue
+		}
+		if _, named := s.find(n.Ref.Name); !named {
+			list = append(list, Peer{Name: n.Ref.Name, DataCentre: n.DataCentre, Address: n.Address})
+		}
+	}
+	return list
+}
+
+// welcome notes a node of this data centre that asks for the first time, so
+// that nodes which no settings name are found too. The lock is held.
+func (s *Service) welcome(n member.Node, sequence uint64, now time.Time) {
+	held, known := s.reports.Origin(n.Ref.Name)
+	if n.DataCentre != s.Self.DataCentre || n.Address == "" || sequence == 0 {
+		return
+	}
+	if !known || held.Node.Ref.Incarnation < n.Ref.Incarnation {
+		s.reports.Merge(member.Part{Life: member.LifeOf(n.Ref), Node: n, To: 1}, now)
+	}
+}
+
 // ahead returns a peer that has worked by a higher revision for a while.
 func (s *Service) ahead() (p Peer, ok bool) {
 	revision := s.revision()
@@ -147,8 +176,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var live []Peer
-	for _, p := range s.Peers {
-		if p.DataCentre == s.Self.DataCentre && s.seen[p.Name] && p.Name != s.Self.Ref.Name {
+	for _, p := range s.centrePeers() {
+		if s.seen[p.Name] {
 			live = append(live, p)
 		}
 	}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -98,6 +98,22 @@
 		})
 	})
 
+	It("find a node that no settings name", func() {
+		bubble(4, 1, 0, func(g Gomega, w *network) {
+			time.Sleep(5 * time.Second)
+			fresh := w.add(peer.Peer{Name: "fresh", DataCentre: centreOf(0), Address: "10.0.1.1:7000"}, 1, w.list[0].Peers)
+			fresh.start()
+			time.Sleep(10 * time.Second)
+			for _, n := range w.list {
+				g.Expect(n.Alive(fresh.Self.Ref)).To(BeTrue())
+				g.Expect(n.Nodes()).To(HaveLen(5))
+			}
+			fresh.marked(leaving("i-1"))
+			time.Sleep(5 * time.Second)
+			g.Expect(w.unmarked(leaving("i-1").Instance, everyone)).To(BeEmpty())
+		})
+	})
+
 	It("choose one node to take an order over", func() {
 		bubble(9, 3, 0, func(g Gomega, w *network) {
 			time.Sleep(15 * time.Second)
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -138,16 +138,6 @@
 	return nodes
 }
 
-// Writers returns up to count living nodes of this data centre that append to a
-// stream for the others, the first choice first.
-func (s *Service) Writers(stream string, count int) []fleet.NodeName {
-	s.init()
-	s.mu.Lock()
-	nodes := s.centre
-	s.mu.Unlock()
-	return member.Choose(nodes, "write/"+stream, count)
-}
-
 // Nodes returns what is known of every node, this one included.
 func (s *Service) Nodes() (list []operate.Node) {
 	s.init()
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -52,6 +52,16 @@
 	return s, nil
 }
 
+// FreeAddress returns a loopback address that is free now, for listeners whose
+// address others must know before they start.
+func FreeAddress() (address string, err error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
 // URL returns the base URL of the server.
 func (s *Server) URL() string { return "http://" + s.Address }
 
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -69,6 +69,7 @@
 
 	servers  []*standin.Server
 	platform settings.Platform
+	peers    []settings.Peer
 	balance  *balancer
 	folder   string
 }
@@ -218,7 +219,14 @@
 	t.platform = settings.Platform{Log: log.URL(), List: cloud.URL(), Cloud: cloud.URL()}
 	centres := []fleet.DataCentreName{CentreOne, CentreOne, CentreTwo}
 	for n, centre := range centres {
-		d, err := t.StartNode(ctx, fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), centre)
+		address, err := standin.FreeAddress()
+		if err != nil {
+			return err
+		}
+		t.peers = append(t.peers, settings.Peer{Name: fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), DataCentre: centre, Address: address})
+	}
+	for _, p := range t.peers {
+		d, err := t.startNode(ctx, p)
 		if err != nil {
 			return err
 		}
@@ -232,13 +240,22 @@
 // StartNode starts one more node. It lives until it is stopped, whatever
 // becomes of the context.
 func (t *Trial) StartNode(ctx context.Context, name fleet.NodeName, centre fleet.DataCentreName) (*daemon.Daemon, error) {
+	address, err := standin.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	return t.startNode(ctx, settings.Peer{Name: name, DataCentre: centre, Address: address})
+}
+
+func (t *Trial) startNode(ctx context.Context, p settings.Peer) (*daemon.Daemon, error) {
 	d := &daemon.Daemon{
 		Logs: t.Logs,
 		Settings: settings.Settings{
-			Node:       name,
-			DataCentre: centre,
+			Node:       p.Name,
+			DataCentre: p.DataCentre,
 			Callers:    settings.Listener{Address: loopback},
 			Operators:  settings.Listener{Address: loopback, Token: settings.Secret{File: t.tokenFile()}},
+			Peers:      settings.Peers{Address: p.Address, Token: settings.Secret{File: t.tokenFile()}, Nodes: t.peers},
 			Platform:   t.platform,
 			Orders:     settings.Orders{Partitions: settings.DefaultPartitions},
 			Stop:       settings.Stop{Notice: stopNotice},
