--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_CHECKS ?= 20000
 FUZZ_SEED ?= 1
 
-.PHONY: try test build lint format fuzz mutate measure measure-orders docs generate ci
+.PHONY: processes try test build lint format fuzz mutate measure measure-orders docs generate ci
 
 try: build
 	bin/skylarkloomd try
@@ -51,6 +51,10 @@
 docs: build
 	bin/skylarkloomd docs docs
 
+# processes runs daemons as processes over the stand-ins and breaks them.
+processes: build
+	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags processes -count=1 -timeout 10m -v ./pkg/trial/processes
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
