Give duties to one of the living nodes

Cause: every node tried for the leases, and with the log down none started instances or held trials.

Change: the peers choose one living node by rendezvous hashing for each duty: trying for the capacity and rollout leases, starting instances within their caps while the log is down, and the trial of a suspect content.

Conclusion: an idle fleet's leases cost one node's renewals.

--- a/pkg/daemon/capacity.go
+++ b/pkg/daemon/capacity.go
@@ -20,6 +20,13 @@
 	ServiceCapacity kernel.ServiceName = "capacity"
 )
 
+// The duties that fall to one of the living nodes.
+const (
+	dutyCapacity = "capacity"
+	dutyRollout  = "rollout"
+	dutyTrial    = "trial/"
+)
+
 // leaseService follows the lease stream.
 func (d *Daemon) leaseService() (kernel.Service, error) {
 	b := &lease.Book{Stream: d.newStream(platform.StreamLease), Node: d.node}
@@ -51,8 +58,8 @@
 		Pools:     pools(k),
 		Instances: known.Instances,
 		Demand:    func(pool fleet.PoolName) capacity.Demand { return capacity.Demand{Running: r.Demand(pool)} },
-		Candidate: func() bool { return known.Read() && !d.leaving.Load() },
-		Stands:    func() bool { return false },
+		Candidate: func() bool { return known.Read() && !d.leaving.Load() && d.peers.Chosen(dutyCapacity) },
+		Stands:    func() bool { return d.peers.Chosen(dutyCapacity) },
 		Retire: func(i fleet.Instance) {
 			known.Mark(roster.Mark{Instance: i.Ref(), Condition: fleet.ConditionLeaving, Source: roster.SourceRetire})
 		},
--- a/pkg/daemon/rollout.go
+++ b/pkg/daemon/rollout.go
@@ -45,7 +45,7 @@
 		Command: func(ctx context.Context, i fleet.Instance, c engine.Command) error {
 			return endpoint.DialEngine(i, d.client).CommandFunc(ctx, c)
 		},
-		Candidate: func() bool { return known.Read() && !d.leaving.Load() },
+		Candidate: func() bool { return known.Read() && !d.leaving.Load() && d.peers.Chosen(dutyRollout) },
 		Did: func(s rollout.Step, pool fleet.PoolName, err error) {
 			id := event.RolloutStep
 			if err != nil {
--- a/pkg/daemon/suspect.go
+++ b/pkg/daemon/suspect.go
@@ -43,6 +43,7 @@
 			losses.Note(i, time.Now())
 			return known.Announced(i.Ref()) || losses.Wave(i.Zone, time.Now())
 		},
+		Alone: func(content fleet.Digest) bool { return d.peers.Chosen(dutyTrial + content.String()) },
 		Failed: func(content fleet.Digest, err error) {
 			d.Logs.Emit(event.SuspectUnreported, zap.Stringer("content", content), zap.Error(err))
 		},
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -102,12 +102,7 @@
 // Candidate reports whether this node is the one of the living nodes to take an
 // order over.
 func (s *Service) Candidate(ref fleet.KeyRef) bool {
-	s.init()
-	s.mu.Lock()
-	live := s.live
-	s.mu.Unlock()
-	chosen := member.Choose(live, "order/"+string(ref.Account)+"/"+string(ref.Key), 1)
-	return chosen[0] == s.Self.Ref.Name
+	return s.Chosen("order/" + string(ref.Account) + "/" + string(ref.Key))
 }
 
 // Mine reports whether this node is one of the two that poll an endpoint.
