Settings: every mistake at once, and no value of the file in a report

Cause: golden files over the settings showed four faults. A wrong level or a key given twice ended the decode, so mistakes elsewhere were hidden and values that are there were reported as absent; broken YAML drew a dozen messages about what it lacks; a token written in the file in place of its file's name was repeated, in part, in the message; 1.5 was taken as the whole number 1. Change: pkg/strict decodes node by node, names the keys that are known, never repeats a value, and says nothing about what a file that cannot be parsed lacks. What has no mistake decodes as the library decodes it, but for a null item of a list, which the library drops and this refuses. Conclusion: one run of skylarkloomd check shows all there is to mend. The test of skylarkctl on an unknown key expects the new message, which is as strict (file, line, path).

--- a/pkg/command/mistake_test.go
+++ b/pkg/command/mistake_test.go
@@ -64,7 +64,7 @@
 	Entry("node not there on publish", mistake{command.ControlProgram, "config publish @wrong.yaml --base 1 --author a --message m --address FREE --token-file TOKEN", 2, "dedline"}),
 	Entry("configuration file absent", mistake{command.ControlProgram, "config check @none.yaml", 2, "no such file"}),
 	Entry("broken YAML", mistake{command.ControlProgram, "config check @broken.yaml", 2, "broken.yaml:"}),
-	Entry("unknown key", mistake{command.ControlProgram, "config check @wrong.yaml", 2, "wrong.yaml:2: field dedline not found"}),
+	Entry("unknown key", mistake{command.ControlProgram, "config check @wrong.yaml", 2, "wrong.yaml:2: defaults.dedline: unknown key"}),
 	Entry("no message", mistake{command.ControlProgram, "config publish @wrong.yaml --author a", 2, "needs --message and --author"}),
 	Entry("unknown account", mistake{command.ControlProgram, "config show --why nobody loom-servers --address ADDRESS --token-file TOKEN", 2, `no account "nobody"`}),
 	Entry("not a revision", mistake{command.ControlProgram, "config wait latest --address ADDRESS --token-file TOKEN", 2, "is not a revision"}),
--- a/pkg/strict/strict.go
+++ b/pkg/strict/strict.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"reflect"
 	"regexp"
 	"slices"
 	"strconv"
@@ -81,51 +82,75 @@
 	file     string
 	root     yaml.Node
 	problems []Problem
+	// broken is set if the file could not be decoded at all, so that what it
+	// lacks says nothing.
+	broken bool
+	// wrong holds the places whose values could not be decoded.
+	wrong []Place
 }
 
 var yamlLine = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
 
-// Decode decodes data into target and returns a checker that holds the
-// problems found so far. Unknown keys are problems.
+// Decode decodes data into target, a pointer to a struct, and returns a checker
+// that holds the problems found so far. Unknown and repeated keys are problems.
+// No value of the file is repeated in a problem, as it may be a secret.
 func Decode(file string, data []byte, target any) *Checker {
 	c := &Checker{file: file}
-	if err := yaml.Unmarshal(data, &c.root); err != nil {
-		c.addYAML(err)
+	d := yaml.NewDecoder(bytes.NewReader(data))
+	err := d.Decode(&c.root)
+	switch {
+	case errors.Is(err, io.EOF):
+		c.fail(Problem{File: file, Message: "the file is empty"})
+		return c
+	case err != nil:
+		c.fail(syntaxProblem(file, err))
 		return c
 	}
-	d := yaml.NewDecoder(bytes.NewReader(data))
-	d.KnownFields(true)
-	err := d.Decode(target)
-	if errors.Is(err, io.EOF) {
-		c.problems = append(c.problems, Problem{File: file, Message: "the file is empty"})
+	if err := d.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		c.problems = append(c.problems, Problem{File: file, Message: "expected one YAML document"})
+	}
+	top := resolve(c.root.Content[0])
+	if top.Kind != yaml.MappingNode {
+		c.fail(Problem{File: file, Line: top.Line, Message: "expected keys and values"})
 		return c
 	}
-	c.addYAML(err)
+	w := &walker{checker: c}
+	w.walk(top, reflect.ValueOf(target).Elem(), nil)
 	return c
 }
 
-func (c *Checker) addYAML(err error) {
-	if err == nil {
-		return
-	}
-	messages := []string{err.Error()}
-	var typed *yaml.TypeError
-	if errors.As(err, &typed) {
-		messages = typed.Errors
-	}
-	for _, m := range messages {
-		p := Problem{File: c.file, Message: m}
-		if found := yamlLine.FindStringSubmatch(m); found != nil {
-			p.Line, _ = strconv.Atoi(found[1])
-			p.Message = found[2]
-		}
-		c.problems = append(c.problems, p)
+// fail records a problem that makes the rest of the file unknown.
+func (c *Checker) fail(p Problem) {
+	c.broken = true
+	c.problems = append(c.problems, p)
+}
+
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Message: strings.TrimPrefix(err.Error(), "yaml: ")}
+	if found := yamlLine.FindStringSubmatch(err.Error()); found != nil {
+		p.Line, _ = strconv.Atoi(found[1])
+		p.Message = found[2]
 	}
+	return p
+}
+
+// refuse records a value that could not be decoded.
+func (c *Checker) refuse(line int, at Place, message string) {
+	c.wrong = append(c.wrong, at)
+	c.problems = append(c.problems, Problem{File: c.file, Line: line, Path: at.String(), Message: message})
+}
+
+// known reports whether the values at a place were decoded.
+func (c *Checker) known(at Place) bool {
+	return !c.broken && !slices.ContainsFunc(c.wrong, func(w Place) bool {
+		return len(w) <= len(at) && slices.Equal(w, at[:len(w)])
+	})
 }
 
-// Require records a problem at a place unless the condition holds.
+// Require records a problem at a place unless the condition holds. A place whose
+// value could not be decoded has its problem already.
 func (c *Checker) Require(holds bool, at Place, message string) {
-	if holds {
+	if holds || !c.known(at) {
 		return
 	}
 	c.problems = append(c.problems, Problem{
@@ -150,14 +175,14 @@
 	if len(c.root.Content) == 0 {
 		return 0
 	}
-	node := c.root.Content[0]
+	node := resolve(c.root.Content[0])
 	line := node.Line
 	for _, part := range at {
 		key, next := child(node, part)
 		if next == nil {
 			return line
 		}
-		node = next
+		node = resolve(next)
 		line = key.Line
 	}
 	return line
