--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
 
@@ -58,7 +59,9 @@
 	if err != nil {
 		return &Error{Code: ExitUsage, Cause: err}
 	}
-	base, err := zap.NewProduction(zap.IncreaseLevel(zap.DebugLevel))
+	lines := zap.NewProductionConfig()
+	lines.Level.SetLevel(zap.DebugLevel)
+	base, err := lines.Build()
 	if err != nil {
 		return err
 	}
@@ -80,17 +83,23 @@
 }
 
 func tryFlags(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var stay bool
+	var stay, bare bool
 	sub.Bool(&stay, "", "stay", "keep running for tests from outside")
-	return func(ctx context.Context, s Streams) error { return try(ctx, s, stay) }
+	sub.Bool(&bare, "", "bare", "with --stay: only the stand-ins, for daemons run as processes")
+	return func(ctx context.Context, s Streams) error {
+		if bare && !stay {
+			return &Error{Code: ExitUsage, Cause: errors.New("--bare goes with --stay")}
+		}
+		return try(ctx, s, stay, bare)
+	}
 }
 
 // try runs the try-out: the show, or until a signal.
-func try(ctx context.Context, s Streams, stay bool) (err error) {
+func try(ctx context.Context, s Streams, stay, bare bool) (err error) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	t := &trial.Trial{}
+	t := &trial.Trial{Bare: bare}
 	if err := t.Start(ctx); err != nil {
 		return err
 	}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -52,6 +52,7 @@
 	journalEvents,
 	instanceEvents,
 	limitEvents,
+	peerEvents,
 	suspectEvents,
 	entryEvents,
 	capacityEvents,
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -27,6 +27,8 @@
 	StateSlow State = "slow"
 	// StateLost carries a call out and never answers it.
 	StateLost State = "lost"
+	// StateRefusing answers that nothing was started. Not all stand-ins know it.
+	StateRefusing State = "refusing"
 )
 
 // SlowDelay is how long a slow stand-in takes for a call.
@@ -50,6 +52,16 @@
 	return s, nil
 }
 
+// FreeAddress returns a loopback address that is free now, for listeners whose
+// address others must know before they start.
+func FreeAddress() (address string, err error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
 // URL returns the base URL of the server.
 func (s *Server) URL() string { return "http://" + s.Address }
 
