Example settings and fleet configuration of both deployments

Cause: a new operator had nothing to start from, and nothing showed the weights that each organisation measures by. Change: examples/tbilisi and examples/tunis hold settings of one node a data centre and a fleet configuration with the pools, five accounts, weights and one exception with its reason; a test checks them with skylarkloomd check and skylarkctl config check, and that latency outweighs recomputed tokens in the one and the reverse in the other.

--- /dev/null
+++ b/pkg/command/example_test.go
@@ -0,0 +1,68 @@
+package command_test
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/command"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/settings"
+)
+
+// deployment is what the brief says of one of the examples.
+type deployment struct {
+	folder  string
+	centres []fleet.DataCentreName
+	model   fleet.PoolName
+	service fleet.PoolName
+	// heavier reports whether the weight that the organisation measures by is
+	// above the other one.
+	heavier func(p fleet.Policy) bool
+}
+
+var _ = DescribeTable("The example deployments pass the programs' own checks", func(d deployment) {
+	folder := filepath.Join("..", "..", "examples", d.folder)
+	for _, v := range []string{"OPERATORS", "PEERS", "PLATFORM"} {
+		GinkgoT().Setenv("SKYLARKLOOM_"+v+"_TOKEN", "a-token")
+	}
+	for _, c := range d.centres {
+		file := filepath.Join(folder, string(c)+".yaml")
+		r := run(command.DaemonProgram(), "check", "--settings", file)
+		Expect(r.Code).To(Equal(command.ExitOK), r.Err)
+		s, err := settings.Load(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.DataCentre).To(Equal(c))
+		Expect(s.Peers.Nodes).To(HaveLen(len(d.centres) - 1))
+	}
+	file := filepath.Join(folder, "fleet.yaml")
+	r := run(command.ControlProgram(), "config", "check", file)
+	Expect(r.Code).To(Equal(command.ExitOK), r.Err)
+	data, err := os.ReadFile(file)
+	Expect(err).NotTo(HaveOccurred())
+	doc, err := fleet.ParseDocument(file, data)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(doc.Accounts).To(HaveLen(5))
+	Expect(doc.Exceptions).To(HaveLen(1))
+	for name, kind := range map[fleet.PoolName]fleet.Kind{d.model: fleet.KindModel, d.service: fleet.KindService} {
+		p, ok := doc.Pool(name)
+		Expect(ok).To(BeTrue())
+		Expect(p.Kind).To(Equal(kind))
+		served := map[fleet.DataCentreName]bool{}
+		for _, o := range p.Offers {
+			served[o.DataCentre] = true
+		}
+		Expect(served).To(HaveLen(len(d.centres)))
+		Expect(d.heavier(doc.Policy(doc.Accounts[0].Name, name, time.Now()))).To(BeTrue())
+	}
+},
+	Entry("Tbilisi", deployment{"tbilisi", []fleet.DataCentreName{"tb-dezerter", "tb-didube", "tb-vake"}, "loom-servers", "cart-desk", func(p fleet.Policy) bool {
+		return p.Latency.Value > p.Recompute.Value
+	}}),
+	Entry("Tunis", deployment{"tunis", []fleet.DataCentreName{"tunis-a", "tunis-b", "tunis-c"}, "plume", "guichet", func(p fleet.Policy) bool {
+		return p.Recompute.Value > p.Latency.Value
+	}}),
+)
