--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -117,8 +117,8 @@
 	}
 	server := &order.Server{
 		Desk:      desk,
-		Alive:     func(fleet.NodeRef) bool { return true },
-		Candidate: func(fleet.KeyRef) bool { return true },
+		Alive:     d.alive,
+		Candidate: d.peers.Candidate,
 	}
 	run := func(ctx context.Context) error {
 		g, ctx := errgroup.WithContext(ctx)
@@ -196,6 +196,9 @@
 			return entry.State(o), ok
 		},
 	}
+	if err := d.operate(h); err != nil {
+		return kernel.Service{}, err
+	}
 	d.operator = &listener{settings: d.Settings.Operators, handler: h.Routes()}
 	return d.operator.service(ServiceOperator), nil
 }
@@ -259,6 +262,8 @@
 		Time:       time.Now(),
 		Ready:      d.Ready(),
 		Streams:    map[platform.StreamName]journal.Stats{},
+		Degraded:   d.degraded(),
+		Nodes:      d.peers.Nodes(),
 	}
 	if k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig); err == nil {
 		s.Revision = k.Revision()
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -31,6 +31,7 @@
 	SubsystemRollout  Subsystem = "rollout"
 	SubsystemCapacity Subsystem = "capacity"
 	SubsystemLimit    Subsystem = "limit"
+	SubsystemOperator Subsystem = "operator"
 )
 
 // Entry describes one event.
@@ -51,10 +52,12 @@
 	journalEvents,
 	instanceEvents,
 	limitEvents,
+	peerEvents,
 	suspectEvents,
 	entryEvents,
 	capacityEvents,
 	rolloutEvents,
+	operatorEvents,
 )
 
 func catalogue(tables ...[]Entry) []Entry {
