Measure the edge, and encode what all tokens share once

Cause: nothing measured the proxy against the straight way; each token's chunk was encoded whole and moved the write deadline.

A token's chunk is written around text encoded alone, and the write deadline moves ahead once in a while.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order
 
 # measure writes the figures under docs/measured.
-measure: measure-orders
+measure: measure-orders measure-edge
 
 MACHINE := $(shell nproc) cores, $(shell go env GOOS)/$(shell go env GOARCH), $(shell go env GOVERSION)
 COMMIT := $(shell git describe --always --dirty 2>/dev/null)
@@ -58,6 +58,11 @@
 	MEASURE_FILE=$(CURDIR)/docs/measured/orders.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		go test -tags measure -count=1 -timeout 30m -run TestOrder ./pkg/order -ginkgo.focus Measure
 
+measure-edge:
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/edge.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus Measure
+
 # docs writes the pages of docs/ that are made from the code.
 docs: build
 	bin/skylarkloomd docs docs
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -77,6 +77,11 @@
 	timeout time.Duration
 	begun   bool
 	buffer  bytes.Buffer
+	// before and after stand around the text of a token's chunk.
+	before   []byte
+	after    []byte
+	encoder  *json.Encoder
+	deadline time.Time
 }
 
 func (s *sse) token(text string) error {
@@ -89,10 +94,48 @@
 			}
 		}
 	}
+	if s.before == nil {
+		if err := s.prepare(); err != nil {
+			return err
+		}
+	}
+	s.buffer.Reset()
+	s.buffer.Write(s.before)
+	if err := s.encoder.Encode(text); err != nil {
+		return err
+	}
+	// The encoder ends the text with a line break.
+	s.buffer.Truncate(s.buffer.Len() - 1)
+	s.buffer.Write(s.after)
+	return s.write()
+}
+
+// mark stands for the text while the chunk around it is encoded.
+const mark = "\x00"
+
+// prepare encodes once what is the same in every token's chunk.
+func (s *sse) prepare() (err error) {
+	text := mark
+	choice := edge.Choice{Text: &text}
 	if s.q.chat {
-		return s.chunk(edge.Choice{Delta: &edge.ChatMessage{Content: text}})
+		choice = edge.Choice{Delta: &edge.ChatMessage{Content: text}}
+	}
+	a := s.answer()
+	a.Choices = []edge.Choice{choice}
+	whole, err := json.Marshal(a)
+	if err != nil {
+		return err
 	}
-	return s.chunk(edge.Choice{Text: &text})
+	quoted, err := json.Marshal(mark)
+	if err != nil {
+		return err
+	}
+	// The model's name comes before the text, so the last mark is the text's.
+	at := bytes.LastIndex(whole, quoted)
+	s.before = append([]byte("data: "), whole[:at]...)
+	s.after = append(whole[at+len(quoted):], "\n\n"...)
+	s.encoder = json.NewEncoder(&s.buffer)
+	return nil
 }
 
 func (s *sse) begin() {
@@ -125,6 +168,7 @@
 		a.Choices, a.Usage = []edge.Choice{}, used
 		_ = s.send(a)
 	}
+	s.extend()
 	_, _ = s.w.Write([]byte("data: [DONE]\n\n"))
 	_ = s.control.Flush()
 	return nil
@@ -144,8 +188,7 @@
 	return s.send(a)
 }
 
-// send writes one event. A caller who does not read for the write timeout
-// fails the write, which ends the generation.
+// send writes one event.
 func (s *sse) send(body any) error {
 	s.buffer.Reset()
 	s.buffer.WriteString("data: ")
@@ -153,9 +196,26 @@
 		return err
 	}
 	s.buffer.WriteByte('\n')
-	_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout))
+	return s.write()
+}
+
+// write writes the buffer. A caller who does not read for the write timeout
+// fails the write, which ends the generation.
+func (s *sse) write() error {
+	s.extend()
 	if _, err := s.w.Write(s.buffer.Bytes()); err != nil {
 		return err
 	}
 	return s.control.Flush()
 }
+
+// extend moves the write deadline on, so that at least the write timeout is
+// left. It moves it ahead, as moving it for every token would cost more.
+func (s *sse) extend() {
+	now := time.Now()
+	if s.deadline.Sub(now) >= s.timeout {
+		return
+	}
+	s.deadline = now.Add(s.timeout + s.timeout/4)
+	_ = s.control.SetWriteDeadline(s.deadline)
+}
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -3,6 +3,7 @@
 package trial
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -40,6 +41,7 @@
 	enginesPerZone  = 3
 	servicesPerZone = 2
 	instances       = 2 * (enginesPerZone + servicesPerZone)
+	slots           = 16
 	tokenTime       = 5 * time.Millisecond
 	promptTime      = 100 * time.Microsecond
 	logDelay        = 2 * time.Millisecond
@@ -68,6 +70,10 @@
 	Token string
 	// Bare starts the stand-ins only, for daemons that run as processes.
 	Bare bool
+	// Engine makes the engines and Slots says how many requests the configuration
+	// gives each at a time; zero values take the try-out's.
+	Engine func() *standin.Engine
+	Slots  int
 
 	servers  []*standin.Server
 	platform settings.Platform
@@ -93,9 +99,7 @@
 	t.Log = &standin.Log{Delay: logDelay}
 	t.Runs = &standin.Runs{}
 	t.Cloud = &standin.Cloud{
-		Engine: func(fleet.PoolName) *standin.Engine {
-			return &standin.Engine{TokenTime: tokenTime, PromptTime: promptTime, Slots: 16}
-		},
+		Engine:      func(fleet.PoolName) *standin.Engine { return t.newEngine() },
 		Service:     func(fleet.PoolName) *standin.Service { return &standin.Service{Runs: t.Runs} },
 		Kinds:       map[fleet.PoolName]fleet.Kind{PoolModel: fleet.KindModel, PoolService: fleet.KindService},
 		Datacentres: map[fleet.ZoneName]fleet.DataCentreName{ZoneFirst: CentreOne, ZoneSecond: CentreTwo},
@@ -117,6 +121,21 @@
 	return await(ctx, t.ready)
 }
 
+func (t *Trial) newEngine() *standin.Engine {
+	if t.Engine != nil {
+		return t.Engine()
+	}
+	return &standin.Engine{TokenTime: tokenTime, PromptTime: promptTime, Slots: slots}
+}
+
+// document returns the configuration that this try-out starts with.
+func (t *Trial) document() []byte {
+	if t.Slots == 0 {
+		return Document()
+	}
+	return bytes.Replace(Document(), fmt.Appendf(nil, "slots: %d", slots), fmt.Appendf(nil, "slots: %d", t.Slots), 1)
+}
+
 func (t *Trial) makeToken() error {
 	var b [16]byte
 	if _, err := rand.Read(b[:]); err != nil {
@@ -136,7 +155,7 @@
   - name: %s
     kind: model
     model: loom
-    slots: 16
+    slots: %d
     workers: {min: 3, max: 12}
     weights: {latency: 2}
     offers:
@@ -155,7 +174,7 @@
   - name: season-plans
     keys: [%q]
     pools: [%s, %s]
-`, PoolModel, ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond, PoolService,
+`, PoolModel, slots, ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond, PoolService,
 		ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond,
 		fleet.HashKey(Keys["dezerter-sellers"]), PoolModel, PoolService,
 		fleet.HashKey(Keys["season-plans"]), PoolModel, PoolService)
@@ -163,7 +182,7 @@
 
 func (t *Trial) publish() (err error) {
 	e, err := record.New(record.KindPublish, time.Now(), record.Publish{
-		Document: Document(),
+		Document: t.document(),
 		Author:   "try-out",
 		Message:  "the first configuration",
 	})
