Play traces in virtual time to compare the policies

There was no way to tell whether a policy is better. pkg/replay plays two seeded traces (the cooperative at dawn, tales at night; a zone lost without replacement and one large account bursting in each) over models of engines with its own event queue, with the same route, move and prefix decisions as the daemon, seven nodes with a view each, lagged reports and lost cache events. make measure-policy writes cost at the target, tokens by cause and the share on time, for the policy, the baselines, an oracle, and with each term of the score left out. The look-up of the index compares holders by pointer.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,10 @@
 	protoc --plugin=$(GOBIN)/protoc-gen-go --plugin=$(GOBIN)/protoc-gen-connect-go \
 		--go_out=. --go_opt=paths=source_relative --connect-go_out=. --connect-go_opt=paths=source_relative \
 		pkg/api/peer/v1/peer.proto
+
+measure: measure-policy
+
+# measure-policy compares the policies by pkg/replay in virtual time.
+measure-policy:
+	mkdir -p docs/measured
+	go test -count=1 -timeout 30m -run TestMeasure ./pkg/replay -args -measure $(CURDIR)/docs/measured/policy.txt
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -27,6 +27,8 @@
 	Tokens fleet.Tokens
 	// Doubtful is how many tokens more are cached if no eviction was missed.
 	Doubtful fleet.Tokens
+
+	holder *holder
 }
 
 // Index is the inverted index from blocks to the endpoints that hold them. The
@@ -168,7 +170,7 @@
 				continue
 			}
 			sure := e.epoch == e.holder.epoch && now.Sub(e.seen) < maxAge
-			hits = extend(hits, e.holder.ref, depth, sure)
+			hits = extend(hits, e.holder, depth, sure)
 			found = true
 		}
 		if !found {
@@ -179,24 +181,25 @@
 }
 
 // extend adds one block to an endpoint's hit if it holds all blocks before.
-func extend(hits []Hit, ref fleet.InstanceRef, depth int, sure bool) []Hit {
-	i := slices.IndexFunc(hits, func(h Hit) bool { return h.Instance == ref })
-	if i < 0 {
-		if depth > 0 {
+func extend(hits []Hit, holder *holder, depth int, sure bool) []Hit {
+	if depth == 0 {
+		hits = append(hits, Hit{Instance: holder.ref, holder: holder})
+	}
+	for i := range hits {
+		h := &hits[i]
+		if h.holder != holder {
+			continue
+		}
+		if h.Tokens+h.Doubtful != fleet.Tokens(depth)*BlockTokens {
 			return hits
 		}
-		hits = append(hits, Hit{Instance: ref})
-		i = len(hits) - 1
-	}
-	h := &hits[i]
-	if h.Tokens+h.Doubtful != fleet.Tokens(depth)*BlockTokens {
+		if sure && h.Doubtful == 0 {
+			h.Tokens += BlockTokens
+		} else {
+			h.Doubtful += BlockTokens
+		}
 		return hits
 	}
-	if sure && h.Doubtful == 0 {
-		h.Tokens += BlockTokens
-	} else {
-		h.Doubtful += BlockTokens
-	}
 	return hits
 }
 
--- a/pkg/prefix/index_test.go
+++ b/pkg/prefix/index_test.go
@@ -44,7 +44,12 @@
 	chain := []uint64{11, 12, 13}
 	BeforeEach(func() { x = &prefix.Index{Limit: 100} })
 
-	find := func(now time.Time) []prefix.Hit { return x.Find(chain, now, nil) }
+	find := func(now time.Time) (list []prefix.Hit) {
+		for _, h := range x.Find(chain, now, nil) {
+			list = append(list, prefix.Hit{Instance: h.Instance, Tokens: h.Tokens, Doubtful: h.Doubtful})
+		}
+		return list
+	}
 
 	It("counts only blocks that follow each other from the start", func() {
 		x.Apply(ref(1), []engine.CacheEvent{stored(0, 11), stored(1, 13)}, start)
--- /dev/null
+++ b/pkg/replay/replay_test.go
@@ -0,0 +1,70 @@
+package replay_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/replay"
+)
+
+var (
+	measure = flag.String("measure", "", "write the comparison of the policies to this file")
+	seeds   = flag.Int("seeds", 4, "seeds of the comparison")
+)
+
+func TestReplay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replay")
+}
+
+// TestMeasure writes docs/measured/policy.txt for make measure.
+func TestMeasure(t *testing.T) {
+	if *measure == "" {
+		t.Skip("no -measure file is given")
+	}
+	commit, err := exec.CommandContext(t.Context(), "git", "describe", "--always", "--dirty").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	start := time.Now()
+	fmt.Fprintf(&b, "Comparison of the policies by pkg/replay, in virtual time\ncommit %s, %s/%s, %d cores, %s\n",
+		strings.TrimSpace(string(commit)), runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version())
+	replay.Measure(&b, *seeds)
+	fmt.Fprintf(&b, "\nplayed in %v\n", time.Since(start).Round(time.Second))
+	if err := os.WriteFile(*measure, b.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+var _ = Describe("A replay", func() {
+	It("gives the same result for the same trace and seed", func() {
+		p := replay.Policies()[0]
+		first := replay.Play(replay.Night(1), p, 8, 1)
+		Expect(replay.Play(replay.Night(1), p, 8, 1)).To(Equal(first))
+		Expect(first.Requests).To(BeNumerically(">", 500))
+	})
+
+	It("loses no request of any policy when there is room enough", func() {
+		for _, p := range replay.Policies() {
+			if p.Name == "cheapest zone only" {
+				continue
+			}
+			Expect(replay.Play(replay.Night(1), p, 30, 1).Lost).To(BeZero(), p.Name)
+		}
+	})
+
+	It("sends nothing new to a leaving instance after the nodes know", func() {
+		Expect(replay.Play(replay.Night(2), replay.Policies()[0], 8, 2).LastNew).To(BeNumerically("<=", 500*time.Millisecond))
+	})
+})
