--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_CHECKS ?= 20000
 FUZZ_SEED ?= 1
 
-.PHONY: try test build lint format fuzz measure docs generate ci
+.PHONY: processes try test build lint format fuzz mutate measure measure-orders docs generate ci
 
 try: build
 	bin/skylarkloomd try
@@ -32,6 +32,29 @@
 fuzz:
 	FUZZ_CHECKS=$(FUZZ_CHECKS) FUZZ_SEED=$(FUZZ_SEED) go test -race -count=1 -timeout 2h -run TestOrder -v ./pkg/order
 
+# mutate breaks each rule on purpose and shows which check catches it.
+mutate:
+	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order
+
+# measure writes the figures under docs/measured.
+measure: measure-orders
+
+MACHINE := $(shell nproc) cores, $(shell go env GOOS)/$(shell go env GOARCH), $(shell go env GOVERSION)
+COMMIT := $(shell git describe --always --dirty 2>/dev/null)
+
+measure-orders:
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/orders.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		go test -tags measure -count=1 -timeout 30m -run TestOrder ./pkg/order -ginkgo.focus Measure
+
+# docs writes the pages of docs/ that are made from the code.
+docs: build
+	bin/skylarkloomd docs docs
+
+# processes runs daemons as processes over the stand-ins and breaks them.
+processes: build
+	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags processes -count=1 -timeout 10m -v ./pkg/trial/processes
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
 
@@ -18,16 +19,19 @@
 	"github.com/skylarkloom/skylarkloom/pkg/trial"
 )
 
-// DaemonTable lists the commands of skylarkloomd.
-var DaemonTable = []Command{
-	{Name: "run", Help: "run an entry node", Example: "skylarkloomd run --settings node.yaml", Flags: runFlags},
-	{Name: "check", Help: "check a settings file and report every mistake", Example: "skylarkloomd check --settings node.yaml", Flags: checkFlags},
-	{Name: "try", Help: "show the main job on embedded stand-ins; --stay keeps them running", Example: "skylarkloomd try --stay", Flags: tryFlags},
+// DaemonProgram returns skylarkloomd.
+func DaemonProgram() Program {
+	return Program{Name: "skylarkloomd", About: "entry daemon for model engines and plain services", Table: []Command{
+		{Name: "run", Help: "run an entry node", Example: "skylarkloomd run --settings node.yaml", Flags: runFlags},
+		{Name: "check", Help: "check a settings file and report every mistake", Example: "skylarkloomd check --settings node.yaml", Flags: checkFlags},
+		{Name: "try", Help: "show the main job on embedded stand-ins; --stay keeps them running", Example: "skylarkloomd try --stay", Flags: tryFlags},
+		{Name: "docs", Help: "write the pages that are made from the code", Hidden: true, Flags: docsFlags},
+	}}
 }
 
 // Daemon runs skylarkloomd with its arguments and returns the exit code.
 func Daemon(args []string, out, errs io.Writer) int {
-	return run(context.Background(), "skylarkloomd", "entry daemon for model engines and plain services", DaemonTable, args, Streams{Out: out, Err: errs})
+	return DaemonProgram().Run(context.Background(), args, Streams{Out: out, Err: errs})
 }
 
 func runFlags(sub *flaggy.Subcommand) func(context.Context, Streams) error {
@@ -55,7 +59,9 @@
 	if err != nil {
 		return &Error{Code: ExitUsage, Cause: err}
 	}
-	base, err := zap.NewProduction(zap.IncreaseLevel(zap.DebugLevel))
+	lines := zap.NewProductionConfig()
+	lines.Level.SetLevel(zap.DebugLevel)
+	base, err := lines.Build()
 	if err != nil {
 		return err
 	}
@@ -77,17 +83,23 @@
 }
 
 func tryFlags(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var stay bool
+	var stay, bare bool
 	sub.Bool(&stay, "", "stay", "keep running for tests from outside")
-	return func(ctx context.Context, s Streams) error { return try(ctx, s, stay) }
+	sub.Bool(&bare, "", "bare", "with --stay: only the stand-ins, for daemons run as processes")
+	return func(ctx context.Context, s Streams) error {
+		if bare && !stay {
+			return &Error{Code: ExitUsage, Cause: errors.New("--bare goes with --stay")}
+		}
+		return try(ctx, s, stay, bare)
+	}
 }
 
 // try runs the try-out: the show, or until a signal.
-func try(ctx context.Context, s Streams, stay bool) (err error) {
+func try(ctx context.Context, s Streams, stay, bare bool) (err error) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	t := &trial.Trial{}
+	t := &trial.Trial{Bare: bare}
 	if err := t.Start(ctx); err != nil {
 		return err
 	}
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	r := &router.Router{Roster: known, Client: d.client, Weights: weights(keeper)}
+	r := &router.Router{Roster: known, Client: d.client, Orders: newClient(false), Weights: weights(keeper)}
 	r.Shunned = func(i fleet.Instance, until time.Time) {
 		d.Logs.Emit(event.EndpointShunned, zap.String("instance", string(i.ID)), zap.Time("until", until))
 	}
@@ -117,8 +117,8 @@
 	}
 	server := &order.Server{
 		Desk:      desk,
-		Alive:     func(fleet.NodeRef) bool { return true },
-		Candidate: func(fleet.KeyRef) bool { return true },
+		Alive:     d.alive,
+		Candidate: d.peers.Candidate,
 	}
 	run := func(ctx context.Context) error {
 		g, ctx := errgroup.WithContext(ctx)
@@ -151,7 +151,14 @@
 		return kernel.Service{}, err
 	}
 	runner := &generation.Runner{Pick: guard.Pick, Pause: d.admitter.pause}
-	h := &entry.Handler{Config: keeper.Current, Generate: runner.Run, Call: r.Call, Desk: desk, Admit: d.admitter.admit}
+	h := &entry.Handler{
+		Config:   keeper.Current,
+		Generate: runner.Run,
+		Call:     r.Call,
+		Desk:     desk,
+		Admit:    d.admitter.admit,
+		Linger:   d.Settings.Stop.Notice / 2,
+	}
 	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
 }
@@ -161,7 +168,7 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
-	d.callers = &listener{settings: d.Settings.Callers, handler: h.Routes()}
+	d.callers = &listener{settings: d.Settings.Callers, handler: h.Routes(), connection: h.Connection}
 	return d.callers.service(ServiceCallers), nil
 }
 
@@ -189,6 +196,9 @@
 			return entry.State(o), ok
 		},
 	}
+	if err := d.operate(h); err != nil {
+		return kernel.Service{}, err
+	}
 	d.operator = &listener{settings: d.Settings.Operators, handler: h.Routes()}
 	return d.operator.service(ServiceOperator), nil
 }
@@ -252,6 +262,8 @@
 		Time:       time.Now(),
 		Ready:      d.Ready(),
 		Streams:    map[platform.StreamName]journal.Stats{},
+		Degraded:   d.degraded(),
+		Nodes:      d.peers.Nodes(),
 	}
 	if k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig); err == nil {
 		s.Revision = k.Revision()
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -28,8 +28,10 @@
 	SubsystemEntry    Subsystem = "entry"
 	SubsystemPeer     Subsystem = "peer"
 	SubsystemSuspect  Subsystem = "suspect"
+	SubsystemRollout  Subsystem = "rollout"
 	SubsystemCapacity Subsystem = "capacity"
 	SubsystemLimit    Subsystem = "limit"
+	SubsystemOperator Subsystem = "operator"
 )
 
 // Entry describes one event.
@@ -50,8 +52,12 @@
 	journalEvents,
 	instanceEvents,
 	limitEvents,
+	peerEvents,
 	suspectEvents,
 	entryEvents,
+	capacityEvents,
+	rolloutEvents,
+	operatorEvents,
 )
 
 func catalogue(tables ...[]Entry) []Entry {
--- a/pkg/trial/control.go
+++ b/pkg/trial/control.go
@@ -18,27 +18,41 @@
 	Token     string                       `json:"token"`
 	Pools     map[string]fleet.PoolName    `json:"pools"`
 	Zones     []fleet.ZoneName             `json:"zones"`
+	// Platform holds the base URLs of the stand-ins of the platform.
+	Platform PlatformAddresses `json:"platform"`
+}
+
+// PlatformAddresses are the base URLs of the stand-ins of the platform.
+type PlatformAddresses struct {
+	Log   string `json:"log"`
+	List  string `json:"list"`
+	Cloud string `json:"cloud"`
 }
 
 // Open starts the balancer and the control address and returns how to reach
 // everything. It is for tests from outside.
 func (t *Trial) Open() (a Addresses, err error) {
-	if err := t.balance.start(); err != nil {
-		return a, err
-	}
 	control, err := t.serve(t.control())
 	if err != nil {
 		return a, err
 	}
-	return Addresses{
-		Callers:   "http://" + t.balance.net.Addr().String(),
-		Operators: "http://" + t.Nodes[0].Operators(),
-		Control:   control.URL(),
-		Keys:      Keys,
-		Token:     t.Token,
-		Pools:     map[string]fleet.PoolName{string(fleet.KindModel): PoolModel, string(fleet.KindService): PoolService},
-		Zones:     []fleet.ZoneName{ZoneFirst, ZoneSecond},
-	}, nil
+	a = Addresses{
+		Control:  control.URL(),
+		Platform: PlatformAddresses{Log: t.platform.Log, List: t.platform.List, Cloud: t.platform.Cloud},
+		Keys:     Keys,
+		Token:    t.Token,
+		Pools:    map[string]fleet.PoolName{string(fleet.KindModel): PoolModel, string(fleet.KindService): PoolService},
+		Zones:    []fleet.ZoneName{ZoneFirst, ZoneSecond},
+	}
+	if t.Bare {
+		return a, nil
+	}
+	a.Operators = "http://" + t.Nodes[0].Operators()
+	if err := t.balance.start(); err != nil {
+		return a, err
+	}
+	a.Callers = "http://" + t.balance.net.Addr().String()
+	return a, nil
 }
 
 // control serves the address that causes faults by hand.
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -66,9 +66,12 @@
 	Runs  *standin.Runs
 	Nodes []*daemon.Daemon
 	Token string
+	// Bare starts the stand-ins only, for daemons that run as processes.
+	Bare bool
 
 	servers  []*standin.Server
 	platform settings.Platform
+	peers    []settings.Peer
 	balance  *balancer
 	folder   string
 }
@@ -105,6 +108,9 @@
 	if err := t.startInstances(); err != nil {
 		return err
 	}
+	if err := t.servePlatform(); err != nil || t.Bare {
+		return err
+	}
 	if err := t.startNodes(ctx); err != nil {
 		return err
 	}
@@ -131,13 +137,17 @@
     kind: model
     model: loom
     slots: 16
-    workers: {min: 2, max: 12}
+    workers: {min: 3, max: 12}
     weights: {latency: 2}
     offers:
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
   - name: %s
     kind: service
+    workers: {min: 2, max: 6}
+    offers:
+      - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
+      - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
 accounts:
   - name: dezerter-sellers
     keys: [%q]
@@ -146,6 +156,7 @@
     keys: [%q]
     pools: [%s, %s]
 `, PoolModel, ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond, PoolService,
+		ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond,
 		fleet.HashKey(Keys["dezerter-sellers"]), PoolModel, PoolService,
 		fleet.HashKey(Keys["season-plans"]), PoolModel, PoolService)
 }
@@ -201,7 +212,7 @@
 	return s, err
 }
 
-func (t *Trial) startNodes(ctx context.Context) error {
+func (t *Trial) servePlatform() error {
 	log, err := t.serve(t.Log.Handler())
 	if err != nil {
 		return err
@@ -211,9 +222,20 @@
 		return err
 	}
 	t.platform = settings.Platform{Log: log.URL(), List: cloud.URL(), Cloud: cloud.URL()}
+	return nil
+}
+
+func (t *Trial) startNodes(ctx context.Context) error {
 	centres := []fleet.DataCentreName{CentreOne, CentreOne, CentreTwo}
 	for n, centre := range centres {
-		d, err := t.StartNode(ctx, fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), centre)
+		address, err := standin.FreeAddress()
+		if err != nil {
+			return err
+		}
+		t.peers = append(t.peers, settings.Peer{Name: fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), DataCentre: centre, Address: address})
+	}
+	for _, p := range t.peers {
+		d, err := t.startNode(ctx, p)
 		if err != nil {
 			return err
 		}
@@ -227,13 +249,22 @@
 // StartNode starts one more node. It lives until it is stopped, whatever
 // becomes of the context.
 func (t *Trial) StartNode(ctx context.Context, name fleet.NodeName, centre fleet.DataCentreName) (*daemon.Daemon, error) {
+	address, err := standin.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	return t.startNode(ctx, settings.Peer{Name: name, DataCentre: centre, Address: address})
+}
+
+func (t *Trial) startNode(ctx context.Context, p settings.Peer) (*daemon.Daemon, error) {
 	d := &daemon.Daemon{
 		Logs: t.Logs,
 		Settings: settings.Settings{
-			Node:       name,
-			DataCentre: centre,
+			Node:       p.Name,
+			DataCentre: p.DataCentre,
 			Callers:    settings.Listener{Address: loopback},
 			Operators:  settings.Listener{Address: loopback, Token: settings.Secret{File: t.tokenFile()}},
+			Peers:      settings.Peers{Address: p.Address, Token: settings.Secret{File: t.tokenFile()}, Nodes: t.peers},
 			Platform:   t.platform,
 			Orders:     settings.Orders{Partitions: settings.DefaultPartitions},
 			Stop:       settings.Stop{Notice: stopNotice},
