Split account limits among the nodes by observed demand

Every node took the even share. Property test: the shares add up to the part of the nodes that hear each other.

--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -38,8 +38,37 @@
 	refused *prometheus.CounterVec
 	log     func(r limit.Request, reason limit.Reason)
 
-	mu    sync.Mutex
-	pools map[fleet.PoolName]bool
+	// peers returns how many nodes are heard, this one included, and the demand
+	// of an account on all of them.
+	peers  func() (present int)
+	demand func(account fleet.AccountName) float64
+
+	mu     sync.Mutex
+	pools  map[fleet.PoolName]bool
+	shares map[fleet.AccountName]float64
+}
+
+// share is the limiter's Share.
+func (a *admitter) share(account fleet.AccountName) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if share, ok := a.shares[account]; ok {
+		return share
+	}
+	return limit.Share(0, 0, 1, a.nodes)
+}
+
+// split works the shares out anew from the demand that is seen and heard of.
+func (a *admitter) split() {
+	present := a.peers()
+	shares := make(map[fleet.AccountName]float64)
+	for account, own := range a.limiter.Demands() {
+		others := max(0, a.demand(account)-own)
+		shares[account] = limit.Share(own, others, present, a.nodes)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shares = shares
 }
 
 // admit is the entry handler's Admit.
@@ -74,7 +103,8 @@
 	return release, err
 }
 
-// run gives waiting requests the room that opens without their doing.
+// run gives waiting requests the room that opens without their doing, and keeps
+// the shares of the limits.
 func (a *admitter) run(ctx context.Context) error {
 	tick := time.NewTicker(resizeEvery)
 	defer tick.Stop()
@@ -82,6 +112,7 @@
 		select {
 		case <-tick.C:
 			a.resize()
+			a.split()
 		case <-ctx.Done():
 			return nil
 		}
@@ -108,8 +139,7 @@
 	}
 }
 
-// limitService admits requests. The share of the account limits is the even
-// one until the peers tell better; see the limiter's Share.
+// limitService admits requests.
 func (d *Daemon) limitService() (kernel.Service, error) {
 	r, err := kernel.Find[*router.Router](&d.kernel, ServiceRouter)
 	if err != nil {
@@ -125,7 +155,10 @@
 			Help: "Requests that the limits did not admit.",
 		}, []string{"account", "pool", "reason"}),
 	}
-	a.limiter.Share = func(fleet.AccountName) float64 { return limit.Share(0, nil, a.nodes) }
+	a.limiter.Share = a.share
+	a.peers = d.countAlive
+	a.demand = func(account fleet.AccountName) float64 { return d.peers.AccountDemand(account).Fleet }
+	d.peers.Demand = a.limiter.Demands
 	sometimes := rate.Sometimes{Interval: refusalsEvery}
 	a.log = func(r limit.Request, reason limit.Reason) {
 		sometimes.Do(func() {
@@ -137,6 +170,17 @@
 	return running(ServiceLimit, a.limiter, a.run), nil
 }
 
+// countAlive returns how many entry nodes are heard of, this one included.
+func (d *Daemon) countAlive() int {
+	count := 1
+	for _, n := range d.peers.Nodes() {
+		if n.Alive && n.Name != d.Settings.Node {
+			count++
+		}
+	}
+	return count
+}
+
 // countNodes returns how many entry nodes the settings name, this one included.
 func (d *Daemon) countNodes() int {
 	count := 1
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -169,15 +169,18 @@
 			demand := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 9).Draw(t, "demand")
 			nodes := len(demand) + rapid.IntRange(0, 5).Draw(t, "unheard")
 			sum := 0.0
-			for i, own := range demand {
-				heard := append(append([]float64{}, demand[:i]...), demand[i+1:]...)
-				sum += limit.Share(own, heard, nodes)
+			total := 0.0
+			for _, d := range demand {
+				total += d
+			}
+			for _, own := range demand {
+				sum += limit.Share(own, total-own, len(demand), nodes)
 			}
 			if want := float64(len(demand)) / float64(nodes); math.Abs(sum-want) > 1e-9 {
 				t.Fatalf("the shares of %d of %d nodes add up to %v", len(demand), nodes, sum)
 			}
 		})
-		Expect(limit.Share(50, nil, 7)).To(BeNumerically("~", 1.0/7, 1e-9))
+		Expect(limit.Share(50, 0, 1, 7)).To(BeNumerically("~", 1.0/7, 1e-9))
 	})
 })
 
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -16,7 +16,7 @@
 // Limiter admits requests on one node. The zero value is ready to use.
 type Limiter struct {
 	// Share returns which part of an account's limit this node may use; nil
-	// takes all.
+	// takes all. It must not call the limiter.
 	Share func(account fleet.AccountName) float64
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
@@ -84,14 +84,16 @@
 	return a.at(l.now())
 }
 
-// Demands calls each for every account with its observed rate.
-func (l *Limiter) Demands(each func(name fleet.AccountName, rate float64)) {
+// Demands returns the observed rate of every account on this node.
+func (l *Limiter) Demands() map[fleet.AccountName]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
+	rates := make(map[fleet.AccountName]float64, len(l.accounts))
 	for name, a := range l.accounts {
-		each(name, a.at(now))
+		rates[name] = a.at(now)
 	}
+	return rates
 }
 
 func (l *Limiter) queue(pool fleet.PoolName) *Queue {
--- a/pkg/limit/share.go
+++ b/pkg/limit/share.go
@@ -5,20 +5,16 @@
 const evenPart = 0.1
 
 // Share returns which part of an account's limit this node may use. Own is its
-// demand and heard that of the nodes it hears of; nodes counts all nodes. A
-// node that is not heard keeps its even share, so a cut-off data centre and the
-// rest together stay within the limit.
-func Share(own float64, heard []float64, nodes int) float64 {
-	present := len(heard) + 1
+// demand, and others that of the nodes it hears of; present counts these and
+// itself, and nodes all there are. A node that is not heard keeps its even
+// share, so a cut-off data centre and the rest together stay within the limit.
+func Share(own, others float64, present, nodes int) float64 {
+	present = max(present, 1)
 	nodes = max(nodes, present)
-	part := float64(present) / float64(nodes)
-	even := part / float64(present)
-	total := own
-	for _, d := range heard {
-		total += d
-	}
-	if total <= 0 {
+	even := 1 / float64(nodes)
+	if own+others <= 0 {
 		return even
 	}
-	return evenPart*even + (1-evenPart)*part*own/total
+	part := float64(present) * even
+	return evenPart*even + (1-evenPart)*part*own/(own+others)
 }
