Share the accounts' limits by the demand that peers report

Each node took the even share of an account's limit, whatever its demand. Demand now goes by the peers, and each heartbeat works the shares out anew by limit.Share; requests read them without a lock. A data centre that is cut off is no longer heard, so each side falls to its share within MaxAge (30 s).

FreeAddress takes ports that the system does not give out by itself: a daemon of the first measuring run lost its port to another process. Adds make measure-peers and make measure-nodes. pkg/peer, member, daemon, limit pass with -race, and of pkg/trial the two specs that start a whole try-out.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_CHECKS ?= 20000
 FUZZ_SEED ?= 1
 
-.PHONY: try test build lint format fuzz mutate measure measure-orders docs generate ci
+.PHONY: try test build lint format fuzz mutate measure measure-orders measure-peers measure-nodes docs generate ci
 
 try: build
 	bin/skylarkloomd try
@@ -37,7 +37,7 @@
 	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order
 
 # measure writes the figures under docs/measured.
-measure: measure-orders
+measure: measure-orders measure-peers
 
 MACHINE := $(shell nproc) cores, $(shell go env GOOS)/$(shell go env GOARCH), $(shell go env GOVERSION)
 COMMIT := $(shell git describe --always --dirty 2>/dev/null)
@@ -47,6 +47,18 @@
 	MEASURE_FILE=$(CURDIR)/docs/measured/orders.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		go test -tags measure -count=1 -timeout 30m -run TestOrder ./pkg/order -ginkgo.focus Measure
 
+measure-peers:
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/peers.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		go test -tags measure -count=1 -timeout 30m -run TestPeer ./pkg/peer -ginkgo.focus Measure
+
+# measure-nodes starts daemons as processes, 60 at most, and ends them by their id.
+measure-nodes: build
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/nodes.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		MEASURE_DAEMON=$(CURDIR)/bin/skylarkloomd \
+		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus Measure
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -64,6 +64,7 @@
 	admitter *admitter
 	peers    *peer.Service
 	traffic  peer.Traffic
+	shares   atomic.Pointer[shares]
 }
 
 // Clients are the clients of the platform's services.
--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// limitService admits requests. The share of the account limits is the even
-// one until the peers tell better; see the limiter's Share.
+// limitService admits requests. The share of an account's limit goes by the
+// demand that the peers report.
 func (d *Daemon) limitService() (kernel.Service, error) {
 	r, err := kernel.Find[*router.Router](&d.kernel, ServiceRouter)
 	if err != nil {
@@ -125,7 +125,7 @@
 			Help: "Requests that the limits did not admit.",
 		}, []string{"account", "pool", "reason"}),
 	}
-	a.limiter.Share = func(fleet.AccountName) float64 { return limit.Share(0, nil, a.nodes) }
+	a.limiter.Share = d.share
 	sometimes := rate.Sometimes{Interval: refusalsEvery}
 	a.log = func(r limit.Request, reason limit.Reason) {
 		sometimes.Do(func() {
--- a/pkg/daemon/peer.go
+++ b/pkg/daemon/peer.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/limit"
 	"github.com/skylarkloom/skylarkloom/pkg/member"
 	"github.com/skylarkloom/skylarkloom/pkg/peer"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
@@ -66,6 +67,7 @@
 		Revision: keeper.Revision,
 		Change:   inForce(keeper),
 		Learn:    d.learn(keeper),
+		Demand:   d.demands,
 		Marked:   func(m roster.Mark) { known.Mark(m) },
 		Changed:  d.peerChanged,
 		Failed:   d.exchangeFailed(),
@@ -86,6 +88,33 @@
 	return running(ServicePeer, s, s.Run), nil
 }
 
+// shares are the parts of the accounts' limits that this node may use.
+type shares map[fleet.AccountName]float64
+
+// demands returns the accounts' observed rates on this node, and brings its
+// shares of their limits up to date.
+func (d *Daemon) demands() map[fleet.AccountName]float64 {
+	rates := make(map[fleet.AccountName]float64)
+	d.admitter.limiter.Demands(func(name fleet.AccountName, rate float64) { rates[name] = rate })
+	parts := make(shares, len(rates))
+	for name, own := range rates {
+		parts[name] = limit.Share(own, d.peers.Demands(name), d.admitter.nodes)
+	}
+	d.shares.Store(&parts)
+	return rates
+}
+
+// share is the limiter's Share. An account without demand here so far has the
+// even share.
+func (d *Daemon) share(name fleet.AccountName) float64 {
+	if parts := d.shares.Load(); parts != nil {
+		if part, ok := (*parts)[name]; ok {
+			return part
+		}
+	}
+	return limit.Share(0, nil, d.admitter.nodes)
+}
+
 func inForce(k *config.Keeper) func() (config.Change, bool) {
 	return func() (config.Change, bool) {
 		c := k.Current()
--- a/pkg/member/reports.go
+++ b/pkg/member/reports.go
@@ -74,6 +74,13 @@
 	return *p, true
 }
 
+// Name returns the name of the node whose newest life is known by its compact
+// name.
+func (r *Reports) Name(l Life) (name fleet.NodeName, ok bool) {
+	name, ok = r.names[l]
+	return name, ok
+}
+
 // Origins returns all origins in order of name.
 func (r *Reports) Origins() []Origin {
 	list := make([]Origin, 0, len(r.origins))
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -133,7 +133,12 @@
 		return p, false
 	}
 	s.behind.since = now
-	return s.find(s.behind.peer)
+	for _, p := range append(s.centrePeers(), s.Peers...) {
+		if p.Name == s.behind.peer {
+			return p, true
+		}
+	}
+	return p, false
 }
 
 func (s *Service) find(name fleet.NodeName) (p Peer, ok bool) {
@@ -338,7 +343,7 @@
 	state.sum = r.GetFacts().GetSum()
 	s.notice(p.Name, fleet.Revision(r.GetRevision()), own, now)
 	news := s.mergeFacts(r.GetFacts(), now)
-	loads := s.mergeParts(r.GetParts(), now)
+	loads := s.mergeParts(r.GetParts(), own, now)
 	if r.GetSummary() != nil {
 		s.mergeSummary(r.GetSummary(), now)
 	}
@@ -362,12 +367,15 @@
 
 // mergeParts merges reports and returns the loads among the news. The lock is
 // held.
-func (s *Service) mergeParts(parts []*peerv1.Part, now time.Time) (loads []member.Item) {
+func (s *Service) mergeParts(parts []*peerv1.Part, revision fleet.Revision, now time.Time) (loads []member.Item) {
 	own := member.LifeOf(s.Self.Ref)
 	for _, w := range parts {
 		if member.Life(w.GetLife()) == own {
 			continue
 		}
+		if name, ok := s.reports.Name(member.Life(w.GetLife())); ok {
+			s.notice(name, fleet.Revision(w.GetRevision()), revision, now)
+		}
 		for _, i := range s.reports.Merge(partFromWire(w, now), now) {
 			switch i.Key.Kind {
 			case member.KindLoad:
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -140,9 +140,11 @@
 				g.Expect(d.Centre).To(BeNumerically("~", 6, 0.01))
 				g.Expect(d.Fleet).To(BeNumerically("~", 12, 0.01))
 			}
+			g.Expect(w.list[0].Demands("sellers")).To(HaveLen(5))
 			w.setCut(apart)
 			time.Sleep(member.MaxAge + 5*time.Second)
 			g.Expect(w.list[0].AccountDemand("sellers").Fleet).To(BeNumerically("~", 6, 0.01))
+			g.Expect(w.list[0].Demands("sellers")).To(Equal([]float64{2, 2}))
 		})
 	})
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -47,7 +47,7 @@
 	forgetAfter = 10 * time.Minute
 	// learnAfter is how long a node that is behind waits for the log before it
 	// asks a peer for the configuration.
-	learnAfter = 2 * time.Second
+	learnAfter = time.Second
 	// demandEvery is after how long an unchanged demand is reported again.
 	demandEvery = 10 * time.Second
 	// exchangeTimeout bounds one exchange.
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -199,6 +199,42 @@
 	return d
 }
 
+// Demands returns the demand of an account at each other node that lives. That
+// of another data centre is known as a whole and counts as even.
+func (s *Service) Demands(account fleet.AccountName) (list []float64) {
+	s.init()
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	subject := member.AccountSubject(account)
+	for _, name := range s.centre {
+		o, ok := s.reports.Origin(name)
+		if !ok || name == s.Self.Ref.Name {
+			continue
+		}
+		rate := 0.0
+		if i, ok := o.Item(member.Key{Kind: member.KindDemand, Subject: subject}); ok && now.Sub(i.Observed) <= member.MaxAge {
+			rate = rateOf(i)
+		}
+		list = append(list, rate)
+	}
+	for _, r := range s.remote {
+		if now.Sub(r.observed) > member.MaxAge {
+			continue
+		}
+		count := 0
+		for _, heard := range r.heard {
+			if r.recent(heard, now) {
+				count++
+			}
+		}
+		for range count {
+			list = append(list, r.rates[subject]/float64(count))
+		}
+	}
+	return list
+}
+
 // Silent returns the data centres of which nothing was heard lately.
 func (s *Service) Silent() (list []fleet.DataCentreName) {
 	s.init()
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -8,8 +8,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,14 +54,26 @@
 	return s, nil
 }
 
+// Ports that the system does not give out by itself, so that nobody is given
+// one between FreeAddress and its use.
+const (
+	firstPort = 20000
+	ports     = 10000
+	portTries = 100
+)
+
 // FreeAddress returns a loopback address that is free now, for listeners whose
 // address others must know before they start.
 func FreeAddress() (address string, err error) {
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports))) //nolint:gosec // any free port will do
+		l, failed := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		if failed == nil {
+			return address, l.Close()
+		}
+		err = failed
 	}
-	return l.Addr().String(), l.Close()
+	return "", err
 }
 
 // URL returns the base URL of the server.
--- /dev/null
+++ b/pkg/trial/measure_test.go
@@ -0,0 +1,236 @@
+//go:build measure
+
+package trial_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
+	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/platform"
+	"github.com/skylarkloom/skylarkloom/pkg/standin"
+	"github.com/skylarkloom/skylarkloom/pkg/trial"
+)
+
+const (
+	measureToken  = "token-of-the-measurement"
+	measureWarmUp = 15 * time.Second
+	measureFor    = 20 * time.Second
+	measureRounds = 10
+	clockTick     = 100.0
+)
+
+// process is one daemon with its addresses.
+type process struct {
+	command   *exec.Cmd
+	operators string
+}
+
+// sample is what the daemons had used at a time.
+type sample struct{ processor, sent, received, resident float64 }
+
+func (p *process) get(path string) []byte {
+	r, err := http.NewRequest(http.MethodGet, "http://"+p.operators+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+measureToken)
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, _ := io.ReadAll(res.Body)
+	return data
+}
+
+func (p *process) status() (s operate.Status) {
+	_ = json.Unmarshal(p.get(operate.StatusPath), &s)
+	return s
+}
+
+func (p *process) sample() (s sample) {
+	folder := fmt.Sprintf("/proc/%d", p.command.Process.Pid)
+	stat, err := os.ReadFile(filepath.Join(folder, "stat"))
+	Expect(err).NotTo(HaveOccurred())
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	s.processor = (user + system) / clockTick
+	pages, _ := strconv.ParseFloat(fields[21], 64)
+	s.resident = pages * float64(os.Getpagesize()) / (1 << 20)
+	metrics := p.get("/metrics")
+	s.sent, s.received = metric(metrics, "skylarkloom_peer_sent_bytes_total"), metric(metrics, "skylarkloom_peer_received_bytes_total")
+	return s
+}
+
+func metric(text []byte, name string) float64 {
+	m := regexp.MustCompile(`(?m)^` + name + ` (\S+)$`).FindSubmatch(text)
+	if m == nil {
+		return 0
+	}
+	v, _ := strconv.ParseFloat(string(m[1]), 64)
+	return v
+}
+
+// launch starts the daemons of a fleet.
+func launch(folder string, nodes, centres int, log, cloud string) (list []*process) {
+	type place struct{ name, centre, callers, operators, peers string }
+	var places []place
+	var peers strings.Builder
+	for n := range nodes {
+		p := place{name: fmt.Sprintf("entry-%03d", n), centre: fmt.Sprintf("dc%d", n%centres)}
+		for _, a := range []*string{&p.callers, &p.operators, &p.peers} {
+			var err error
+			*a, err = standin.FreeAddress()
+			Expect(err).NotTo(HaveOccurred())
+		}
+		places = append(places, p)
+		fmt.Fprintf(&peers, "    - {name: %s, datacentre: %s, address: %q}\n", p.name, p.centre, p.peers)
+	}
+	for _, p := range places {
+		text := fmt.Sprintf("node: %s\ndatacentre: %s\ncallers: {address: %q}\noperators: {address: %q, token: {variable: MEASURE_TOKEN}}\n"+
+			"peers:\n  address: %q\n  token: {variable: MEASURE_TOKEN}\n  nodes:\n%splatform: {log: %q, list: %q, cloud: %q}\nlog: {level: error}\n",
+			p.name, p.centre, p.callers, p.operators, p.peers, peers.String(), log, cloud, cloud)
+		file := filepath.Join(folder, p.name+".yaml")
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		c := exec.Command(os.Getenv("MEASURE_DAEMON"), "run", "--settings", file)
+		c.Env = append(os.Environ(), "MEASURE_TOKEN="+measureToken)
+		c.Stdout, c.Stderr = GinkgoWriter, GinkgoWriter
+		Expect(c.Start()).To(Succeed())
+		list = append(list, &process{command: c, operators: p.operators})
+	}
+	return list
+}
+
+// end ends each daemon by its id.
+func end(list []*process) {
+	for _, p := range list {
+		_ = p.command.Process.Kill()
+	}
+	for _, p := range list {
+		_ = p.command.Wait()
+	}
+}
+
+func measureFleet(nodes, centres, endpoints int) (line string) {
+	folder, err := os.MkdirTemp("", "measure")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = os.RemoveAll(folder) }()
+	log := &standin.Log{Delay: 2 * time.Millisecond}
+	zones := map[fleet.ZoneName]fleet.DataCentreName{}
+	for c := range centres {
+		zones[fleet.ZoneName(fmt.Sprintf("zone-%d", c))] = fleet.DataCentreName(fmt.Sprintf("dc%d", c))
+	}
+	cloud := &standin.Cloud{
+		Engine:      func(fleet.PoolName) *standin.Engine { return &standin.Engine{Slots: 16} },
+		Kinds:       map[fleet.PoolName]fleet.Kind{trial.PoolModel: fleet.KindModel, trial.PoolService: fleet.KindService},
+		Datacentres: zones,
+	}
+	defer cloud.Close()
+	for e := range endpoints {
+		zone := fleet.ZoneName(fmt.Sprintf("zone-%d", e%centres))
+		_, err := cloud.Start(platform.Start{Pool: trial.PoolModel, Zone: zone, Class: "small", Market: fleet.MarketOnDemand})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	document := regexp.MustCompile(`(?m)^    workers:.*\n|^    offers:\n(      .*\n)*`).ReplaceAll(trial.Document(), nil)
+	e, err := record.New(record.KindPublish, time.Now(), record.Publish{Document: document, Author: "measure"})
+	Expect(err).NotTo(HaveOccurred())
+	data, err := record.EncodeGroup([]record.Envelope{e})
+	Expect(err).NotTo(HaveOccurred())
+	log.Put(platform.StreamConfig, data)
+	logs, err := standin.Serve(log.Handler())
+	Expect(err).NotTo(HaveOccurred())
+	defer logs.Close()
+	clouds, err := standin.Serve(cloud.Handler())
+	Expect(err).NotTo(HaveOccurred())
+	defer clouds.Close()
+	list := launch(folder, nodes, centres, logs.URL(), clouds.URL())
+	defer end(list)
+	for _, p := range list {
+		Eventually(func() bool { return p.status().Ready }).WithTimeout(time.Minute).Should(BeTrue())
+	}
+	time.Sleep(measureWarmUp)
+	line = fmt.Sprintf("nodes %d centres %d endpoints %d | %s", nodes, centres, endpoints, use(list, log))
+	return line + "\n  " + publishes(list, document)
+}
+
+// use measures processor time, memory, bytes and appends at rest.
+func use(list []*process, log *standin.Log) string {
+	before := make([]sample, len(list))
+	for i, p := range list {
+		before[i] = p.sample()
+	}
+	appends, begin := log.Appends(), time.Now()
+	time.Sleep(measureFor)
+	seconds := time.Since(begin).Seconds()
+	var sum, most sample
+	for i, p := range list {
+		s := p.sample()
+		s.processor, s.sent, s.received = (s.processor-before[i].processor)/seconds, (s.sent-before[i].sent)/seconds, (s.received-before[i].received)/seconds
+		sum.processor, sum.sent, sum.received, sum.resident = sum.processor+s.processor, sum.sent+s.sent, sum.received+s.received, sum.resident+s.resident
+		most.processor, most.sent, most.received, most.resident = max(most.processor, s.processor), max(most.sent, s.sent), max(most.received, s.received), max(most.resident, s.resident)
+	}
+	n := float64(len(list))
+	return fmt.Sprintf("mean/most a node: core %.2f/%.2f%%, resident %.0f/%.0f MB, peers sent %.0f/%.0f B/s, received %.0f/%.0f B/s | appends/s %.2f",
+		100*sum.processor/n, 100*most.processor, sum.resident/n, most.resident, sum.sent/n, most.sent, sum.received/n, most.received,
+		float64(log.Appends()-appends)/seconds)
+}
+
+// publishes measures how long a configuration takes to be in force on all nodes.
+func publishes(list []*process, document []byte) string {
+	var times []time.Duration
+	for round := range measureRounds {
+		body, err := json.Marshal(operate.Publish{Base: fleet.Revision(round + 1), Document: string(document) + fmt.Sprintf("# %d\n", round), Author: "measure", Message: "a round of the measurement"})
+		Expect(err).NotTo(HaveOccurred())
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+list[round%len(list)].operators+operate.ConfigPath, bytes.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		r.Header.Set("Authorization", "Bearer "+measureToken)
+		begin := time.Now()
+		res, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		_ = res.Body.Close()
+		Expect(res.StatusCode).To(Equal(http.StatusOK))
+		waiting := slices.Clone(list)
+		for len(waiting) > 0 {
+			waiting = slices.DeleteFunc(waiting, func(p *process) bool {
+				if p.status().Revision < fleet.Revision(round+2) {
+					return false
+				}
+				times = append(times, time.Since(begin))
+				return true
+			})
+		}
+	}
+	slices.Sort(times)
+	at := func(q float64) int { return int(times[int(q*float64(len(times)-1))].Milliseconds()) }
+	return fmt.Sprintf("configuration in force, as seen by asking one node after the other: p50 %d p99 %d worst %d ms", at(0.5), at(0.99), at(1))
+}
+
+var _ = Describe("Measure", func() {
+	It("daemons as processes by size", func() {
+		out, err := os.Create(os.Getenv("MEASURE_FILE"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = out.Close() }()
+		fmt.Fprintln(out, os.Getenv("MEASURE_HEAD"))
+		fmt.Fprintln(out, "daemons as processes on loopback, at rest (no requests); bytes on the peers' connections with HTTP framing, without TCP and IP headers")
+		for _, s := range [][3]int{{7, 1, 30}, {20, 3, 60}, {60, 6, 120}} {
+			fmt.Fprintln(out, measureFleet(s[0], s[1], s[2]))
+		}
+	})
+})
