Report the load of an endpoint every two seconds to peers

At 100 endpoints a data centre the reports alone came near the budget: both pollers reported each endpoint every second. Now a report goes at most every 2 s and the second poller reports only after 6 s without one of the first.

--- a/pkg/peer/news.go
+++ b/pkg/peer/news.go
@@ -33,7 +33,7 @@
 
 // secondReport is after how long without a report of the first poller of an
 // endpoint the second one reports.
-const secondReport = 2 * time.Second
+const secondReport = 3 * loadEvery
 
 // Mark spreads this node's evidence on an instance.
 func (s *Service) Mark(m roster.Mark) {
@@ -108,6 +108,26 @@
 	return Load{Subject: i.Key.Subject, Data: i.Data, Observed: i.Observed}, ok
 }
 
+// loadItems returns the load reports that are due, and forgets those on
+// endpoints that are no longer reported. The lock is held.
+func (s *Service) loadItems(now time.Time) (items []member.Item) {
+	for subject, i := range s.pending {
+		if now.Sub(s.told[subject]) < loadEvery-BeatEvery/2 {
+			continue
+		}
+		s.told[subject] = now
+		items = append(items, i)
+		delete(s.pending, subject)
+	}
+	for subject, i := range s.loads {
+		if now.Sub(i.Observed) > forgetAfter {
+			delete(s.loads, subject)
+			delete(s.told, subject)
+		}
+	}
+	return items
+}
+
 // demandChange is by which share a demand must change to be reported early.
 const demandChange = 0.1
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -52,6 +52,8 @@
 	demandEvery = 10 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
+	// loadEvery is the least time between two load reports on an endpoint.
+	loadEvery = 2 * time.Second
 	// pushFanout is to how many peers new facts are pushed at once.
 	pushFanout = 3
 	// gateways is how many nodes of a data centre exchange with another one.
@@ -134,6 +136,7 @@
 	loads   map[member.Subject]member.Item
 	remote  map[fleet.DataCentreName]*remoteState
 	demand  map[member.Subject]reported
+	told    map[member.Subject]time.Time
 	live    []fleet.NodeName
 	centre  []fleet.NodeName
 	seen    map[fleet.NodeName]bool
@@ -184,6 +187,7 @@
 		s.loads = make(map[member.Subject]member.Item)
 		s.remote = make(map[fleet.DataCentreName]*remoteState)
 		s.demand = make(map[member.Subject]reported)
+		s.told = make(map[member.Subject]time.Time)
 		s.seen = make(map[fleet.NodeName]bool)
 		s.reports.Beat(s.Self, s.revision(), s.started)
 		s.refresh(s.started)
@@ -266,10 +270,7 @@
 	}
 	s.mu.Lock()
 	changed := s.demandItems(demand, now)
-	for _, i := range s.pending {
-		changed = append(changed, i)
-	}
-	clear(s.pending)
+	changed = append(changed, s.loadItems(now)...)
 	changed = append(changed, s.relayItems(now)...)
 	s.reports.Beat(s.Self, revision, now, changed...)
 	s.reports.Expire(now.Add(-forgetAfter), s.Self.Ref.Name)
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -62,11 +63,18 @@
 	portTries = 100
 )
 
+// lastPort is the port tried last: a process is never given one twice.
+var lastPort = func() *atomic.Uint32 {
+	start := new(atomic.Uint32)
+	start.Store(rand.Uint32N(ports)) //nolint:gosec // any free port will do
+	return start
+}()
+
 // FreeAddress returns a loopback address that is free now, for listeners whose
 // address others must know before they start.
 func FreeAddress() (address string, err error) {
 	for range portTries {
-		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports))) //nolint:gosec // any free port will do
+		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+int(lastPort.Add(1)%ports)))
 		l, failed := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 		if failed == nil {
 			return address, l.Close()
