--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -64,6 +64,8 @@
 	admitter *admitter
 	peers    *peer.Service
 	traffic  peer.Traffic
+	gatherer *peer.Gatherer
+	forward  *peer.Forward
 }
 
 // Clients are the clients of the platform's services.
@@ -87,6 +89,7 @@
 	if err := d.dial(); err != nil {
 		return err
 	}
+	d.gather()
 	for _, add := range []func() (kernel.Service, error){
 		d.configService,
 		d.rosterService,
