--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_CHECKS ?= 20000
 FUZZ_SEED ?= 1
 
-.PHONY: try test build lint format fuzz mutate measure measure-orders docs generate ci
+.PHONY: processes try test build lint format fuzz fuzz-parsers mutate measure measure-orders measure-edge measure-peers measure-nodes docs generate ci
 
 try: build
 	bin/skylarkloomd try
@@ -32,12 +32,23 @@
 fuzz:
 	FUZZ_CHECKS=$(FUZZ_CHECKS) FUZZ_SEED=$(FUZZ_SEED) go test -race -count=1 -timeout 2h -run TestOrder -v ./pkg/order
 
+# fuzz-parsers fuzzes each parser of outside input; FUZZ_TIME=d changes how long.
+FUZZ_TIME ?= 30s
+PARSERS := entry/parsing:FuzzModelBody entry/parsing:FuzzServicePath entry/parsing:FuzzRequestKey \
+	api/edge:FuzzContent api/edge:FuzzUnsupported endpoint:FuzzEvents endpoint:FuzzEventText \
+	api/record:FuzzGroup settings:FuzzSettings fleet:FuzzDocument
+
+fuzz-parsers:
+	for p in $(PARSERS); do \
+		go test ./pkg/$${p%%:*} -run '^$$' -fuzz "^$${p##*:}\$$" -fuzztime $(FUZZ_TIME) -parallel 4 || exit 1; \
+	done
+
 # mutate breaks each rule on purpose and shows which check catches it.
 mutate:
 	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order -ginkgo.focus catches
 
 # measure writes the figures under docs/measured.
-measure: measure-orders
+measure: measure-orders measure-edge measure-peers
 
 MACHINE := $(shell nproc) cores, $(shell go env GOOS)/$(shell go env GOARCH), $(shell go env GOVERSION)
 COMMIT := $(shell git describe --always --dirty 2>/dev/null)
@@ -47,6 +58,31 @@
 	MEASURE_FILE=$(CURDIR)/docs/measured/orders.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		go test -tags measure -count=1 -timeout 30m -run TestOrder ./pkg/order -ginkgo.focus Measure
 
+measure-edge:
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/edge.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus "Measure the edge"
+
+# docs writes the pages of docs/ that are made from the code.
+docs: build
+	bin/skylarkloomd docs docs
+
+# processes runs daemons as processes over the stand-ins and breaks them.
+processes: build
+	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags processes -count=1 -timeout 10m -v ./pkg/trial/processes
+
+measure-peers:
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/peers.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		go test -tags measure -count=1 -timeout 30m -run TestPeer ./pkg/peer -ginkgo.focus Measure
+
+# measure-nodes starts daemons as processes, 60 at most, and ends them by their id.
+measure-nodes: build
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/nodes.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		MEASURE_DAEMON=$(CURDIR)/bin/skylarkloomd \
+		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus "Measure the nodes"
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
@@ -54,3 +90,10 @@
 	protoc --plugin=$(GOBIN)/protoc-gen-go --plugin=$(GOBIN)/protoc-gen-connect-go \
 		--go_out=. --go_opt=paths=source_relative --connect-go_out=. --connect-go_opt=paths=source_relative \
 		pkg/api/peer/v1/peer.proto
+
+measure: measure-policy
+
+# measure-policy compares the policies by pkg/replay in virtual time.
+measure-policy:
+	mkdir -p docs/measured
+	go test -count=1 -timeout 30m -run TestMeasure ./pkg/replay -args -measure $(CURDIR)/docs/measured/policy.txt
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
 
@@ -24,6 +25,7 @@
 		{Name: "run", Help: "run an entry node", Example: "skylarkloomd run --settings node.yaml", Flags: runFlags},
 		{Name: "check", Help: "check a settings file and report every mistake", Example: "skylarkloomd check --settings node.yaml", Flags: checkFlags},
 		{Name: "try", Help: "show the main job on embedded stand-ins; --stay keeps them running", Example: "skylarkloomd try --stay", Flags: tryFlags},
+		{Name: "docs", Help: "write the pages that are made from the code", Hidden: true, Flags: docsFlags},
 	}}
 }
 
@@ -81,17 +83,23 @@
 }
 
 func tryFlags(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var stay bool
+	var stay, bare bool
 	sub.Bool(&stay, "", "stay", "keep running for tests from outside")
-	return func(ctx context.Context, s Streams) error { return try(ctx, s, stay) }
+	sub.Bool(&bare, "", "bare", "with --stay: only the stand-ins, for daemons run as processes")
+	return func(ctx context.Context, s Streams) error {
+		if bare && !stay {
+			return &Error{Code: ExitUsage, Cause: errors.New("--bare goes with --stay")}
+		}
+		return try(ctx, s, stay, bare)
+	}
 }
 
 // try runs the try-out: the show, or until a signal.
-func try(ctx context.Context, s Streams, stay bool) (err error) {
+func try(ctx context.Context, s Streams, stay, bare bool) (err error) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	t := &trial.Trial{}
+	t := &trial.Trial{Bare: bare}
 	if err := t.Start(ctx); err != nil {
 		return err
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/journal"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/peer"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/settings"
 )
@@ -61,6 +62,10 @@
 	callers  *listener
 	operator *listener
 	admitter *admitter
+	peers    *peer.Service
+	traffic  peer.Traffic
+	gatherer *peer.Gatherer
+	forward  *peer.Forward
 }
 
 // Clients are the clients of the platform's services.
@@ -84,11 +89,14 @@
 	if err := d.dial(); err != nil {
 		return err
 	}
+	d.gather()
 	for _, add := range []func() (kernel.Service, error){
 		d.configService,
 		d.rosterService,
 		d.routerService,
 		d.pollerService,
+		d.peerService,
+		d.peersService,
 		d.limitService,
 		d.orderService,
 		d.leaseService,
@@ -97,6 +105,7 @@
 		d.capacityService,
 		d.rolloutService,
 		d.ledgerService,
+		d.metricsService,
 		d.operatorService,
 		d.callersService,
 	} {
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -70,10 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var live, dead []Peer
-	for _, p := range s.Peers {
-		if p.DataCentre != s.Self.DataCentre || p.Name == s.Self.Ref.Name {
-			continue
-		}
+	for _, p := range s.centrePeers() {
 		if s.seen[p.Name] {
 			live = append(live, p)
 		} else {
@@ -90,6 +87,38 @@
 	return from[s.random.IntN(len(from))], true
 }
 
+// centrePeers returns the other nodes of this data centre: those that the
+// settings name and those that have been heard of. The lock is held.
+func (s *Service) centrePeers() (list []Peer) {
+	for _, p := range s.Peers {
+		if p.DataCentre == s.Self.DataCentre && p.Name != s.Self.Ref.Name {
+			list = append(list, p)
+		}
+	}
+	for _, o := range s.reports.Origins() {
+		n := o.Node
+		if n.DataCentre != s.Self.DataCentre || n.Ref.Name == s.Self.Ref.Name || n.Address == "" {
+			continue
+		}
+		if _, named := s.find(n.Ref.Name); !named {
+			list = append(list, Peer{Name: n.Ref.Name, DataCentre: n.DataCentre, Address: n.Address})
+		}
+	}
+	return list
+}
+
+// welcome notes a node of this data centre that asks for the first time, so
+// that nodes which no settings name are found too. The lock is held.
+func (s *Service) welcome(n member.Node, sequence uint64, now time.Time) {
+	held, known := s.reports.Origin(n.Ref.Name)
+	if n.DataCentre != s.Self.DataCentre || n.Address == "" || sequence == 0 {
+		return
+	}
+	if !known || held.Node.Ref.Incarnation < n.Ref.Incarnation {
+		s.reports.Merge(member.Part{Life: member.LifeOf(n.Ref), Node: n, To: 1}, now)
+	}
+}
+
 // ahead returns a peer that has worked by a higher revision for a while.
 func (s *Service) ahead() (p Peer, ok bool) {
 	revision := s.revision()
@@ -104,7 +133,12 @@
 		return p, false
 	}
 	s.behind.since = now
-	return s.find(s.behind.peer)
+	for _, p := range append(s.centrePeers(), s.Peers...) {
+		if p.Name == s.behind.peer {
+			return p, true
+		}
+	}
+	return p, false
 }
 
 func (s *Service) find(name fleet.NodeName) (p Peer, ok bool) {
@@ -147,8 +181,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var live []Peer
-	for _, p := range s.Peers {
-		if p.DataCentre == s.Self.DataCentre && s.seen[p.Name] && p.Name != s.Self.Ref.Name {
+	for _, p := range s.centrePeers() {
+		if s.seen[p.Name] {
 			live = append(live, p)
 		}
 	}
@@ -187,6 +221,12 @@
 	})
 }
 
+// Ask exchanges with one peer now and takes in all that it has.
+func (s *Service) Ask(ctx context.Context, p Peer) error {
+	s.init()
+	return s.exchange(ctx, p, purpose{reports: true, configuration: true})
+}
+
 func (s *Service) exchange(ctx context.Context, p Peer, why purpose) (err error) {
 	defer func() { err = errors.Wrapf(err, "exchange with %s", p.Name) }()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -303,7 +343,7 @@
 	state.sum = r.GetFacts().GetSum()
 	s.notice(p.Name, fleet.Revision(r.GetRevision()), own, now)
 	news := s.mergeFacts(r.GetFacts(), now)
-	loads := s.mergeParts(r.GetParts(), now)
+	loads := s.mergeParts(r.GetParts(), own, now)
 	if r.GetSummary() != nil {
 		s.mergeSummary(r.GetSummary(), now)
 	}
@@ -327,12 +367,15 @@
 
 // mergeParts merges reports and returns the loads among the news. The lock is
 // held.
-func (s *Service) mergeParts(parts []*peerv1.Part, now time.Time) (loads []member.Item) {
+func (s *Service) mergeParts(parts []*peerv1.Part, revision fleet.Revision, now time.Time) (loads []member.Item) {
 	own := member.LifeOf(s.Self.Ref)
 	for _, w := range parts {
 		if member.Life(w.GetLife()) == own {
 			continue
 		}
+		if name, ok := s.reports.Name(member.Life(w.GetLife())); ok {
+			s.notice(name, fleet.Revision(w.GetRevision()), revision, now)
+		}
 		for _, i := range s.reports.Merge(partFromWire(w, now), now) {
 			switch i.Key.Kind {
 			case member.KindLoad:
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -7,6 +7,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/member"
+	"github.com/skylarkloom/skylarkloom/pkg/platform"
 )
 
 // change is a node that came to be seen as alive or dead.
@@ -102,12 +103,7 @@
 // Candidate reports whether this node is the one of the living nodes to take an
 // order over.
 func (s *Service) Candidate(ref fleet.KeyRef) bool {
-	s.init()
-	s.mu.Lock()
-	live := s.live
-	s.mu.Unlock()
-	chosen := member.Choose(live, "order/"+string(ref.Account)+"/"+string(ref.Key), 1)
-	return chosen[0] == s.Self.Ref.Name
+	return s.Chosen("order/" + string(ref.Account) + "/" + string(ref.Key))
 }
 
 // Mine reports whether this node is one of the two that poll an endpoint.
@@ -138,14 +134,19 @@
 	return nodes
 }
 
-// Writers returns up to count living nodes of this data centre that append to a
-// stream for the others, the first choice first.
-func (s *Service) Writers(stream string, count int) []fleet.NodeName {
+// Writer returns the node of this data centre that appends to a stream for the
+// others; ok is false if it is this node.
+func (s *Service) Writer(stream platform.StreamName) (p Peer, ok bool) {
 	s.init()
 	s.mu.Lock()
-	nodes := s.centre
-	s.mu.Unlock()
-	return member.Choose(nodes, "write/"+stream, count)
+	defer s.mu.Unlock()
+	chosen := member.Choose(s.centre, "write/"+string(stream), 1)
+	for _, p := range s.centrePeers() {
+		if p.Name == chosen[0] {
+			return p, true
+		}
+	}
+	return p, false
 }
 
 // Nodes returns what is known of every node, this one included.
@@ -209,6 +210,42 @@
 	return d
 }
 
+// Demands returns the demand of an account at each other node that lives. That
+// of another data centre is known as a whole and counts as even.
+func (s *Service) Demands(account fleet.AccountName) (list []float64) {
+	s.init()
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	subject := member.AccountSubject(account)
+	for _, name := range s.centre {
+		o, ok := s.reports.Origin(name)
+		if !ok || name == s.Self.Ref.Name {
+			continue
+		}
+		rate := 0.0
+		if i, ok := o.Item(member.Key{Kind: member.KindDemand, Subject: subject}); ok && now.Sub(i.Observed) <= member.MaxAge {
+			rate = rateOf(i)
+		}
+		list = append(list, rate)
+	}
+	for _, r := range s.remote {
+		if now.Sub(r.observed) > member.MaxAge {
+			continue
+		}
+		count := 0
+		for _, heard := range r.heard {
+			if r.recent(heard, now) {
+				count++
+			}
+		}
+		for range count {
+			list = append(list, r.rates[subject]/float64(count))
+		}
+	}
+	return list
+}
+
 // Silent returns the data centres of which nothing was heard lately.
 func (s *Service) Silent() (list []fleet.DataCentreName) {
 	s.init()
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -3,6 +3,7 @@
 package trial
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -40,6 +41,7 @@
 	enginesPerZone  = 3
 	servicesPerZone = 2
 	instances       = 2 * (enginesPerZone + servicesPerZone)
+	slots           = 16
 	tokenTime       = 5 * time.Millisecond
 	promptTime      = 100 * time.Microsecond
 	logDelay        = 2 * time.Millisecond
@@ -66,9 +68,16 @@
 	Runs  *standin.Runs
 	Nodes []*daemon.Daemon
 	Token string
+	// Bare starts the stand-ins only, for daemons that run as processes.
+	Bare bool
+	// Engine makes the engines and Slots says how many requests the configuration
+	// gives each at a time; zero values take the try-out's.
+	Engine func() *standin.Engine
+	Slots  int
 
 	servers  []*standin.Server
 	platform settings.Platform
+	peers    []settings.Peer
 	balance  *balancer
 	folder   string
 }
@@ -90,9 +99,7 @@
 	t.Log = &standin.Log{Delay: logDelay}
 	t.Runs = &standin.Runs{}
 	t.Cloud = &standin.Cloud{
-		Engine: func(fleet.PoolName) *standin.Engine {
-			return &standin.Engine{TokenTime: tokenTime, PromptTime: promptTime, Slots: 16}
-		},
+		Engine:      func(fleet.PoolName) *standin.Engine { return t.newEngine() },
 		Service:     func(fleet.PoolName) *standin.Service { return &standin.Service{Runs: t.Runs} },
 		Kinds:       map[fleet.PoolName]fleet.Kind{PoolModel: fleet.KindModel, PoolService: fleet.KindService},
 		Datacentres: map[fleet.ZoneName]fleet.DataCentreName{ZoneFirst: CentreOne, ZoneSecond: CentreTwo},
@@ -105,12 +112,30 @@
 	if err := t.startInstances(); err != nil {
 		return err
 	}
+	if err := t.servePlatform(); err != nil || t.Bare {
+		return err
+	}
 	if err := t.startNodes(ctx); err != nil {
 		return err
 	}
 	return await(ctx, t.ready)
 }
 
+func (t *Trial) newEngine() *standin.Engine {
+	if t.Engine != nil {
+		return t.Engine()
+	}
+	return &standin.Engine{TokenTime: tokenTime, PromptTime: promptTime, Slots: slots}
+}
+
+// document returns the configuration that this try-out starts with.
+func (t *Trial) document() []byte {
+	if t.Slots == 0 {
+		return Document()
+	}
+	return bytes.Replace(Document(), fmt.Appendf(nil, "slots: %d", slots), fmt.Appendf(nil, "slots: %d", t.Slots), 1)
+}
+
 func (t *Trial) makeToken() error {
 	var b [16]byte
 	if _, err := rand.Read(b[:]); err != nil {
@@ -130,7 +155,7 @@
   - name: %s
     kind: model
     model: loom
-    slots: 16
+    slots: %d
     workers: {min: 3, max: 12}
     weights: {latency: 2}
     offers:
@@ -149,7 +174,7 @@
   - name: season-plans
     keys: [%q]
     pools: [%s, %s]
-`, PoolModel, ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond, PoolService,
+`, PoolModel, slots, ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond, PoolService,
 		ZoneFirst, CentreOne, hourlyFirst, ZoneSecond, CentreTwo, hourlySecond,
 		fleet.HashKey(Keys["dezerter-sellers"]), PoolModel, PoolService,
 		fleet.HashKey(Keys["season-plans"]), PoolModel, PoolService)
@@ -157,7 +182,7 @@
 
 func (t *Trial) publish() (err error) {
 	e, err := record.New(record.KindPublish, time.Now(), record.Publish{
-		Document: Document(),
+		Document: t.document(),
 		Author:   "try-out",
 		Message:  "the first configuration",
 	})
@@ -206,7 +231,7 @@
 	return s, err
 }
 
-func (t *Trial) startNodes(ctx context.Context) error {
+func (t *Trial) servePlatform() error {
 	log, err := t.serve(t.Log.Handler())
 	if err != nil {
 		return err
@@ -216,9 +241,20 @@
 		return err
 	}
 	t.platform = settings.Platform{Log: log.URL(), List: cloud.URL(), Cloud: cloud.URL()}
+	return nil
+}
+
+func (t *Trial) startNodes(ctx context.Context) error {
 	centres := []fleet.DataCentreName{CentreOne, CentreOne, CentreTwo}
 	for n, centre := range centres {
-		d, err := t.StartNode(ctx, fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), centre)
+		address, err := standin.FreeAddress()
+		if err != nil {
+			return err
+		}
+		t.peers = append(t.peers, settings.Peer{Name: fleet.NodeName(fmt.Sprintf("entry-%d", n+1)), DataCentre: centre, Address: address})
+	}
+	for _, p := range t.peers {
+		d, err := t.startNode(ctx, p)
 		if err != nil {
 			return err
 		}
@@ -232,13 +268,22 @@
 // StartNode starts one more node. It lives until it is stopped, whatever
 // becomes of the context.
 func (t *Trial) StartNode(ctx context.Context, name fleet.NodeName, centre fleet.DataCentreName) (*daemon.Daemon, error) {
+	address, err := standin.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	return t.startNode(ctx, settings.Peer{Name: name, DataCentre: centre, Address: address})
+}
+
+func (t *Trial) startNode(ctx context.Context, p settings.Peer) (*daemon.Daemon, error) {
 	d := &daemon.Daemon{
 		Logs: t.Logs,
 		Settings: settings.Settings{
-			Node:       name,
-			DataCentre: centre,
+			Node:       p.Name,
+			DataCentre: p.DataCentre,
 			Callers:    settings.Listener{Address: loopback},
 			Operators:  settings.Listener{Address: loopback, Token: settings.Secret{File: t.tokenFile()}},
+			Peers:      settings.Peers{Address: p.Address, Token: settings.Secret{File: t.tokenFile()}, Nodes: t.peers},
 			Platform:   t.platform,
 			Orders:     settings.Orders{Partitions: settings.DefaultPartitions},
 			Stop:       settings.Stop{Notice: stopNotice},
