--- a/pkg/order/mutation_test.go
+++ b/pkg/order/mutation_test.go
@@ -75,9 +75,24 @@
 	}},
 }
 
-// brokenRule finds the first broken rule of the fuzz, or the first row of the
-// table of rules, in the output.
-var brokenRule = regexp.MustCompile(`broken: [^;\n]*|\[It\] [^\n]*`)
+// brokenRule finds a broken rule of the fuzz in the output, and failedCase the
+// first test that failed. That the fuzz did not reach a state is no rule.
+var (
+	brokenRule = regexp.MustCompile(`broken: ([^;\n]*)`)
+	failedCase = regexp.MustCompile(`\[It\] ([^\n\x1b]*)`)
+)
+
+// caughtBy returns the check that failed.
+func caughtBy(out string) string {
+	if found := brokenRule.FindStringSubmatch(out); found != nil {
+		return "fuzz: " + found[1]
+	}
+	found := failedCase.FindStringSubmatch(out)
+	if found == nil || strings.Contains(found[1], "every rule") {
+		return ""
+	}
+	return "test: " + found[1]
+}
 
 var _ = Describe("The oracle", func() {
 	It("catches: nothing in the source as it is", func() {
@@ -89,9 +104,9 @@
 		It("catches: "+m.rule, func() {
 			out, err := m.run()
 			Expect(err).To(HaveOccurred(), "no check caught it")
-			found := brokenRule.FindStringSubmatch(out)
-			Expect(found).NotTo(BeNil(), "it failed otherwise: %s", out)
-			AddReportEntry(m.rule+": "+found[0], ReportEntryVisibilityAlways)
+			check := caughtBy(out)
+			Expect(check).NotTo(BeEmpty(), "it failed otherwise: %s", out)
+			AddReportEntry("| "+m.rule+" | "+check+" |", ReportEntryVisibilityAlways)
 		})
 	}
 })
