--- a/pkg/api/operate/operate.go
+++ b/pkg/api/operate/operate.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/journal"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
+	"github.com/skylarkloom/skylarkloom/pkg/suspect"
 )
 
 // The paths of the operators' interface.
@@ -21,6 +22,7 @@
 	OrderPath   = "/v1/orders"
 	BillPath    = "/v1/bill"
 	BurnPath    = "/v1/burn"
+	SuspectPath = "/v1/suspects"
 )
 
 // Publish asks to put a document in force.
@@ -63,6 +65,16 @@
 	Current *config.Change `json:"current,omitempty"`
 }
 
+// Suspect is a content that crashed endpoints.
+type Suspect struct {
+	Content string          `json:"content"`
+	Pool    fleet.PoolName  `json:"pool"`
+	Verdict suspect.Verdict `json:"verdict"`
+	// Crashes counts the endpoints that the content crashed.
+	Crashes int       `json:"crashes"`
+	Expires time.Time `json:"expires"`
+}
+
 // Failure answers a call that failed.
 type Failure struct {
 	Error string `json:"error"`
--- a/pkg/command/control_test.go
+++ b/pkg/command/control_test.go
@@ -99,6 +99,16 @@
 		Expect(r.Err).To(ContainSubstring(`account "dezerter-sellers" has no request with key "no-such-key"`))
 	})
 
+	It("lists suspect contents and releases one", func() {
+		Expect(control("suspect", "list", "--json").Out).To(MatchJSON("[]"))
+		digest := strings.Repeat("ab", 32)
+		r := control("suspect", "release", digest)
+		Expect(r.Code).To(Equal(command.ExitOK), r.Err)
+		r = control("suspect", "release", "abc")
+		Expect(r.Code).To(Equal(command.ExitUsage))
+		Expect(r.Err).To(ContainSubstring("expected a digest"))
+	})
+
 	It("lists every command in help, with its flags", func() {
 		r := run(command.ControlProgram(), "help")
 		for _, c := range command.ControlProgram().Table {
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/operator"
 	"github.com/skylarkloom/skylarkloom/pkg/order"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
+	"github.com/skylarkloom/skylarkloom/pkg/suspect"
 )
 
 // ServiceMetrics is the name of the service that observes the node; its value
@@ -98,7 +99,9 @@
 		return
 	}
 	p := doc.Policy(r.Account, r.Pool, r.Start)
-	o.burn.Add(burn.Name{Account: r.Account, Pool: r.Pool}, p.Objective.Value, burn.Judge(r, p))
+	v := burn.Judge(r, p)
+	o.set.Judge(r, p.Objective.Value, v)
+	o.burn.Add(burn.Name{Account: r.Account, Pool: r.Pool}, p.Objective.Value, v)
 }
 
 // observe looks at what does not work until the context ends.
@@ -179,10 +182,31 @@
 	h.Burn = func() burn.Answer {
 		return burn.Answer{Node: d.node.Name, Since: d.started, Series: o.burn.Series()}
 	}
+	guard, err := kernel.Find[*suspect.Guard](&d.kernel, ServiceSuspect)
+	if err != nil {
+		return err
+	}
+	h.Suspects = func() []operate.Suspect { return suspects(guard.Book) }
+	h.Release = guard.Book.Release
 	h.Bill = func() operate.Bill { return bill(book, desk, known.Instances()) }
 	return nil
 }
 
+// suspects lists the contents under suspicion, and those convicted.
+func suspects(b *suspect.Book) []operate.Suspect {
+	list := []operate.Suspect{}
+	for _, c := range b.Cases() {
+		list = append(list, operate.Suspect{
+			Content: c.Content.String(),
+			Pool:    c.Pool,
+			Verdict: c.Verdict,
+			Crashes: len(c.Crashes),
+			Expires: c.Expires,
+		})
+	}
+	return list
+}
+
 // Describe sends the descriptions of the node's metrics.
 func (d *Daemon) Describe(ch chan<- *prometheus.Desc) { d.registry.Describe(ch) }
 
--- a/pkg/metrics/collect.go
+++ b/pkg/metrics/collect.go
@@ -43,7 +43,7 @@
 }
 
 func (s *Set) vectors() []prometheus.Collector {
-	return []prometheus.Collector{s.requests, s.tokens, s.recomputed, s.first, s.between, s.total}
+	return []prometheus.Collector{s.requests, s.tokens, s.recomputed, s.judged, s.objective, s.first, s.between, s.total}
 }
 
 // Collect implements prometheus.Collector.
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
+	"github.com/skylarkloom/skylarkloom/pkg/burn"
 	"github.com/skylarkloom/skylarkloom/pkg/entry"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/journal"
@@ -65,6 +66,8 @@
 	requests   *prometheus.CounterVec
 	tokens     *prometheus.CounterVec
 	recomputed *prometheus.CounterVec
+	judged     *prometheus.CounterVec
+	objective  *prometheus.GaugeVec
 	first      *prometheus.HistogramVec
 	between    *prometheus.HistogramVec
 	total      *prometheus.HistogramVec
@@ -82,6 +85,12 @@
 		s.recomputed = prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_recomputed_tokens_total", Help: "Tokens computed again, by cause: reclaim or failure of an endpoint.",
 		}, append(names, "cause"))
+		s.judged = prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_judged_total", Help: "Requests that count for the objective, by verdict: good, refused, failed, late or slow.",
+		}, append(names, "verdict"))
+		s.objective = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "skylarkloom_objective", Help: "Share of requests that must meet their targets.",
+		}, names)
 		s.first = histogram("skylarkloom_first_token_seconds", "Time from a request to its first token.", firstTokenBuckets, names)
 		s.between = histogram("skylarkloom_between_tokens_seconds", "Mean time between the tokens of one answer.", betweenBuckets, names)
 		s.total = histogram("skylarkloom_request_seconds", "Time from a request to the end of its answer.", totalBuckets, names)
@@ -114,6 +123,17 @@
 	}
 }
 
+// Judge counts the verdict on a request under its objective.
+func (s *Set) Judge(r entry.Report, objective float64, v burn.Verdict) {
+	if v == burn.VerdictNone {
+		return
+	}
+	s.init()
+	account, pool := s.labels(r.Account, r.Pool)
+	s.judged.WithLabelValues(account, pool, string(v)).Inc()
+	s.objective.WithLabelValues(account, pool).Set(objective)
+}
+
 // labels returns the names if they are configured.
 func (s *Set) labels(account fleet.AccountName, pool fleet.PoolName) (string, string) {
 	a, p := Other, Other
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -108,6 +108,18 @@
 	return a, err
 }
 
+// Suspects returns the contents that crashed endpoints.
+func (c *Client) Suspects(ctx context.Context) (list []operate.Suspect, err error) {
+	err = c.call(ctx, http.MethodGet, operate.SuspectPath, nil, &list)
+	return list, err
+}
+
+// Release lifts the suspicion of, or the conviction on, a content.
+func (c *Client) Release(ctx context.Context, content string) error {
+	var done string
+	return c.call(ctx, http.MethodDelete, operate.SuspectPath+"/"+url.PathEscape(content), nil, &done)
+}
+
 // call makes one call and decodes its answer. The error is an
 // *UnreachableError or an *AnswerError.
 func (c *Client) call(ctx context.Context, method, path string, body, answer any) (err error) {
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -40,6 +41,10 @@
 	Bill func() operate.Bill
 	// Burn returns what the node has counted for the report on service-level burn.
 	Burn func() burn.Answer
+	// Suspects returns the contents that crashed endpoints.
+	Suspects func() []operate.Suspect
+	// Release lifts the suspicion of, or the conviction on, a content.
+	Release func(ctx context.Context, content fleet.Digest) error
 }
 
 // Routes returns the handler of the operators' side. Health checks need no token.
@@ -55,6 +60,8 @@
 	mux.Handle("GET "+operate.ChangePath+"/{id}", guarded.ThenFunc(h.change))
 	mux.Handle("GET "+operate.BillPath, guarded.Then(answer(h.Bill)))
 	mux.Handle("GET "+operate.BurnPath, guarded.Then(answer(h.Burn)))
+	mux.Handle("GET "+operate.SuspectPath, guarded.Then(answer(h.Suspects)))
+	mux.Handle("DELETE "+operate.SuspectPath+"/{content}", guarded.ThenFunc(h.release))
 	mux.Handle("GET "+operate.StatusPath, guarded.ThenFunc(h.status))
 	mux.Handle("GET "+operate.OrderPath+"/{account}/{key}", guarded.ThenFunc(h.order))
 	return mux
@@ -144,6 +151,25 @@
 	write(w, http.StatusOK, s)
 }
 
+// release lifts the verdict on a content.
+func (h *Handler) release(w http.ResponseWriter, r *http.Request) {
+	raw, err := hex.DecodeString(r.PathValue("content"))
+	if err != nil || len(raw) != len(fleet.Digest{}) {
+		write(w, http.StatusBadRequest, operate.Failure{Error: "expected a digest of 64 hexadecimal digits"})
+		return
+	}
+	var down *journal.UnavailableError
+	err = h.Release(r.Context(), fleet.Digest(raw))
+	switch {
+	case errors.As(err, &down):
+		write(w, http.StatusServiceUnavailable, operate.Failure{Error: err.Error()})
+	case err != nil:
+		write(w, http.StatusGatewayTimeout, operate.Failure{Error: err.Error()})
+	default:
+		write(w, http.StatusOK, "ok")
+	}
+}
+
 func (h *Handler) publish(w http.ResponseWriter, r *http.Request) {
 	var p operate.Publish
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDocument)).Decode(&p); err != nil {
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -47,7 +47,7 @@
 		}
 	},
 		Entry(nil, operate.ConfigPath), Entry(nil, operate.HistoryPath), Entry(nil, operate.StatusPath), Entry(nil, operate.BillPath),
-		Entry(nil, operate.BurnPath), Entry(nil, operate.ChangePath+"/x"), Entry(nil, operate.OrderPath+"/a/k"), Entry(nil, "/metrics"),
+		Entry(nil, operate.BurnPath), Entry(nil, operate.SuspectPath), Entry(nil, operate.ChangePath+"/x"), Entry(nil, operate.OrderPath+"/a/k"), Entry(nil, "/metrics"),
 	)
 
 	It("lets nobody in while no token is set", func() {
