--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -57,6 +57,8 @@
 	registry *prometheus.Registry
 	cancel   context.CancelFunc
 	streams  []*journal.Stream
+	// required are the streams whose records a stop waits for.
+	required []*journal.Stream
 	started  time.Time
 	leaving  atomic.Bool
 	callers  *listener
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -114,6 +114,7 @@
 		p.Stream.Apply, p.Stream.Applied = p.Apply, p.Applied
 		p.Stream.Save, p.Stream.Load = p.Save, p.Load
 		desk.Partitions = append(desk.Partitions, p)
+		d.required = append(d.required, p.Stream)
 	}
 	server := &order.Server{
 		Desk:      desk,
--- a/pkg/daemon/stop.go
+++ b/pkg/daemon/stop.go
@@ -43,10 +43,12 @@
 	}
 }
 
-// flush waits until the log holds every record of this node.
+// flush waits until the log holds every record of this node's orders. Other
+// records do no harm if they are lost: a lease lapses, and charges are written
+// when the ledger ends.
 func (d *Daemon) flush(ctx context.Context) error {
 	var g errgroup.Group
-	for _, s := range d.streams {
+	for _, s := range d.required {
 		g.Go(func() error {
 			err := s.Flush(ctx)
 			if err != nil {
--- a/pkg/trial/stop_test.go
+++ b/pkg/trial/stop_test.go
@@ -67,6 +67,15 @@
 		}
 	}, NodeTimeout(time.Minute))
 
+	It("does not wait for a log that is down if nothing must be written", func(ctx context.Context) {
+		o := start(ctx)
+		o.control(ctx, "/log?state=down")
+		r, err := o.order(ctx, "", "refused")
+		Expect(err).NotTo(HaveOccurred())
+		judge(r, 0)
+		Expect(o.trial.Drain(ctx)).To(Succeed())
+	}, NodeTimeout(time.Minute))
+
 	It("finishes what is in flight, refuses what comes after, and leaves no goroutine", func(ctx context.Context) {
 		earlier := goleak.IgnoreCurrent()
 		o := &outside{trial: &trial.Trial{}, client: &http.Client{Timeout: time.Minute, Transport: &http.Transport{}}}
