Leave risk and price out of the score; try predictions out when idle

A reclaim that is expected once in hours costs a request of seconds less than a millisecond of machine time, and an instance is paid for whether it works or not; both act through the mix of instances instead. The terms and the hazard estimate go. A node's queue now accepts a request when nothing runs even if it is predicted to be late, since a wrong prediction could never mend.

--- a/pkg/daemon/route.go
+++ b/pkg/daemon/route.go
@@ -18,10 +18,10 @@
 	return func(account fleet.AccountName, pool fleet.PoolName) route.Weights {
 		force := k.Current()
 		if force == nil {
-			return route.Weights{Latency: 1, Recompute: 1, Price: 1}
+			return route.Weights{Latency: 1, Recompute: 1}
 		}
 		p := force.Document.Policy(account, pool, time.Now())
-		return route.Weights{Latency: p.Latency.Value, Recompute: p.Recompute.Value, Price: p.Price.Value}
+		return route.Weights{Latency: p.Latency.Value, Recompute: p.Recompute.Value}
 	}
 }
 
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -45,6 +45,14 @@
 		Expect(err).To(Equal(&limit.RefusedError{Reason: limit.ReasonDeadline}))
 	})
 
+	It("tries a prediction out when nothing runs", func() {
+		q := &limit.Queue{}
+		_, err := q.Admit(request("shops", time.Millisecond), start)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = q.Admit(request("shops", time.Millisecond), start)
+		Expect(err).To(Equal(&limit.RefusedError{Reason: limit.ReasonDeadline}))
+	})
+
 	It("keeps room for small accounts beside a large one", func() {
 		q := &limit.Queue{}
 		var large []*limit.Ticket
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -38,14 +38,17 @@
 const meanShare = 0.05
 
 // Admit accepts a request or returns a *RefusedError. It performs no waiting.
+// An idle queue accepts what is predicted to be late, because the prediction is
+// learned from what is accepted and could never mend otherwise.
 func (q *Queue) Admit(r Request, now time.Time) (*Ticket, error) {
-	if r.Service > r.Deadline.Sub(now) {
+	idle := q.running == 0 && len(q.waiting) == 0
+	if r.Service > r.Deadline.Sub(now) && !idle {
 		return nil, &RefusedError{Reason: ReasonDeadline}
 	}
 	q.room = r.Room
 	t := q.ticket(r)
 	at := q.place(t, now)
-	if late := now.Add(q.wait(at)).Sub(r.latest()); late > 0 {
+	if late := now.Add(q.wait(at)).Sub(r.latest()); late > 0 && !idle {
 		return nil, &RefusedError{Reason: ReasonCapacity, RetryAfter: late}
 	}
 	if q.finished == nil {
--- a/pkg/replay/player.go
+++ b/pkg/replay/player.go
@@ -126,7 +126,6 @@
 
 // see rebuilds the nodes' views after instances came or went.
 func (w *player) see() {
-	var hazard route.Hazard
 	for _, n := range w.nodes {
 		old := n.view.Candidates
 		before := make(map[fleet.InstanceID]route.Report, len(old))
@@ -145,7 +144,6 @@
 				Mine:     n.mine[h],
 				Slots:    w.trace.Model.Slots,
 				Report:   before[h.instance.ID],
-				Hazard:   hazard.Rate(h.instance, epoch),
 			})
 		}
 		n.view.Refresh()
--- a/pkg/replay/policy.go
+++ b/pkg/replay/policy.go
@@ -78,7 +78,7 @@
 // other numbers of choices.
 func Ablations() []Policy {
 	list := []Policy{{Name: "policy", Route: route.Predictor{}.Pick, Fleet: spread, Move: true}}
-	for _, t := range []route.Term{route.TermQueue, route.TermPrefix, route.TermRecompute, route.TermRisk, route.TermPrice} {
+	for _, t := range []route.Term{route.TermQueue, route.TermPrefix, route.TermRecompute} {
 		list = append(list, Policy{Name: "without " + string(t), Route: route.Predictor{Omit: t}.Pick, Fleet: spread, Move: true})
 	}
 	for _, p := range []struct {
--- a/pkg/replay/trace.go
+++ b/pkg/replay/trace.go
@@ -89,7 +89,7 @@
 		Name:     "cooperative at dawn",
 		Reclaims: []Reclaim{{At: 40 * time.Second, Notice: 10 * time.Second, Zone: "a"}},
 		Offers:   offers(),
-		Weights:  route.Weights{Latency: 3, Recompute: 1, Price: 1},
+		Weights:  route.Weights{Latency: 3, Recompute: 1},
 		Length:   2 * time.Minute,
 		Nodes:    7,
 		Model: Model{
@@ -123,7 +123,7 @@
 	t := Dawn(seed)
 	t.Name = "tales at night"
 	t.Reclaims = []Reclaim{{At: 60 * time.Second, Notice: 10 * time.Second, Zone: "a"}}
-	t.Weights = route.Weights{Latency: 1, Recompute: 3, Price: 1}
+	t.Weights = route.Weights{Latency: 1, Recompute: 3}
 	t.Length = 4 * time.Minute
 	s := shape{
 		accounts: []float64{0.6, 0.2, 0.1, 0.05, 0.05},
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -44,11 +44,11 @@
 	Doubtful fleet.Tokens
 }
 
-// Weights say what the account or pool pays attention to.
+// Weights say what the account or pool pays attention to. Its weight of the
+// price acts on which instances there are, not on the choice among them.
 type Weights struct {
 	Latency   float64
 	Recompute float64
-	Price     float64
 }
 
 // NoEndpointError reports that no endpoint can take the request.
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -31,7 +31,6 @@
 			Mine:   i % 4,
 			Slots:  16,
 			Report: route.Report{At: now.Add(-time.Duration(i) * 100 * time.Millisecond), Work: 5 * (i % 3)},
-			Hazard: float64(i%2) / 3600,
 		}
 	}
 	v.Refresh()
@@ -42,7 +41,7 @@
 	return &route.Query{
 		Pool:    "loom-servers",
 		Now:     now,
-		Weights: route.Weights{Latency: 1, Recompute: 1, Price: 1},
+		Weights: route.Weights{Latency: 1, Recompute: 1},
 		Prompt:  800,
 		Output:  200,
 		Hits:    []route.Hit{{Index: 4, Tokens: 640}, {Index: 7, Doubtful: 640}},
@@ -72,8 +71,8 @@
 		v := view(12)
 		for i := range v.Candidates {
 			s := v.Score(query(0), &v.Candidates[i], 0)
-			fmt.Fprintf(&b, "score %d queue %.4f prefix %.4f recompute %.4f risk %.6f price %.4f\n",
-				i, s.Queue, s.Prefix, s.Recompute, s.Risk, s.Price)
+			fmt.Fprintf(&b, "score %d queue %.4f prefix %.4f recompute %.4f\n",
+				i, s.Queue, s.Prefix, s.Recompute)
 		}
 		for _, p := range policies {
 			fmt.Fprintf(&b, "%s", p.name)
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -17,10 +17,6 @@
 	TermPrefix Term = "prefix"
 	// TermRecompute is the machine time of that part, for those who mind it.
 	TermRecompute Term = "recompute"
-	// TermRisk is the machine time that a reclaim is expected to cost.
-	TermRisk Term = "risk"
-	// TermPrice is the extra machine time that the endpoint's price stands for.
-	TermPrice Term = "price"
 )
 
 // Values that apply until a node has measured its own.
@@ -39,12 +35,10 @@
 	Queue     float64
 	Prefix    float64
 	Recompute float64
-	Risk      float64
-	Price     float64
 }
 
 // Sum returns the whole cost.
-func (s Score) Sum() float64 { return s.Queue + s.Prefix + s.Recompute + s.Risk + s.Price }
+func (s Score) Sum() float64 { return s.Queue + s.Prefix + s.Recompute }
 
 // FirstToken predicts the time to the first token at a candidate.
 func (v *View) FirstToken(q *Query, c *Candidate, cached float64) time.Duration {
@@ -83,18 +77,11 @@
 // Score returns the cost of a choice.
 func (v *View) Score(q *Query, c *Candidate, cached float64) Score {
 	uncached := max(0, float64(q.Prompt)-cached) * v.prompt()
-	service := v.service(q)
-	stake := (float64(q.Prompt) + float64(q.Output)/2) * v.prompt()
-	s := Score{
+	return Score{
 		Queue:     q.Weights.Latency * v.queue(q, c),
 		Prefix:    q.Weights.Latency * uncached,
 		Recompute: q.Weights.Recompute * uncached,
-		Risk:      (q.Weights.Latency + q.Weights.Recompute) * min(1, c.Hazard*service) * stake,
 	}
-	if v.Hourly > 0 {
-		s.Price = q.Weights.Price * (float64(c.Instance.Hourly)/float64(v.Hourly) - 1) * uncached
-	}
-	return s
 }
 
 // without returns the score with one term left out.
@@ -106,10 +93,6 @@
 		s.Prefix = 0
 	case TermRecompute:
 		s.Recompute = 0
-	case TermRisk:
-		s.Risk = 0
-	case TermPrice:
-		s.Price = 0
 	}
 	return s
 }
--- a/pkg/route/view.go
+++ b/pkg/route/view.go
@@ -18,8 +18,6 @@
 	Slots int
 	// Report is the newest load report.
 	Report Report
-	// Hazard is the chance a second that the instance is reclaimed.
-	Hazard float64
 	// Shunned is the time until which the candidate is avoided after a failure.
 	Shunned time.Time
 
@@ -44,9 +42,7 @@
 	Others float64
 	// Slots is the sum of the candidates' slots.
 	Slots int
-	// Hourly is the lowest price among the candidates.
-	Hourly fleet.MicroCents
-	Speed  Speed
+	Speed Speed
 }
 
 // Speed is how fast the pool's engines are, as this node has measured it.
@@ -64,7 +60,7 @@
 // after the candidates or their reports have changed.
 func (v *View) Refresh() {
 	var others, reports float64
-	v.Hourly, v.Slots = 0, 0
+	v.Slots = 0
 	for i := range v.Candidates {
 		c := &v.Candidates[i]
 		if c.hash == 0 {
@@ -75,9 +71,6 @@
 			others += float64(max(0, c.Report.Work-c.Report.Mine))
 			reports++
 		}
-		if v.Hourly == 0 || c.Instance.Hourly < v.Hourly {
-			v.Hourly = c.Instance.Hourly
-		}
 	}
 	v.Others = 0
 	if reports > 0 {
--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -10,7 +10,7 @@
 func (r *Router) Demand(name fleet.PoolName) (work int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refresh(r.now())
+	r.refresh()
 	p := r.pools[name]
 	if p == nil {
 		return 0
--- a/pkg/router/lease.go
+++ b/pkg/router/lease.go
@@ -119,11 +119,6 @@
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, i := range r.Roster.Instances() {
-		if i.Ref() == m.Instance && m.Condition == fleet.ConditionLeaving {
-			r.hazard.Reclaimed(i.Zone, now)
-		}
-	}
 	s := r.states[m.Instance]
 	if s == nil {
 		return
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -47,7 +47,6 @@
 	turn     uint64
 	pools    map[fleet.PoolName]*pool
 	states   map[fleet.InstanceRef]*endpointState
-	hazard   route.Hazard
 	prefixes prefix.Index
 	found    []prefix.Hit
 	hit      []route.Hit
@@ -131,7 +130,7 @@
 
 // lease decides and counts the work in.
 func (r *Router) lease(q route.Query, chain []uint64, most fleet.Tokens) (*lease, error) {
-	q.Weights = route.Weights{Latency: 1, Recompute: 1, Price: 1}
+	q.Weights = route.Weights{Latency: 1, Recompute: 1}
 	if r.Weights != nil {
 		q.Weights = r.Weights(q.Account, q.Pool)
 	}
@@ -154,7 +153,7 @@
 
 // decide completes the query from the view and picks. The lock is held.
 func (r *Router) decide(q *route.Query, chain []uint64, most fleet.Tokens) (index int, err error) {
-	r.refresh(q.Now)
+	r.refresh()
 	r.turn++
 	q.Turn = r.turn
 	p := r.pools[q.Pool]
--- a/pkg/router/trial.go
+++ b/pkg/router/trial.go
@@ -28,7 +28,7 @@
 	q := route.Query{Deadline: g.Deadline, Prompt: promptTokens(g.Prompt), Output: g.Max, Now: r.now()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refresh(q.Now)
+	r.refresh()
 	l := r.use(i, q)
 	l.chain = prefix.Chain(g.Prompt)
 	return l.generation(), nil
--- a/pkg/router/view.go
+++ b/pkg/router/view.go
@@ -74,7 +74,7 @@
 }
 
 // refresh builds the views anew if the roster has changed. The lock is held.
-func (r *Router) refresh(now time.Time) {
+func (r *Router) refresh() {
 	version := r.Roster.Version()
 	if r.pools != nil && version == r.version {
 		return
@@ -91,7 +91,7 @@
 			r.pools[i.Pool] = p
 		}
 		if i.Condition.Rank() == 0 {
-			p.add(i, r.state(i.Ref()), r.hazard.Rate(i, now))
+			p.add(i, r.state(i.Ref()))
 		}
 	}
 	for name, p := range r.pools {
@@ -108,7 +108,7 @@
 	}
 }
 
-func (p *pool) add(i fleet.Instance, s *endpointState, hazard float64) {
+func (p *pool) add(i fleet.Instance, s *endpointState) {
 	p.index[i.Ref()] = len(p.view.Candidates)
 	p.mine += len(s.work)
 	p.view.Candidates = append(p.view.Candidates, route.Candidate{
@@ -116,7 +116,6 @@
 		Mine:     len(s.work),
 		Slots:    s.slots,
 		Report:   s.report,
-		Hazard:   hazard,
 		Shunned:  s.shunned,
 	})
 }
@@ -138,7 +137,7 @@
 func (r *Router) Merge(m Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refresh(m.At)
+	r.refresh()
 	s := r.state(m.Instance)
 	if !m.At.After(s.report.At) {
 		return
@@ -252,7 +251,7 @@
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refresh(now)
+	r.refresh()
 	p := r.pools[name]
 	if p == nil {
 		return 0
@@ -271,10 +270,9 @@
 // Forecast predicts the time from the dispatch to the end of a request for at
 // most so many tokens; 0 stands for no bound.
 func (r *Router) Forecast(name fleet.PoolName, prompt, most fleet.Tokens) time.Duration {
-	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refresh(now)
+	r.refresh()
 	p := r.pools[name]
 	if p == nil || p.view.Slots == 0 {
 		return 0
