--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -139,7 +139,8 @@
 	}
 }
 
-// limitService admits requests.
+// limitService admits requests. The share of an account's limit goes by the
+// demand that the peers report.
 func (d *Daemon) limitService() (kernel.Service, error) {
 	r, err := kernel.Find[*router.Router](&d.kernel, ServiceRouter)
 	if err != nil {
