Free the place of a caller who goes away while its request waits

Under overload callers that time out and come again filled the queue with requests that nobody waited for. The admission now carries the caller's end and the queue lets a request withdraw; refusals of that kind are counted, not logged.

--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -82,6 +82,7 @@
 		Burst:    q.Policy.Burst.Value,
 		Service:  a.router.Forecast(q.Pool.Name, q.Prompt, q.Max),
 		Room:     a.router.Room(q.Pool.Name, a.nodes),
+		Gone:     q.Gone,
 	}
 	a.mu.Lock()
 	a.pools[r.Pool] = true
@@ -90,7 +91,9 @@
 	var refused *limit.RefusedError
 	if errors.As(err, &refused) {
 		a.refused.WithLabelValues(string(r.Account), string(r.Pool), string(refused.Reason)).Inc()
-		a.log(r, refused.Reason)
+		if refused.Reason != limit.ReasonGone {
+			a.log(r, refused.Reason)
+		}
 		return nil, &entry.RefusedError{
 			Reason:     refused.Error(),
 			RetryAfter: refused.RetryAfter,
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -20,6 +20,8 @@
 	force   *config.InForce
 	account fleet.Account
 	report  Report
+	// gone is closed when the caller has gone away.
+	gone <-chan struct{}
 }
 
 type handle func(w http.ResponseWriter, r *http.Request, c *call) error
@@ -28,7 +30,7 @@
 func (h *Handler) authenticated(next handle) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		start := h.now()
-		c := &call{id: fleet.RequestID(ulid.Make().String()), force: h.Config()}
+		c := &call{id: fleet.RequestID(ulid.Make().String()), force: h.Config(), gone: r.Context().Done()}
 		c.report = Report{ID: c.id, Start: start, Status: http.StatusOK, Outcome: fleet.OutcomeDone}
 		w.Header().Set(edge.RequestHeader, string(c.id))
 		err := h.identify(r, c)
@@ -136,6 +138,7 @@
 		Prompt:   prompt,
 		Max:      most,
 		Deadline: deadline,
+		Gone:     c.gone,
 	})
 	return deadline, release, err
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -43,6 +43,8 @@
 	Prompt   fleet.Tokens
 	Max      fleet.Tokens
 	Deadline time.Time
+	// Gone is closed when the caller has gone away.
+	Gone <-chan struct{}
 }
 
 // Handler serves callers. Config, Generate, Call and Desk must be set.
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -26,6 +26,9 @@
 	// Room is how many requests this node may have in the pool at a time; 0 is
 	// no bound.
 	Room int
+	// Gone is closed when the caller has gone away; the request then gives up its
+	// place. Nil means never.
+	Gone <-chan struct{}
 }
 
 // latest is the last moment at which the request can be dispatched in time.
@@ -39,6 +42,8 @@
 	ReasonRate     Reason = "rate"
 	ReasonCapacity Reason = "capacity"
 	ReasonDeadline Reason = "deadline"
+	// ReasonGone is for a caller who went away before the dispatch.
+	ReasonGone Reason = "gone"
 )
 
 // RefusedError reports a request that was not admitted.
@@ -56,6 +61,8 @@
 		return fmt.Sprintf("the account's rate limit is reached; a request is free in %v", e.RetryAfter)
 	case ReasonCapacity:
 		return fmt.Sprintf("the request cannot be finished by its deadline now; it could be in %v", e.RetryAfter)
+	case ReasonGone:
+		return "the caller went away while the request waited"
 	default:
 		return "the request takes longer than its deadline allows"
 	}
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -171,6 +171,25 @@
 	})
 })
 
+var _ = Describe("A caller who goes away", func() {
+	It("gives its place in the queue to the next", func() {
+		l := &limit.Limiter{}
+		r := limit.Request{Pool: "plume", Deadline: time.Now().Add(time.Hour), Service: time.Second, Room: 1}
+		release, err := l.Admit(r)
+		Expect(err).NotTo(HaveOccurred())
+		gone := make(chan struct{})
+		close(gone)
+		left := r
+		left.Gone = gone
+		_, err = l.Admit(left)
+		Expect(err).To(Equal(&limit.RefusedError{Reason: limit.ReasonGone}))
+		release()
+		release, err = l.Admit(r)
+		Expect(err).NotTo(HaveOccurred())
+		release()
+	})
+})
+
 var _ = Describe("The share of a node", func() {
 	It("adds up to the whole among nodes that hear each other, and to less if some are cut off", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -57,7 +57,14 @@
 	if err != nil {
 		return nil, err
 	}
-	<-t.Ready()
+	select {
+	case <-t.Ready():
+	case <-r.Gone:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		q.Withdraw(t)
+		return nil, &RefusedError{Reason: ReasonGone}
+	}
 	return sync.OnceFunc(func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -61,6 +61,16 @@
 	return t, nil
 }
 
+// Withdraw gives up the place of a request, whether it waits or was dispatched.
+func (q *Queue) Withdraw(t *Ticket) {
+	at := slices.Index(q.waiting, t)
+	if at < 0 {
+		q.Release()
+		return
+	}
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+}
+
 // Release ends a dispatched request.
 func (q *Queue) Release() {
 	q.running--
