Accept a request for half of its slack, and let it wait at the nodes

Requests accepted up to the last moment had no slack left, so none could go before them, and a quarter more than the slots waited at the endpoints in order of arrival. A request is now accepted if its wait takes at most half of its slack, and the nodes fill nine tenths of the slots.

--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -37,6 +37,11 @@
 // meanShare is the share by which the mean moves to a new request.
 const meanShare = 0.05
 
+// waitShare is the part of its slack that a request may be predicted to wait
+// when it is accepted. The rest is left for wrong predictions, and for requests
+// of other accounts that go first.
+const waitShare = 0.5
+
 // Admit accepts a request or returns a *RefusedError. It performs no waiting.
 // An idle queue accepts what is predicted to be late, because the prediction is
 // learned from what is accepted and could never mend otherwise.
@@ -48,7 +53,8 @@
 	q.room = r.Room
 	t := q.ticket(r)
 	at := q.place(t, now)
-	if late := now.Add(q.wait(at)).Sub(r.latest()); late > 0 && !idle {
+	spare := time.Duration(waitShare * float64(r.latest().Sub(now)))
+	if late := q.wait(at) - spare; late > 0 && !idle {
 		return nil, &RefusedError{Reason: ReasonCapacity, RetryAfter: late}
 	}
 	if q.finished == nil {
--- a/pkg/replay/player.go
+++ b/pkg/replay/player.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/capacity"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/limit"
 	"github.com/skylarkloom/skylarkloom/pkg/prefix"
 	"github.com/skylarkloom/skylarkloom/pkg/route"
 )
@@ -34,6 +35,11 @@
 	OnTime   int
 	// Lost counts requests that missed their deadline or found no endpoint.
 	Lost int
+	// Refused counts requests that were not admitted.
+	Refused int
+	// Small and SmallOnTime count the requests of all but the largest account.
+	Small       int
+	SmallOnTime int
 	// Uncached counts prompt tokens of first attempts that were computed.
 	Uncached fleet.Tokens
 	// Moved and Broken count the tokens computed again after moves and breaks.
@@ -54,6 +60,10 @@
 	index prefix.Index
 	mine  map[*host]int
 	turn  uint64
+	// queue holds the accepted requests, if the policy admits.
+	queue   limit.Queue
+	pending []pending
+	pace    time.Duration
 }
 
 // player plays one trace.
@@ -164,6 +174,10 @@
 	}
 	for _, n := range w.nodes {
 		n.load(w.now)
+		if w.policy.Admit {
+			n.queue.Resize(w.room(n))
+			w.drain(n)
+		}
 	}
 	if w.now < w.trace.Length {
 		w.at(w.now+reportEvery, w.report)
@@ -180,6 +194,13 @@
 
 func (w *player) arrive(r *Request) {
 	j := &job{request: r, node: w.nodes[w.random.IntN(len(w.nodes))], first: -1}
+	if r.Account > 0 {
+		w.result.Small++
+	}
+	if w.policy.Admit {
+		w.admit(j)
+		return
+	}
 	w.send(j)
 }
 
@@ -193,6 +214,7 @@
 	i, err := route.Pick(w.policy.Route, q, &n.view)
 	if err != nil {
 		w.result.Lost++
+		w.finished(n)
 		return
 	}
 	h := n.hosts[i]
@@ -286,7 +308,13 @@
 		w.result.Lost++
 	case j.first <= r.At+r.Target:
 		w.result.OnTime++
+		if r.Account > 0 {
+			w.result.SmallOnTime++
+		}
 	}
+	n := j.node
+	n.pace += time.Duration(learning * float64(j.pace-n.pace))
+	w.finished(n)
 }
 
 // release takes a job off its host.
--- a/pkg/replay/policy.go
+++ b/pkg/replay/policy.go
@@ -17,6 +17,8 @@
 	// Oracle makes reports exact and keeps work off instances that will leave
 	// before it ends.
 	Oracle bool
+	// Admit makes the nodes refuse and queue as the daemon does.
+	Admit bool
 }
 
 // spread is the mix that survives the loss of any zone.
--- a/pkg/replay/trace.go
+++ b/pkg/replay/trace.go
@@ -99,7 +99,23 @@
 			Transfer: 20000,
 		},
 	}
-	s := shape{
+	s := dawnShape()
+	t.Requests = s.requests(seed, t.Length, func(at time.Duration) float64 {
+		if at > 15*time.Second && at < 75*time.Second {
+			return 45
+		}
+		return 25
+	}, burst{from: 85 * time.Second, to: 95 * time.Second, factor: 2.5})
+	return t
+}
+
+// constant is a steady rate of requests a second.
+func constant(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+func dawnShape() shape {
+	return shape{
 		accounts: []float64{0.5, 0.25, 0.15, 0.07, 0.03},
 		shared:   30,
 		turn:     12,
@@ -108,13 +124,6 @@
 		target:   460 * time.Millisecond,
 		deadline: 30 * time.Second,
 	}
-	t.Requests = s.requests(seed, t.Length, func(at time.Duration) float64 {
-		if at > 15*time.Second && at < 75*time.Second {
-			return 45
-		}
-		return 25
-	}, burst{from: 85 * time.Second, to: 95 * time.Second, factor: 2.5})
-	return t
 }
 
 // Night is the tale load at night: few requests with long answers. A zone goes
--- a/pkg/router/view.go
+++ b/pkg/router/view.go
@@ -27,9 +27,9 @@
 	defaultOutput = 128
 	// settleEvery is the least time between two refreshes of a view.
 	settleEvery = 20 * time.Millisecond
-	// overcommit is how much more than its slots an endpoint is given, so that it
-	// has the next request at hand when one ends.
-	overcommit = 1.25
+	// filled is the part of the slots that the nodes fill. What is more waits at
+	// the nodes, where it is ordered, rather than at the endpoints.
+	filled = 0.9
 	// shunFirst and shunLongest bound how long an endpoint is avoided after a
 	// refused connection; each further one doubles the time.
 	shunFirst   = time.Second
@@ -260,7 +260,7 @@
 	if p.view.Slots == 0 {
 		return 0
 	}
-	slots := overcommit * float64(p.view.Slots)
+	slots := filled * float64(p.view.Slots)
 	others := p.view.Others * float64(len(p.view.Candidates))
 	free := max(0, slots-others-float64(p.mine))
 	part := float64(max(nodes, 1))
