--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -64,7 +64,6 @@
 	admitter *admitter
 	peers    *peer.Service
 	traffic  peer.Traffic
-	shares   atomic.Pointer[shares]
 	gatherer *peer.Gatherer
 	forward  *peer.Forward
 }
@@ -106,6 +105,7 @@
 		d.capacityService,
 		d.rolloutService,
 		d.ledgerService,
+		d.metricsService,
 		d.operatorService,
 		d.callersService,
 	} {
--- a/pkg/trial/measure_test.go
+++ b/pkg/trial/measure_test.go
@@ -3,234 +3,220 @@
 package trial_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"regexp"
+	"runtime"
 	"slices"
-	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
-	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
-	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
+	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
-	"github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/standin"
 	"github.com/skylarkloom/skylarkloom/pkg/trial"
 )
 
+// Sizes of the measurements.
 const (
-	measureToken  = "token-of-the-measurement"
-	measureWarmUp = 15 * time.Second
-	measureFor    = 20 * time.Second
-	measureRounds = 10
-	clockTick     = 100.0
+	calls       = 4000
+	warmUp      = 500
+	workers     = 8
+	answerSize  = 32
+	openStreams = 1000
 )
 
-// process is one daemon with its addresses.
-type process struct {
-	command   *exec.Cmd
-	operators string
-}
-
-// sample is what the daemons had used at a time.
-type sample struct{ processor, sent, received, resident float64 }
+var results strings.Builder
 
-func (p *process) get(path string) []byte {
-	r, err := http.NewRequest(http.MethodGet, "http://"+p.operators+path, nil)
-	Expect(err).NotTo(HaveOccurred())
-	r.Header.Set("Authorization", "Bearer "+measureToken)
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return nil
+var _ = AfterSuite(func() {
+	if path := os.Getenv("MEASURE_FILE"); path != "" {
+		Expect(os.WriteFile(path, []byte(os.Getenv("MEASURE_HEAD")+"\n"+results.String()), 0o600)).To(Succeed())
 	}
-	defer func() { _ = res.Body.Close() }()
-	data, _ := io.ReadAll(res.Body)
-	return data
-}
+	GinkgoWriter.Println(results.String())
+})
 
-func (p *process) status() (s operate.Status) {
-	_ = json.Unmarshal(p.get(operate.StatusPath), &s)
-	return s
+func report(format string, args ...any) { fmt.Fprintf(&results, format+"\n", args...) }
+
+// sample is what one way of asking cost.
+type sample struct {
+	first, whole []time.Duration
+	processor    time.Duration
 }
 
-func (p *process) sample() (s sample) {
-	folder := fmt.Sprintf("/proc/%d", p.command.Process.Pid)
-	stat, err := os.ReadFile(filepath.Join(folder, "stat"))
-	Expect(err).NotTo(HaveOccurred())
-	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
-	user, _ := strconv.ParseFloat(fields[11], 64)
-	system, _ := strconv.ParseFloat(fields[12], 64)
-	s.processor = (user + system) / clockTick
-	pages, _ := strconv.ParseFloat(fields[21], 64)
-	s.resident = pages * float64(os.Getpagesize()) / (1 << 20)
-	metrics := p.get("/metrics")
-	s.sent, s.received = metric(metrics, "skylarkloom_peer_sent_bytes_total"), metric(metrics, "skylarkloom_peer_received_bytes_total")
-	return s
+func percentile(list []time.Duration, share float64) time.Duration {
+	slices.Sort(list)
+	return list[int(float64(len(list)-1)*share)]
 }
 
-func metric(text []byte, name string) float64 {
-	m := regexp.MustCompile(`(?m)^` + name + ` (\S+)$`).FindSubmatch(text)
-	if m == nil {
-		return 0
-	}
-	v, _ := strconv.ParseFloat(string(m[1]), 64)
-	return v
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// launch starts the daemons of a fleet.
-func launch(folder string, nodes, centres int, log, cloud string) (list []*process) {
-	type place struct{ name, centre, callers, operators, peers string }
-	var places []place
-	var peers strings.Builder
-	for n := range nodes {
-		p := place{name: fmt.Sprintf("entry-%03d", n), centre: fmt.Sprintf("dc%d", n%centres)}
-		for _, a := range []*string{&p.callers, &p.operators, &p.peers} {
-			var err error
-			*a, err = standin.FreeAddress()
-			Expect(err).NotTo(HaveOccurred())
+// asker asks a question and calls begun at the first token.
+type asker func(ctx context.Context, question string, begun func()) (string, error)
+
+// measure asks one after the other, for latency, or by several workers, for
+// the processor time.
+func measure(ctx context.Context, by int, name string, a asker) (s sample) {
+	var mu sync.Mutex
+	one := func(n int, keep bool) error {
+		question := fmt.Sprintf("Question %d of %s", n, name)
+		start := time.Now()
+		var first time.Duration
+		text, err := a(ctx, question, func() { first = time.Since(start) })
+		whole := time.Since(start)
+		if err != nil {
+			return err
+		}
+		if text != standin.Answer("user: "+question+"\n", answerSize) {
+			return fmt.Errorf("the answer differs: %q", text)
 		}
-		places = append(places, p)
-		fmt.Fprintf(&peers, "    - {name: %s, datacentre: %s, address: %q}\n", p.name, p.centre, p.peers)
+		mu.Lock()
+		defer mu.Unlock()
+		if keep {
+			s.first, s.whole = append(s.first, first), append(s.whole, whole)
+		}
+		return nil
 	}
-	for _, p := range places {
-		text := fmt.Sprintf("node: %s\ndatacentre: %s\ncallers: {address: %q}\noperators: {address: %q, token: {variable: MEASURE_TOKEN}}\n"+
-			"peers:\n  address: %q\n  token: {variable: MEASURE_TOKEN}\n  nodes:\n%splatform: {log: %q, list: %q, cloud: %q}\nlog: {level: error}\n",
-			p.name, p.centre, p.callers, p.operators, p.peers, peers.String(), log, cloud, cloud)
-		file := filepath.Join(folder, p.name+".yaml")
-		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
-		c := exec.Command(os.Getenv("MEASURE_DAEMON"), "run", "--settings", file)
-		c.Env = append(os.Environ(), "MEASURE_TOKEN="+measureToken)
-		c.Stdout, c.Stderr = GinkgoWriter, GinkgoWriter
-		Expect(c.Start()).To(Succeed())
-		list = append(list, &process{command: c, operators: p.operators})
+	for n := range warmUp {
+		Expect(one(n, false)).To(Succeed())
 	}
-	return list
+	before := processorTime()
+	var g errgroup.Group
+	for w := range by {
+		g.Go(func() error {
+			for n := w; n < calls; n += by {
+				if err := one(warmUp+n, true); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	Expect(g.Wait()).To(Succeed())
+	s.processor = (processorTime() - before) / calls
+	return s
 }
 
-// end ends each daemon by its id.
-func end(list []*process) {
-	for _, p := range list {
-		_ = p.command.Process.Kill()
-	}
-	for _, p := range list {
-		_ = p.command.Wait()
+// straight asks an engine without the proxy.
+func straight(e *endpoint.Engine) asker {
+	return func(ctx context.Context, question string, begun func()) (string, error) {
+		var b strings.Builder
+		g := engine.Generate{ID: fleet.RequestID(question), Prompt: "user: " + question + "\n", Max: 1 << 20}
+		err := e.GenerateFunc(ctx, g, func(f engine.Frame) error {
+			if begun != nil {
+				begun()
+				begun = nil
+			}
+			b.WriteString(f.Text)
+			return nil
+		})
+		return b.String(), err
 	}
 }
 
-func measureFleet(nodes, centres, endpoints int) (line string) {
-	folder, err := os.MkdirTemp("", "measure")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = os.RemoveAll(folder) }()
-	log := &standin.Log{Delay: 2 * time.Millisecond}
-	zones := map[fleet.ZoneName]fleet.DataCentreName{}
-	for c := range centres {
-		zones[fleet.ZoneName(fmt.Sprintf("zone-%d", c))] = fleet.DataCentreName(fmt.Sprintf("dc%d", c))
-	}
-	cloud := &standin.Cloud{
-		Engine:      func(fleet.PoolName) *standin.Engine { return &standin.Engine{Slots: 16} },
-		Kinds:       map[fleet.PoolName]fleet.Kind{trial.PoolModel: fleet.KindModel, trial.PoolService: fleet.KindService},
-		Datacentres: zones,
-	}
-	defer cloud.Close()
-	for e := range endpoints {
-		zone := fleet.ZoneName(fmt.Sprintf("zone-%d", e%centres))
-		_, err := cloud.Start(platform.Start{Pool: trial.PoolModel, Zone: zone, Class: "small", Market: fleet.MarketOnDemand})
-		Expect(err).NotTo(HaveOccurred())
-	}
-	document := regexp.MustCompile(`(?m)^    workers:.*\n|^    offers:\n(      .*\n)*`).ReplaceAll(trial.Document(), nil)
-	e, err := record.New(record.KindPublish, time.Now(), record.Publish{Document: document, Author: "measure"})
-	Expect(err).NotTo(HaveOccurred())
-	data, err := record.EncodeGroup([]record.Envelope{e})
-	Expect(err).NotTo(HaveOccurred())
-	log.Put(platform.StreamConfig, data)
-	logs, err := standin.Serve(log.Handler())
-	Expect(err).NotTo(HaveOccurred())
-	defer logs.Close()
-	clouds, err := standin.Serve(cloud.Handler())
-	Expect(err).NotTo(HaveOccurred())
-	defer clouds.Close()
-	list := launch(folder, nodes, centres, logs.URL(), clouds.URL())
-	defer end(list)
-	for _, p := range list {
-		Eventually(func() bool { return p.status().Ready }).WithTimeout(time.Minute).Should(BeTrue())
+func (o *outside) through(ctx context.Context, question string, begun func()) (string, error) {
+	text, whole, err := o.stream(ctx, question, begun)
+	if err == nil && !whole {
+		err = fmt.Errorf("the stream was not whole: %q", text)
 	}
-	time.Sleep(measureWarmUp)
-	line = fmt.Sprintf("nodes %d centres %d endpoints %d | %s", nodes, centres, endpoints, use(list, log))
-	return line + "\n  " + publishes(list, document)
+	return text, err
 }
 
-// use measures processor time, memory, bytes and appends at rest.
-func use(list []*process, log *standin.Log) string {
-	before := make([]sample, len(list))
-	for i, p := range list {
-		before[i] = p.sample()
+// fastTrial is a try-out with engines of the given token time, asked at a node
+// without the balancer.
+func fastTrial(ctx context.Context, tokenTime time.Duration, length, slots int) *outside {
+	o := &outside{
+		trial: &trial.Trial{
+			Slots:  slots,
+			Engine: func() *standin.Engine { return &standin.Engine{TokenTime: tokenTime, Length: length, Slots: slots} },
+		},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * openStreams}},
 	}
-	appends, begin := log.Appends(), time.Now()
-	time.Sleep(measureFor)
-	seconds := time.Since(begin).Seconds()
-	var sum, most sample
-	for i, p := range list {
-		s := p.sample()
-		s.processor, s.sent, s.received = (s.processor-before[i].processor)/seconds, (s.sent-before[i].sent)/seconds, (s.received-before[i].received)/seconds
-		sum.processor, sum.sent, sum.received, sum.resident = sum.processor+s.processor, sum.sent+s.sent, sum.received+s.received, sum.resident+s.resident
-		most.processor, most.sent, most.received, most.resident = max(most.processor, s.processor), max(most.sent, s.sent), max(most.received, s.received), max(most.resident, s.resident)
-	}
-	n := float64(len(list))
-	return fmt.Sprintf("mean/most a node: core %.2f/%.2f%%, resident %.0f/%.0f MB, peers sent %.0f/%.0f B/s, received %.0f/%.0f B/s | appends/s %.2f",
-		100*sum.processor/n, 100*most.processor, sum.resident/n, most.resident, sum.sent/n, most.sent, sum.received/n, most.received,
-		float64(log.Appends()-appends)/seconds)
+	Expect(o.trial.Start(ctx)).To(Succeed())
+	DeferCleanup(func(ctx context.Context) {
+		o.client.CloseIdleConnections()
+		Expect(o.trial.Drain(ctx)).To(Succeed())
+		Expect(o.trial.Stop(ctx)).To(Succeed())
+	})
+	o.at.Callers, o.at.Keys = "http://"+o.trial.Nodes[0].Callers(), trial.Keys
+	return o
 }
 
-// publishes measures how long a configuration takes to be in force on all nodes.
-func publishes(list []*process, document []byte) string {
-	var times []time.Duration
-	for round := range measureRounds {
-		body, err := json.Marshal(operate.Publish{Base: fleet.Revision(round + 1), Document: string(document) + fmt.Sprintf("# %d\n", round), Author: "measure", Message: "a round of the measurement"})
-		Expect(err).NotTo(HaveOccurred())
-		r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+list[round%len(list)].operators+operate.ConfigPath, bytes.NewReader(body))
-		Expect(err).NotTo(HaveOccurred())
-		r.Header.Set("Authorization", "Bearer "+measureToken)
-		begin := time.Now()
-		res, err := http.DefaultClient.Do(r)
-		Expect(err).NotTo(HaveOccurred())
-		_ = res.Body.Close()
-		Expect(res.StatusCode).To(Equal(http.StatusOK))
-		waiting := slices.Clone(list)
-		for len(waiting) > 0 {
-			waiting = slices.DeleteFunc(waiting, func(p *process) bool {
-				if p.status().Revision < fleet.Revision(round+2) {
-					return false
-				}
-				times = append(times, time.Since(begin))
-				return true
-			})
+func (o *outside) engine() *endpoint.Engine {
+	for _, i := range o.trial.Nodes[0].Status().Instances {
+		if i.Pool == trial.PoolModel {
+			return endpoint.DialEngine(i, o.client)
 		}
 	}
-	slices.Sort(times)
-	at := func(q float64) int { return int(times[int(q*float64(len(times)-1))].Milliseconds()) }
-	return fmt.Sprintf("configuration in force, as seen by asking one node after the other: p50 %d p99 %d worst %d ms", at(0.5), at(0.99), at(1))
+	Fail("no engine")
+	return nil
 }
 
-var _ = Describe("Measure", func() {
-	It("daemons as processes by size", func() {
-		out, err := os.Create(os.Getenv("MEASURE_FILE"))
-		Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = out.Close() }()
-		fmt.Fprintln(out, os.Getenv("MEASURE_HEAD"))
-		fmt.Fprintln(out, "daemons as processes on loopback, at rest (no requests); bytes on the peers' connections with HTTP framing, without TCP and IP headers")
-		for _, s := range [][3]int{{7, 1, 30}, {20, 3, 60}, {60, 6, 120}} {
-			fmt.Fprintln(out, measureFleet(s[0], s[1], s[2]))
+// heap returns the memory in use, heap and stacks, after a collection.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// open holds streams open and returns the memory that each takes, clients and
+// engines included.
+func open(ctx context.Context, name string, a asker) int64 {
+	before := heap()
+	ctx, leave := context.WithCancel(ctx)
+	begun := make(chan struct{}, openStreams)
+	var g errgroup.Group
+	for n := range openStreams {
+		g.Go(func() error {
+			_, _ = a(ctx, fmt.Sprintf("Stream %d of %s", n, name), func() { begun <- struct{}{} })
+			return nil
+		})
+	}
+	for range openStreams {
+		Eventually(begun).WithTimeout(patient).Should(Receive())
+	}
+	during := heap()
+	leave()
+	Expect(g.Wait()).To(Succeed())
+	return (during - before) / openStreams
+}
+
+var _ = Describe("Measure the edge", Ordered, func() {
+	It("adds latency and processor time", func(ctx context.Context) {
+		o := fastTrial(ctx, 0, answerSize, 64)
+		direct, proxied := straight(o.engine()), asker(o.through)
+		d := measure(ctx, 1, "one straight", direct)
+		p := measure(ctx, 1, "one through", proxied)
+		report("one at a time, %d answers of %d tokens, each compared byte for byte:", calls, answerSize)
+		for _, share := range []float64{0.5, 0.99} {
+			report("  p%.0f first token straight %v, through %v, added %v; whole answer straight %v, through %v, added %v", share*100,
+				percentile(d.first, share), percentile(p.first, share), percentile(p.first, share)-percentile(d.first, share),
+				percentile(d.whole, share), percentile(p.whole, share), percentile(p.whole, share)-percentile(d.whole, share))
 		}
-	})
+		d = measure(ctx, workers, "many straight", direct)
+		p = measure(ctx, workers, "many through", proxied)
+		added := p.processor - d.processor
+		report("%d at a time: processor time an answer straight %v, through %v; the proxy's share %v, %.0f answers/s a core",
+			workers, d.processor, p.processor, added, float64(time.Second)/float64(added))
+	}, NodeTimeout(10*time.Minute))
+
+	It("holds streams open", func(ctx context.Context) {
+		o := fastTrial(ctx, 50*time.Millisecond, 1<<20, openStreams)
+		d := open(ctx, "straight", straight(o.engine()))
+		p := open(ctx, "through", o.through)
+		report("%d streams open at once: %d bytes a stream straight, %d through, the proxy's share %d", openStreams, d, p, p-d)
+	}, NodeTimeout(5*time.Minute))
 })
