--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -52,6 +52,10 @@
 			d.Logs.Emit(event.LogLapsed, stream, zap.Uint64("from", uint64(from)), zap.Uint64("snapshot", uint64(asOf)))
 		},
 	}
+	s.Candidate = func() bool {
+		_, other := d.peers.Writer(name)
+		return !other
+	}
 	d.streams = append(d.streams, s)
 	return s
 }
