--- a/pkg/replay/policy.go
+++ b/pkg/replay/policy.go
@@ -17,6 +17,8 @@
 	// Oracle makes reports exact and keeps work off instances that will leave
 	// before it ends.
 	Oracle bool
+	// Admit makes the nodes refuse and queue as the daemon does.
+	Admit bool
 }
 
 // spread is the mix that survives the loss of any zone.
@@ -78,7 +80,7 @@
 // other numbers of choices.
 func Ablations() []Policy {
 	list := []Policy{{Name: "policy", Route: route.Predictor{}.Pick, Fleet: spread, Move: true}}
-	for _, t := range []route.Term{route.TermQueue, route.TermPrefix, route.TermRecompute, route.TermRisk, route.TermPrice} {
+	for _, t := range []route.Term{route.TermQueue, route.TermPrefix, route.TermRecompute} {
 		list = append(list, Policy{Name: "without " + string(t), Route: route.Predictor{Omit: t}.Pick, Fleet: spread, Move: true})
 	}
 	for _, p := range []struct {
