Tell a log outage and its end truly, and answer a publish in one

Change: the state of a stream's appends is news for 15 s after the last failure; the node bounds a publish by 10 s.

--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -35,6 +35,10 @@
 	// lagLimit is the age of the last read from which a stream counts as behind.
 	// It is above the time that a read waits at the end of a stream.
 	lagLimit = 5 * time.Second
+	// failureNews is how long a failed append tells that the log takes none. A
+	// stream that is seldom written would else count as broken until the next
+	// append.
+	failureNews = 15 * time.Second
 )
 
 // observer holds what operators see of the node's work.
@@ -144,7 +148,8 @@
 func (d *Daemon) streamSamples(now time.Time) []metrics.Stream {
 	list := make([]metrics.Stream, 0, len(d.streams))
 	for _, s := range d.streams {
-		t := metrics.Stream{Name: s.Name, Stats: s.Stats(), Healthy: s.Healthy()}
+		t := metrics.Stream{Name: s.Name, Stats: s.Stats()}
+		t.Healthy = s.Healthy() || now.Sub(t.Stats.LastFailure) >= failureNews
 		if !t.Stats.LastRead.IsZero() {
 			t.Lag = now.Sub(t.Stats.LastRead)
 		}
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -117,6 +117,8 @@
 	Folded       int
 	Unreadable   int
 	Snapshots    int
+	// LastFailure is when an append failed last.
+	LastFailure time.Time
 	// LastRead is when the log last answered a read.
 	LastRead time.Time
 	// Lapsed counts the recoveries from a snapshot.
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/sony/gobreaker/v2"
 
@@ -239,6 +240,7 @@
 		s.failed(OperationAppend, err)
 		s.mu.Lock()
 		s.stats.FailedWrites++
+		s.stats.LastFailure = time.Now()
 		s.unsure = s.unsure || platform.Sent(err)
 		s.mu.Unlock()
 		return false
--- a/pkg/metrics/collect.go
+++ b/pkg/metrics/collect.go
@@ -20,7 +20,7 @@
 	descFolded     = describe("skylarkloom_log_folded_total", "Records read from the log.", "stream")
 	descUnreadable = describe("skylarkloom_log_unreadable_total", "Records that could not be read.", "stream")
 	descSnapshots  = describe("skylarkloom_log_snapshots_total", "Snapshots appended to the log.", "stream")
-	descHealthy    = describe("skylarkloom_log_healthy", "1 if the last appends went through.", "stream")
+	descHealthy    = describe("skylarkloom_log_healthy", "0 if the last appends failed, within 15 s.", "stream")
 	descLag        = describe("skylarkloom_log_lag_seconds", "Time since the log last answered a read.", "stream")
 )
 
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -27,6 +27,10 @@
 // maxDocument bounds a published document, in bytes.
 const maxDocument = 1 << 20
 
+// publishWait bounds how long a publish waits for the log. It is below the time
+// that clients wait, so that they learn whether anything was appended.
+const publishWait = 10 * time.Second
+
 // Handler serves operators.
 type Handler struct {
 	Token  string
@@ -186,6 +190,8 @@
 }
 
 func (h *Handler) put(ctx context.Context, p operate.Publish) (record.ID, config.Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, publishWait)
+	defer cancel()
 	if p.ID == (record.ID{}) {
 		p.ID = record.NewID(time.Now())
 	}
