--- a/pkg/command/load.go
+++ b/pkg/command/load.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/ledger"
 	"github.com/skylarkloom/skylarkloom/pkg/load"
 	"github.com/skylarkloom/skylarkloom/pkg/settings"
 )
@@ -137,8 +138,9 @@
 	return b, err == nil
 }
 
-// settleTime is how long charges may take to reach the bill.
-const settleTime = 3 * time.Second
+// settleTime is how long charges may take to reach the bill: they wait for their
+// batch, and the batch for its append.
+const settleTime = ledger.DefaultEvery + 2*time.Second
 
 // addBill sets what the bill rose by while the load ran.
 func (f *loadFlags) addBill(ctx context.Context, s *load.Summary, before operate.Bill) {
--- a/pkg/command/load_test.go
+++ b/pkg/command/load_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/command"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/load"
@@ -26,5 +27,14 @@
 	Expect(s.Outcomes[load.KindChat][fleet.OutcomeDone] + s.Outcomes[load.KindOrder][fleet.OutcomeDone]).To(Equal(planned))
 	Expect(s.Generated).To(BeNumerically(">", 0))
 	Expect(s.Cost).NotTo(BeNil())
+	var bill operate.Bill
+	Expect(json.Unmarshal([]byte(control("bill", "--json").Out), &bill)).To(Succeed())
+	charged := 0
+	for _, l := range bill.Lines {
+		if l.Account == "dezerter-sellers" {
+			charged += l.Requests
+		}
+	}
+	Expect(charged).To(BeNumerically(">=", planned), "the load waits until its charges are in the bill")
 	Expect(os.ReadFile(plot)).To(ContainSubstring("<svg"))
 })
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -267,15 +267,12 @@
 	}
 	if k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig); err == nil {
 		s.Revision = k.Revision()
-		s.Streams[k.Stream.Name] = k.Stream.Stats()
 	}
 	if r, err := kernel.Find[*roster.Roster](&d.kernel, ServiceRoster); err == nil {
 		s.Instances = r.Instances()
 	}
-	if desk, err := kernel.Find[*order.Desk](&d.kernel, ServiceOrder); err == nil {
-		for _, p := range desk.Partitions {
-			s.Streams[p.Stream.Name] = p.Stream.Stats()
-		}
+	for _, t := range d.streams {
+		s.Streams[t.Name] = t.Stats()
 	}
 	return s
 }
