--- a/pkg/trial/measure_test.go
+++ b/pkg/trial/measure_test.go
@@ -200,6 +200,9 @@
 		direct, proxied := straight(o.engine()), asker(o.through)
 		d := measure(ctx, 1, "one straight", direct)
 		p := measure(ctx, 1, "one through", proxied)
+		load, err := os.ReadFile("/proc/loadavg")
+		Expect(err).NotTo(HaveOccurred())
+		report("load averages of the machine: %s", strings.TrimSpace(string(load)))
 		report("one at a time, %d answers of %d tokens, each compared byte for byte:", calls, answerSize)
 		for _, share := range []float64{0.5, 0.99} {
 			report("  p%.0f first token straight %v, through %v, added %v; whole answer straight %v, through %v, added %v", share*100,
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -357,9 +357,11 @@
 	if t.balance != nil {
 		t.balance.stop()
 	}
+	var g errgroup.Group
 	for _, n := range t.Nodes {
-		err = errors.CombineErrors(err, n.Stop(ctx))
+		g.Go(func() error { return n.Stop(ctx) })
 	}
+	err = g.Wait()
 	if t.balance != nil {
 		t.balance.wait()
 	}
