Begin an engine's stream with a small buffer

Cause: each open stream held 4 KB for frames of about 100 bytes.

Change: the buffer begins with 1 KB and grows.

--- a/pkg/endpoint/engine.go
+++ b/pkg/endpoint/engine.go
@@ -18,6 +18,8 @@
 
 // Sizes of what is read from an engine, in bytes.
 const (
+	// firstFrame holds a usual frame; the buffer grows for larger ones.
+	firstFrame = 1 << 10
 	maxFrame   = 1 << 20
 	maxFailure = 64 << 10
 )
@@ -161,7 +163,7 @@
 func Events(r io.Reader) func(yield func([]byte, error) bool) {
 	return func(yield func([]byte, error) bool) {
 		lines := bufio.NewScanner(r)
-		lines.Buffer(make([]byte, 0, 4096), maxFrame)
+		lines.Buffer(make([]byte, 0, firstFrame), maxFrame)
 		for lines.Scan() {
 			data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
 			if ok && !yield(bytes.TrimSpace(data), nil) {
