--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_CHECKS ?= 20000
 FUZZ_SEED ?= 1
 
-.PHONY: processes try test build lint format fuzz fuzz-parsers mutate measure measure-orders measure-edge docs generate ci
+.PHONY: processes try test build lint format fuzz fuzz-parsers mutate measure measure-orders measure-edge measure-peers measure-nodes docs generate ci
 
 try: build
 	bin/skylarkloomd try
@@ -45,10 +45,10 @@
 
 # mutate breaks each rule on purpose and shows which check catches it.
 mutate:
-	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order
+	go test -tags mutate -count=1 -timeout 2h -run TestOrder -v ./pkg/order -ginkgo.focus catches
 
 # measure writes the figures under docs/measured.
-measure: measure-orders measure-edge
+measure: measure-orders measure-edge measure-peers
 
 MACHINE := $(shell nproc) cores, $(shell go env GOOS)/$(shell go env GOARCH), $(shell go env GOVERSION)
 COMMIT := $(shell git describe --always --dirty 2>/dev/null)
@@ -61,7 +61,7 @@
 measure-edge:
 	mkdir -p docs/measured
 	MEASURE_FILE=$(CURDIR)/docs/measured/edge.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
-		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus Measure
+		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus "Measure the edge"
 
 # docs writes the pages of docs/ that are made from the code.
 docs: build
@@ -71,6 +71,18 @@
 processes: build
 	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags processes -count=1 -timeout 10m -v ./pkg/trial/processes
 
+measure-peers:
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/peers.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		go test -tags measure -count=1 -timeout 30m -run TestPeer ./pkg/peer -ginkgo.focus Measure
+
+# measure-nodes starts daemons as processes, 60 at most, and ends them by their id.
+measure-nodes: build
+	mkdir -p docs/measured
+	MEASURE_FILE=$(CURDIR)/docs/measured/nodes.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+		MEASURE_DAEMON=$(CURDIR)/bin/skylarkloomd \
+		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus "Measure the nodes"
+
 ci: lint build test
 
 # generate makes the committed code of the peer protocol; it needs protoc.
@@ -78,3 +90,10 @@
 	protoc --plugin=$(GOBIN)/protoc-gen-go --plugin=$(GOBIN)/protoc-gen-connect-go \
 		--go_out=. --go_opt=paths=source_relative --connect-go_out=. --connect-go_opt=paths=source_relative \
 		pkg/api/peer/v1/peer.proto
+
+measure: measure-policy
+
+# measure-policy compares the policies by pkg/replay in virtual time.
+measure-policy:
+	mkdir -p docs/measured
+	go test -count=1 -timeout 30m -run TestMeasure ./pkg/replay -args -measure $(CURDIR)/docs/measured/policy.txt
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -66,6 +66,8 @@
 	admitter *admitter
 	peers    *peer.Service
 	traffic  peer.Traffic
+	gatherer *peer.Gatherer
+	forward  *peer.Forward
 }
 
 // Clients are the clients of the platform's services.
@@ -89,6 +91,7 @@
 	if err := d.dial(); err != nil {
 		return err
 	}
+	d.gather()
 	for _, add := range []func() (kernel.Service, error){
 		d.configService,
 		d.rosterService,
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -37,15 +37,24 @@
 // meanShare is the share by which the mean moves to a new request.
 const meanShare = 0.05
 
+// waitShare is the part of its slack that a request may be predicted to wait
+// when it is accepted. The rest is left for wrong predictions, and for requests
+// of other accounts that go first.
+const waitShare = 0.5
+
 // Admit accepts a request or returns a *RefusedError. It performs no waiting.
+// An idle queue accepts what is predicted to be late, because the prediction is
+// learned from what is accepted and could never mend otherwise.
 func (q *Queue) Admit(r Request, now time.Time) (*Ticket, error) {
-	if r.Service > r.Deadline.Sub(now) {
+	idle := q.running == 0 && len(q.waiting) == 0
+	if r.Service > r.Deadline.Sub(now) && !idle {
 		return nil, &RefusedError{Reason: ReasonDeadline}
 	}
 	q.room = r.Room
 	t := q.ticket(r)
 	at := q.place(t, now)
-	if late := now.Add(q.wait(at)).Sub(r.latest()); late > 0 {
+	spare := time.Duration(waitShare * float64(r.latest().Sub(now)))
+	if late := q.wait(at) - spare; late > 0 && !idle {
 		return nil, &RefusedError{Reason: ReasonCapacity, RetryAfter: late}
 	}
 	if q.finished == nil {
@@ -58,6 +67,16 @@
 	return t, nil
 }
 
+// Withdraw gives up the place of a request, whether it waits or was dispatched.
+func (q *Queue) Withdraw(t *Ticket) {
+	at := slices.Index(q.waiting, t)
+	if at < 0 {
+		q.Release()
+		return
+	}
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+}
+
 // Release ends a dispatched request.
 func (q *Queue) Release() {
 	q.running--
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -22,6 +22,8 @@
 	reports, configuration bool
 	// summary exchanges summaries, between data centres.
 	summary bool
+	// announce tells of this node's revision.
+	announce bool
 }
 
 // IdentityError reports that another node answers at a peer's address.
@@ -133,7 +135,12 @@
 		return p, false
 	}
 	s.behind.since = now
-	return s.find(s.behind.peer)
+	for _, p := range append(s.centrePeers(), s.Peers...) {
+		if p.Name == s.behind.peer {
+			return p, true
+		}
+	}
+	return p, false
 }
 
 func (s *Service) find(name fleet.NodeName) (p Peer, ok bool) {
@@ -164,12 +171,23 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		announce := s.raised()
 		for _, p := range s.targets() {
-			s.begin(ctx, calls, p, purpose{})
+			s.begin(ctx, calls, p, purpose{announce: announce})
 		}
 	}
 }
 
+// raised reports whether this node's revision has grown since the last call.
+func (s *Service) raised() bool {
+	revision := s.revision()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	grown := revision > s.announced
+	s.announced = max(s.announced, revision)
+	return grown
+}
+
 // targets returns to whom new facts go: a few live peers of the data centre
 // and, from a gateway, one node of each other data centre.
 func (s *Service) targets() (list []Peer) {
@@ -275,7 +293,7 @@
 	if why.reports && room > 0 {
 		r.Digest = digestToWire(s.reports.Digest())
 	}
-	if r.Digest == nil && !why.configuration && !why.summary && len(facts) == 0 {
+	if r.Digest == nil && !why.configuration && !why.summary && !why.announce && len(facts) == 0 {
 		return nil, 0, false
 	}
 	s.spend(r, now)
@@ -338,7 +356,7 @@
 	state.sum = r.GetFacts().GetSum()
 	s.notice(p.Name, fleet.Revision(r.GetRevision()), own, now)
 	news := s.mergeFacts(r.GetFacts(), now)
-	loads := s.mergeParts(r.GetParts(), now)
+	loads := s.mergeParts(r.GetParts(), own, now)
 	if r.GetSummary() != nil {
 		s.mergeSummary(r.GetSummary(), now)
 	}
@@ -362,12 +380,15 @@
 
 // mergeParts merges reports and returns the loads among the news. The lock is
 // held.
-func (s *Service) mergeParts(parts []*peerv1.Part, now time.Time) (loads []member.Item) {
+func (s *Service) mergeParts(parts []*peerv1.Part, revision fleet.Revision, now time.Time) (loads []member.Item) {
 	own := member.LifeOf(s.Self.Ref)
 	for _, w := range parts {
 		if member.Life(w.GetLife()) == own {
 			continue
 		}
+		if name, ok := s.reports.Name(member.Life(w.GetLife())); ok {
+			s.notice(name, fleet.Revision(w.GetRevision()), revision, now)
+		}
 		for _, i := range s.reports.Merge(partFromWire(w, now), now) {
 			switch i.Key.Kind {
 			case member.KindLoad:
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -47,11 +47,13 @@
 	forgetAfter = 10 * time.Minute
 	// learnAfter is how long a node that is behind waits for the log before it
 	// asks a peer for the configuration.
-	learnAfter = 2 * time.Second
+	learnAfter = 500 * time.Millisecond
 	// demandEvery is after how long an unchanged demand is reported again.
 	demandEvery = 10 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
+	// loadEvery is the least time between two load reports on an endpoint.
+	loadEvery = 2 * time.Second
 	// pushFanout is to how many peers new facts are pushed at once.
 	pushFanout = 3
 	// gateways is how many nodes of a data centre exchange with another one.
@@ -116,6 +118,8 @@
 	Loaded func(l Load)
 	// Changed is called when a peer comes to be seen as alive or dead.
 	Changed func(n member.Node, alive bool)
+	// Gather appends to the log for other nodes; nil refuses to.
+	Gather *Gatherer
 	// Failed is called when an exchange failed.
 	Failed func(p Peer, err error)
 
@@ -134,11 +138,14 @@
 	loads   map[member.Subject]member.Item
 	remote  map[fleet.DataCentreName]*remoteState
 	demand  map[member.Subject]reported
+	told    map[member.Subject]time.Time
 	live    []fleet.NodeName
 	centre  []fleet.NodeName
 	seen    map[fleet.NodeName]bool
 	behind  behind
-	stats   Stats
+	// announced is the highest revision that was pushed to peers.
+	announced fleet.Revision
+	stats     Stats
 }
 
 // peerState is what a node remembers of its exchanges with one peer.
@@ -184,6 +191,7 @@
 		s.loads = make(map[member.Subject]member.Item)
 		s.remote = make(map[fleet.DataCentreName]*remoteState)
 		s.demand = make(map[member.Subject]reported)
+		s.told = make(map[member.Subject]time.Time)
 		s.seen = make(map[fleet.NodeName]bool)
 		s.reports.Beat(s.Self, s.revision(), s.started)
 		s.refresh(s.started)
@@ -266,15 +274,15 @@
 	}
 	s.mu.Lock()
 	changed := s.demandItems(demand, now)
-	for _, i := range s.pending {
-		changed = append(changed, i)
-	}
-	clear(s.pending)
+	changed = append(changed, s.loadItems(now)...)
 	changed = append(changed, s.relayItems(now)...)
 	s.reports.Beat(s.Self, revision, now, changed...)
 	s.reports.Expire(now.Add(-forgetAfter), s.Self.Ref.Name)
 	s.facts.Expire(now)
 	changes := s.refresh(now)
+	if revision > s.announced {
+		s.alert()
+	}
 	s.mu.Unlock()
 	for _, c := range changes {
 		if s.Changed != nil {
