Do not avoid an endpoint because a caller went away while it was dialled

A dial that the caller's end cut short looks like a refused connection, and shunned a healthy endpoint. The test fails without the check.

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -173,8 +173,12 @@
 // promptTokens estimates how many tokens a prompt has.
 func promptTokens(prompt string) fleet.Tokens { return fleet.Tokens(len(prompt)/4 + 1) }
 
-// refused reports whether an error is that of a refused connection.
+// refused reports whether an error is that of a refused connection. One that
+// the caller's going away cut short tells nothing of the endpoint.
 func refused(err error) bool {
+	if errors.Is(err, context.Canceled) {
+		return false
+	}
 	var notStarted *endpoint.NotStartedError
 	var status *endpoint.StatusError
 	return errors.As(err, &notStarted) && !errors.As(err, &status)
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -107,6 +107,14 @@
 		Expect(ids).To(HaveKey(id))
 	})
 
+	It("does not avoid an instance because a caller went away while it was dialled", func() {
+		b := newBench(2)
+		l := b.lease()
+		id := l.Engine.Instance.ID
+		l.Release(&endpoint.NotStartedError{Cause: &net.OpError{Op: "dial", Err: context.Canceled}})
+		Expect(b.lease().Engine.Instance.ID).To(Equal(id))
+	})
+
 	It("uses a refused instance if there is no other", func() {
 		b := newBench(1)
 		b.lease().Release(refusal())
