--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -52,6 +52,10 @@
 			d.Logs.Emit(event.LogLapsed, stream, zap.Uint64("from", uint64(from)), zap.Uint64("snapshot", uint64(asOf)))
 		},
 	}
+	s.Candidate = func() bool {
+		_, other := d.peers.Writer(name)
+		return !other
+	}
 	d.streams = append(d.streams, s)
 	return s
 }
@@ -114,6 +118,7 @@
 		p.Stream.Apply, p.Stream.Applied = p.Apply, p.Applied
 		p.Stream.Save, p.Stream.Load = p.Save, p.Load
 		desk.Partitions = append(desk.Partitions, p)
+		d.required = append(d.required, p.Stream)
 	}
 	server := &order.Server{
 		Desk:      desk,
