Count living nodes taken for dead in the measurement of peers

The measurement did not show whether heartbeats that wait for the byte budget make living nodes look dead. Each size now counts it.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 
 measure-peers:
 	mkdir -p docs/measured
+	rm -f docs/measured/peers.txt
 	MEASURE_FILE=$(CURDIR)/docs/measured/peers.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		go test -tags measure -count=1 -timeout 30m -run TestPeer ./pkg/peer -ginkgo.focus Measure
 
--- a/pkg/peer/measure_test.go
+++ b/pkg/peer/measure_test.go
@@ -145,6 +145,11 @@
 				return n.inForce
 			})
 		}
+		deaths := 0
+		for _, n := range w.list {
+			deaths += n.deaths
+		}
+		line += fmt.Sprintf("\n  living nodes taken for dead %d times in all", deaths)
 		line += "\n  " + summarise("mark", marks, lost[0]) + "\n  " + summarise("suspect", suspects, lost[1]) + "\n  " + summarise("configuration without the log", changes, lost[2])
 	})
 	return line
@@ -154,7 +159,7 @@
 	It("the exchange by size", func() {
 		out := os.Stdout
 		if name := os.Getenv("MEASURE_FILE"); name != "" {
-			f, err := os.Create(name)
+			f, err := os.OpenFile(name, os.O_APPEND|os.O_WRONLY|os.O_CREATE, 0o644)
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = f.Close() }()
 			out = f
@@ -162,7 +167,9 @@
 		fmt.Fprintln(out, os.Getenv("MEASURE_HEAD"))
 		fmt.Fprintln(out, "many nodes in one process, virtual time, message bodies without framing, 1.5 ms a hop")
 		for _, s := range []size{{7, 1, 30, 0}, {20, 3, 100, 0}, {60, 6, 200, 0}, {60, 6, 600, 0}, {60, 6, 600, 0.05}, {340, 6, 600, 0}} {
-			fmt.Fprintln(out, measure(s))
+			if only := os.Getenv("MEASURE_NODES"); only == "" || only == fmt.Sprint(s.nodes) {
+				fmt.Fprintln(out, measure(s))
+			}
 		}
 	})
 })
--- a/pkg/peer/measure_writer_test.go
+++ b/pkg/peer/measure_writer_test.go
@@ -61,7 +61,7 @@
 	It("the appends that a log writer saves", func() {
 		out := os.Stdout
 		if name := os.Getenv("MEASURE_FILE"); name != "" {
-			f, err := os.OpenFile(name, os.O_APPEND|os.O_WRONLY|os.O_CREATE, 0o600)
+			f, err := os.OpenFile(name, os.O_APPEND|os.O_WRONLY|os.O_CREATE, 0o644)
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = f.Close() }()
 			out = f
--- a/pkg/peer/network_test.go
+++ b/pkg/peer/network_test.go
@@ -53,6 +53,7 @@
 	known   map[string]time.Time
 	inForce time.Time
 	bytes   int
+	deaths  int
 	rates   map[fleet.AccountName]float64
 }
 
@@ -81,12 +82,19 @@
 		Exchange: func(ctx context.Context, p peer.Peer, r *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
 			return w.call(ctx, n, p, r)
 		},
-		Revision:  n.revision,
-		Change:    func() (config.Change, bool) { n.mu.Lock(); defer n.mu.Unlock(); return n.change, n.change.Revision > 0 },
-		Learn:     n.learn,
-		Demand:    func() map[fleet.AccountName]float64 { n.mu.Lock(); defer n.mu.Unlock(); return n.rates },
-		Marked:    n.marked,
-		Failed:    func(_ peer.Peer, err error) { n.mu.Lock(); defer n.mu.Unlock(); n.failure = err },
+		Revision: n.revision,
+		Change:   func() (config.Change, bool) { n.mu.Lock(); defer n.mu.Unlock(); return n.change, n.change.Revision > 0 },
+		Learn:    n.learn,
+		Demand:   func() map[fleet.AccountName]float64 { n.mu.Lock(); defer n.mu.Unlock(); return n.rates },
+		Marked:   n.marked,
+		Failed:   func(_ peer.Peer, err error) { n.mu.Lock(); defer n.mu.Unlock(); n.failure = err },
+		Changed: func(_ member.Node, alive bool) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if !alive {
+				n.deaths++
+			}
+		},
 		Suspected: func(s peer.Suspect) { n.mu.Lock(); defer n.mu.Unlock(); n.known[s.Key] = time.Now() },
 	}
 	w.mu.Lock()
--- a/pkg/trial/measure_nodes_test.go
+++ b/pkg/trial/measure_nodes_test.go
@@ -43,8 +43,8 @@
 	operators string
 }
 
-// sample is what the daemons had used at a time.
-type sample struct{ processor, sent, received, resident float64 }
+// usage is what the daemons had used at a time.
+type usage struct{ processor, sent, received, resident float64 }
 
 func (p *process) get(path string) []byte {
 	r, err := http.NewRequest(http.MethodGet, "http://"+p.operators+path, nil)
@@ -64,7 +64,7 @@
 	return s
 }
 
-func (p *process) sample() (s sample) {
+func (p *process) usage() (s usage) {
 	folder := fmt.Sprintf("/proc/%d", p.command.Process.Pid)
 	stat, err := os.ReadFile(filepath.Join(folder, "stat"))
 	Expect(err).NotTo(HaveOccurred())
@@ -172,16 +172,16 @@
 
 // use measures processor time, memory, bytes and appends at rest.
 func use(list []*process, log *standin.Log) string {
-	before := make([]sample, len(list))
+	before := make([]usage, len(list))
 	for i, p := range list {
-		before[i] = p.sample()
+		before[i] = p.usage()
 	}
 	appends, begin := log.Appends(), time.Now()
 	time.Sleep(measureFor)
 	seconds := time.Since(begin).Seconds()
-	var sum, most sample
+	var sum, most usage
 	for i, p := range list {
-		s := p.sample()
+		s := p.usage()
 		s.processor, s.sent, s.received = (s.processor-before[i].processor)/seconds, (s.sent-before[i].sent)/seconds, (s.received-before[i].received)/seconds
 		sum.processor, sum.sent, sum.received, sum.resident = sum.processor+s.processor, sum.sent+s.sent, sum.received+s.received, sum.resident+s.resident
 		most.processor, most.sent, most.received, most.resident = max(most.processor, s.processor), max(most.sent, s.sent), max(most.received, s.received), max(most.resident, s.resident)
