Bring heartbeats first, whatever the budget cuts

A part now carries the count of its origin's heartbeats, which holds even if its reports were cut, and an answer brings the heartbeats of all origins before any report.

--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,7 @@
 # measure-nodes starts daemons as processes, 60 at most, and ends them by their id.
 measure-nodes: build
 	mkdir -p docs/measured
-	MEASURE_FILE=$(CURDIR)/docs/measured/nodes.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+	MEASURE_NODES_FILE=$(CURDIR)/docs/measured/nodes.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		MEASURE_DAEMON=$(CURDIR)/bin/skylarkloomd \
 		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus "Measure the nodes"
 
--- a/pkg/member/reports.go
+++ b/pkg/member/reports.go
@@ -43,7 +43,9 @@
 	Node     Node
 	From, To uint64
 	Revision fleet.Revision
-	Items    []Item
+	// Beat counts the origin's heartbeats; it holds even if items were cut.
+	Beat  uint64
+	Items []Item
 }
 
 // Origin is what is held of one life of a node.
@@ -52,7 +54,8 @@
 	Revision fleet.Revision
 	// Sequence is the highest number up to which all reports are held.
 	Sequence uint64
-	// Heard is when the sequence last grew.
+	// Beat counts its heartbeats, Heard is when that last grew.
+	Beat  uint64
 	Heard time.Time
 
 	items map[Key]Item
@@ -116,6 +119,7 @@
 		o.items[i.Key] = i
 	}
 	o.Sequence++
+	o.Beat++
 	o.Revision = max(o.Revision, revision)
 	o.Heard = now
 }
@@ -158,9 +162,12 @@
 		news = append(news, i)
 	}
 	o.Revision = max(o.Revision, p.Revision)
+	if p.Beat > o.Beat {
+		o.Beat = p.Beat
+		o.Heard = now
+	}
 	if p.From <= o.Sequence && p.To > o.Sequence {
 		o.Sequence = p.To
-		o.Heard = now
 	}
 	return news
 }
@@ -196,7 +203,7 @@
 		if known && from >= o.Sequence {
 			continue
 		}
-		p := Part{Life: life, From: from, To: o.Sequence, Revision: o.Revision}
+		p := Part{Life: life, From: from, To: o.Sequence, Revision: o.Revision, Beat: o.Beat}
 		if !known {
 			p.Node = o.Node
 		}
--- a/pkg/peer/answer.go
+++ b/pkg/peer/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
@@ -60,25 +61,37 @@
 }
 
 // fill adds reports that the holder of the digest lacks, as far as the budget
-// goes. Origins come in random order, so that none is starved. The lock is held.
+// goes: first the heartbeat of each origin, then items. Origins come in random
+// order, so that none is starved. The lock is held.
 func (s *Service) fill(w *peerv1.ExchangeResponse, d member.Digest) {
 	now := s.now()
 	room := s.budget.Room(now) - messageOverhead - proto.Size(w)
 	parts := s.reports.Missing(d, now)
 	s.random.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
 	for _, p := range parts {
-		part := partToWire(p, now)
-		for items := len(p.Items); proto.Size(part) > room && items > 0; {
-			items /= 2
-			part = partToWire(p.Cut(items), now)
+		part := partToWire(p.Cut(0), now)
+		if proto.Size(part)+partFraming > room {
+			break
 		}
-		size := proto.Size(part)
-		if size > room {
-			return
-		}
-		room -= size
+		room -= proto.Size(part) + partFraming
 		w.Parts = append(w.Parts, part)
 	}
+	for i, beat := range w.Parts {
+		room += proto.Size(beat)
+		w.Parts[i] = fit(parts[i], room, now)
+		room -= proto.Size(w.Parts[i])
+	}
+}
+
+// fit returns as much of a part as there is room for, its heartbeat at least.
+func fit(p member.Part, room int, now time.Time) *peerv1.Part {
+	items := len(p.Items)
+	part := partToWire(p, now)
+	for proto.Size(part) > room && items > 0 {
+		items /= 2
+		part = partToWire(p.Cut(items), now)
+	}
+	return part
 }
 
 // change returns the configuration in force if the asker wants it and works by
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -117,7 +117,7 @@
 		return
 	}
 	if !known || held.Node.Ref.Incarnation < n.Ref.Incarnation {
-		s.reports.Merge(member.Part{Life: member.LifeOf(n.Ref), Node: n, To: 1}, now)
+		s.reports.Merge(member.Part{Life: member.LifeOf(n.Ref), Node: n, To: 1, Beat: 1}, now)
 	}
 }
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -75,6 +75,8 @@
 	BudgetRate = 6500
 	// BudgetBurst is how many bytes it may send at once.
 	BudgetBurst = 13000
+	// partFraming is the size of a part's framing in a message, in bytes.
+	partFraming = 4
 	// messageOverhead is the size of a message's framing and headers, in bytes.
 	messageOverhead = 150
 )
--- a/pkg/peer/wire.go
+++ b/pkg/peer/wire.go
@@ -53,7 +53,7 @@
 }
 
 func partToWire(p member.Part, now time.Time) *peerv1.Part {
-	w := &peerv1.Part{Life: uint64(p.Life), From: p.From, To: p.To, Revision: uint64(p.Revision)}
+	w := &peerv1.Part{Life: uint64(p.Life), From: p.From, To: p.To, Revision: uint64(p.Revision), Beat: p.Beat}
 	if p.Node.Ref.Name != "" {
 		w.Node = nodeToWire(p.Node)
 	}
@@ -71,7 +71,7 @@
 
 // partFromWire leaves out reports of kinds that this version does not know.
 func partFromWire(w *peerv1.Part, now time.Time) member.Part {
-	p := member.Part{Life: member.Life(w.GetLife()), From: w.GetFrom(), To: w.GetTo(), Revision: fleet.Revision(w.GetRevision())}
+	p := member.Part{Life: member.Life(w.GetLife()), From: w.GetFrom(), To: w.GetTo(), Revision: fleet.Revision(w.GetRevision()), Beat: w.GetBeat()}
 	if w.GetNode() != nil {
 		p.Node = nodeFromWire(w.GetNode())
 	}
--- a/pkg/trial/measure_nodes_test.go
+++ b/pkg/trial/measure_nodes_test.go
@@ -224,7 +224,7 @@
 
 var _ = Describe("Measure the nodes", func() {
 	It("daemons as processes by size", func() {
-		out, err := os.Create(os.Getenv("MEASURE_FILE"))
+		out, err := os.Create(os.Getenv("MEASURE_NODES_FILE"))
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = out.Close() }()
 		fmt.Fprintln(out, os.Getenv("MEASURE_HEAD"))
