--- a/Makefile
+++ b/Makefile
@@ -73,13 +73,14 @@
 
 measure-peers:
 	mkdir -p docs/measured
+	rm -f docs/measured/peers.txt
 	MEASURE_FILE=$(CURDIR)/docs/measured/peers.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		go test -tags measure -count=1 -timeout 30m -run TestPeer ./pkg/peer -ginkgo.focus Measure
 
 # measure-nodes starts daemons as processes, 60 at most, and ends them by their id.
 measure-nodes: build
 	mkdir -p docs/measured
-	MEASURE_FILE=$(CURDIR)/docs/measured/nodes.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
+	MEASURE_NODES_FILE=$(CURDIR)/docs/measured/nodes.txt MEASURE_HEAD="machine: $(MACHINE); commit: $(COMMIT)" \
 		MEASURE_DAEMON=$(CURDIR)/bin/skylarkloomd \
 		go test -tags measure -count=1 -timeout 30m -run TestTrial ./pkg/trial -ginkgo.focus "Measure the nodes"
 
