--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -32,8 +32,11 @@
 	// relayEvery is how often a gateway passes another data centre's summary on
 	// to its own.
 	relayEvery = 5 * time.Second
-	// DeadAfter is after how long without a heartbeat a node counts as dead.
-	DeadAfter = 5 * time.Second
+	// DeadAfter is after how long without a heartbeat a node counts as dead, at
+	// least: heartbeats take longer to go round in a large data centre.
+	DeadAfter = 8 * time.Second
+	// deadAfterNode is how much of that each node of the data centre takes.
+	deadAfterNode = 600 * time.Millisecond
 	// RemoteDeadAfter is the same for a node that fresh summaries of its data
 	// centre no longer name.
 	RemoteDeadAfter = 20 * time.Second
@@ -145,6 +148,8 @@
 	centre  []fleet.NodeName
 	seen    map[fleet.NodeName]bool
 	behind  behind
+	// deadAfter is DeadAfter or more, by the size of the data centre.
+	deadAfter time.Duration
 	// announced is the highest revision that was pushed to peers.
 	announced fleet.Revision
 	stats     Stats
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -19,10 +19,11 @@
 // refresh works out anew which nodes live. The lock is held.
 func (s *Service) refresh(now time.Time) (changes []change) {
 	own := s.Self.Ref.Name
+	s.deadAfter = max(DeadAfter, deadAfterNode*time.Duration(len(s.centrePeers())+1))
 	s.centre = []fleet.NodeName{own}
 	for _, o := range s.reports.Origins() {
 		name := o.Node.Ref.Name
-		alive := name == own || now.Sub(o.Heard) < DeadAfter
+		alive := name == own || now.Sub(o.Heard) < s.deadAfter
 		if alive != s.seen[name] && name != own {
 			changes = append(changes, change{node: o.Node, alive: alive})
 		}
@@ -76,7 +77,7 @@
 	defer s.mu.Unlock()
 	if o, ok := s.reports.Origin(n.Name); ok {
 		newer := o.Node.Ref.Incarnation > n.Incarnation
-		return !newer && now.Sub(o.Heard) < DeadAfter
+		return !newer && now.Sub(o.Heard) < s.deadAfter
 	}
 	life := member.LifeOf(n)
 	for _, r := range s.remote {
