Refuse at once what the log has not got when it stops answering

Cause: with the log down the first orders of each stream waited out the whole 5 s for their accept, though every append had been refused (try-out by hand: three orders, 5.0 s each).

Change: when the breaker opens, records that certainly never reached the log and are not the outcome of earlier ones are ended with an error; their orders are not run.

--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -19,6 +19,8 @@
 	seen    chan struct{}
 	ended   chan struct{}
 	once    sync.Once
+	// required says that the records are appended whenever the log comes back.
+	required bool
 	// The fields below are guarded by the stream's lock.
 	sending  bool
 	sent     bool
@@ -82,7 +84,8 @@
 
 // Submit queues records, which will share one append. It refuses at once with
 // an *UnavailableError, with nothing appended, if the log does not answer or
-// the queue is full.
+// the queue is full. Records that the log has certainly not got when it stops
+// answering are refused likewise, by their ticket.
 func (s *Stream) Submit(records ...record.Envelope) (t *Ticket, err error) {
 	s.init()
 	if !s.Healthy() && !s.probing() {
@@ -96,7 +99,7 @@
 	if len(s.queue) >= or(s.Queue, DefaultQueue) {
 		return nil, &UnavailableError{Stream: s.Name, Reason: ReasonQueue}
 	}
-	return s.enqueue(records)
+	return s.enqueue(records, false)
 }
 
 // SubmitRequired queues records even while the log does not answer and past
@@ -106,15 +109,15 @@
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.enqueue(records)
+	return s.enqueue(records, true)
 }
 
 // enqueue queues records. The lock is held.
-func (s *Stream) enqueue(records []record.Envelope) (t *Ticket, err error) {
+func (s *Stream) enqueue(records []record.Envelope, required bool) (t *Ticket, err error) {
 	if s.stopped {
 		return nil, &UnavailableError{Stream: s.Name, Reason: ReasonStopped}
 	}
-	t = &Ticket{stream: s, records: records, seen: make(chan struct{}), ended: make(chan struct{})}
+	t = &Ticket{stream: s, records: records, required: required, seen: make(chan struct{}), ended: make(chan struct{})}
 	for _, r := range records {
 		s.pending[r.ID] = t
 	}
@@ -218,6 +221,7 @@
 	settle, err := s.breaker.Allow()
 	if err != nil {
 		s.mark(group, false)
+		s.refuse()
 		return false
 	}
 	var records []record.Envelope
@@ -243,6 +247,7 @@
 		s.stats.LastFailure = time.Now()
 		s.unsure = s.unsure || platform.Sent(err)
 		s.mu.Unlock()
+		s.refuse()
 		return false
 	}
 	s.mu.Lock()
@@ -265,6 +270,20 @@
 	}
 }
 
+// refuse ends the tickets that certainly never reached the log, once the breaker
+// says that it does not answer, so that their callers learn it at once.
+func (s *Stream) refuse() {
+	if s.Healthy() {
+		return
+	}
+	s.mu.Lock()
+	refused := slices.DeleteFunc(slices.Clone(s.queue), func(t *Ticket) bool {
+		return t.required || t.sent || t.sending || t.written
+	})
+	s.mu.Unlock()
+	s.drop(refused)
+}
+
 func (s *Stream) drop(group []*Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
