Grant no trial within a second of the last report of a crash

Cause: under load (16 runs at once) 4 of 32 runs of the poison tests lost three or four endpoints, with a pause of 400 ms as well as of 2 s. A trace showed why: two copies crash two endpoints within milliseconds, and a third caller, who had passed the pause before its node saw a loss, finds one crash in the log and is granted a trial before the second report is appended. The longer pause was ruled out as a cure by the second figure.

Change: the fold grants no trial of a content within one second of log time of its last report. A node claims a content at most once a second, so that those who wait do not fill the log. The pause after a loss is one second.

Conclusion: the order of the log now covers copies in flight at the same time.

--- a/pkg/suspect/fold_test.go
+++ b/pkg/suspect/fold_test.go
@@ -75,11 +75,14 @@
 					case suspect.VerdictConvicted:
 						return
 					case suspect.VerdictSuspect:
+						w.now = w.now.Add(time.Duration(rapid.IntRange(0, 2).Draw(t, "wait")) * time.Second)
+						early := w.now.Sub(w.fold.Case(c).Reported) < suspect.TrialDelay
 						id := w.append(record.KindTrial, record.Trial{Content: c, Instance: i, Window: time.Minute, Limit: 2})
 						trial := w.fold.Case(c).Trial
 						if trial == nil || trial.ID != id {
 							return
 						}
+						Expect(early).To(BeFalse())
 						granted++
 						Expect(w.fold.Reserved(i)).To(BeTrue())
 					}
--- a/pkg/suspect/guard.go
+++ b/pkg/suspect/guard.go
@@ -29,11 +29,15 @@
 	reportTimeout = 5 * time.Second
 	// vouchedContents is how many finished contents a node remembers.
 	vouchedContents = 65536
-	// holdRetry is how often a claim is tried again without news.
+	// holdLook is how often a held content's case is looked at without news, and
+	// holdRetry the least time between two claims of a node for one content.
+	holdLook  = 100 * time.Millisecond
 	holdRetry = time.Second
+	// heldContents is how many claims a node remembers.
+	heldContents = 4096
 	// lossPause is how long contents not seen to finish are kept back after an
 	// endpoint of their pool was lost, so that reports of the loss come first.
-	lossPause = 400 * time.Millisecond
+	lossPause = time.Second
 	// trialShare is the part of a pool's endpoints that trials may have: one in so many.
 	trialShare = 4
 )
@@ -85,6 +89,7 @@
 
 	once    sync.Once
 	vouched *lru.Cache[fleet.Digest, struct{}]
+	claims  *lru.Cache[fleet.Digest, time.Time]
 	mu      sync.Mutex
 	local   map[fleet.Digest]*suspicion
 	losses  map[fleet.PoolName]time.Time
@@ -109,6 +114,7 @@
 func (g *Guard) init() {
 	g.once.Do(func() {
 		g.vouched, _ = lru.New[fleet.Digest, struct{}](vouchedContents)
+		g.claims, _ = lru.New[fleet.Digest, time.Time](heldContents)
 		g.local = make(map[fleet.Digest]*suspicion)
 		g.losses = make(map[fleet.PoolName]time.Time)
 	})
@@ -301,7 +307,7 @@
 
 // hold waits for the right to run a suspect content alone, or for a verdict.
 func (g *Guard) hold(ctx context.Context, r generation.Request, emitted int, content fleet.Digest) (l generation.Lease, err error) {
-	retry := time.NewTicker(holdRetry)
+	retry := time.NewTicker(holdLook)
 	defer retry.Stop()
 	known := false
 	for {
@@ -315,7 +321,7 @@
 		case c.Verdict == VerdictClear && known:
 			g.vouch(content)
 			return g.Pick(ctx, r, emitted, nil)
-		case c.Trial == nil || c.Trial.Until.Before(time.Now()):
+		case (c.Trial == nil || c.Trial.Until.Before(time.Now())) && g.mayClaim(c):
 			l, granted, err := g.claim(ctx, r, content)
 			if granted || err != nil {
 				return l, err
@@ -331,6 +337,22 @@
 	}
 }
 
+// mayClaim reports whether a claim has a chance now, and counts it. A wrong
+// guess of the log's time costs a claim that is not granted.
+func (g *Guard) mayClaim(c Case) bool {
+	now := time.Now()
+	if now.Sub(c.Reported) < TrialDelay {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if last, ok := g.claims.Get(c.Content); ok && now.Sub(last) < holdRetry {
+		return false
+	}
+	g.claims.Add(c.Content, now)
+	return true
+}
+
 // claim appends a claim for a trial and reports whether the fold granted it.
 func (g *Guard) claim(ctx context.Context, r generation.Request, content fleet.Digest) (l generation.Lease, granted bool, err error) {
 	quiet := g.Quiet(r.Pool)
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -32,6 +32,9 @@
 	SuspicionWindow = 10 * time.Minute
 	// ConvictionWindow is how long a conviction lasts.
 	ConvictionWindow = 24 * time.Hour
+	// TrialDelay is how long after the last report no trial is granted, so that
+	// reports of copies that were in flight at the same time come first.
+	TrialDelay = time.Second
 	// MaxCrashes is how many endpoints one content may crash.
 	MaxCrashes = 2
 )
@@ -55,6 +58,8 @@
 	Expires time.Time `cbor:"6,keyasint"`
 	// Last is the claim that was granted last; its record may come twice.
 	Last record.ID `cbor:"7,keyasint"`
+	// Reported is the log time of the last report.
+	Reported time.Time `cbor:"8,keyasint"`
 }
 
 // Fold is the state of the suspect stream. The zero value is the state before
@@ -143,6 +148,7 @@
 	if c.Trial != nil && c.Trial.Instance == r.Instance {
 		c.Trial = nil
 	}
+	c.Reported = f.now
 	c.Expires = f.now.Add(SuspicionWindow)
 	if len(c.Crashes) >= MaxCrashes {
 		c.Verdict, c.Trial = VerdictConvicted, nil
@@ -152,7 +158,7 @@
 
 func (f *Fold) trial(id record.ID, r record.Trial) {
 	c := f.get(r.Content)
-	if c == nil || c.Verdict != VerdictSuspect || f.open(c) || c.Last == id {
+	if c == nil || c.Verdict != VerdictSuspect || f.open(c) || c.Last == id || f.now.Sub(c.Reported) < TrialDelay {
 		return
 	}
 	if f.Reserved(r.Instance) || f.trials(c.Pool) >= max(1, r.Limit) {
