Charge answered requests by the pool's price

Cause: every charge had a cost of nothing, so the bill showed only counts.

Change: pools have prices for prompt tokens, generated tokens and calls; the ledger charges tokens by them, and an order's settle record carries the price of its call.

The price in force when a request ends is the one that counts.

--- a/pkg/daemon/ledger.go
+++ b/pkg/daemon/ledger.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
+	"github.com/skylarkloom/skylarkloom/pkg/config"
 	"github.com/skylarkloom/skylarkloom/pkg/entry"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
@@ -27,6 +28,10 @@
 	if err != nil {
 		return kernel.Service{}, err
 	}
+	k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	if err != nil {
+		return kernel.Service{}, err
+	}
 	w := &ledger.Writer{
 		Log:  d.clients.Log,
 		Node: d.node,
@@ -43,7 +48,7 @@
 		if earlier != nil {
 			earlier(r)
 		}
-		d.charge(w, r)
+		d.charge(w, price(k, r.Pool), r)
 	}
 	b := &ledger.Book{Stream: d.newStream(platform.StreamCharge)}
 	b.Stream.Apply, b.Stream.Save, b.Stream.Load = b.Apply, b.Save, b.Load
@@ -56,9 +61,19 @@
 	return running(ServiceLedger, b, run), nil
 }
 
+// price returns what a pool's requests are charged by the configuration in force.
+func price(k *config.Keeper, pool fleet.PoolName) fleet.Price {
+	force := k.Current()
+	if force == nil {
+		return fleet.Price{}
+	}
+	p, _ := force.Document.Pool(pool)
+	return p.Price
+}
+
 // charge queues the charge of a request that was answered. An order without
 // tokens is charged by its settle record.
-func (d *Daemon) charge(w *ledger.Writer, r entry.Report) {
+func (d *Daemon) charge(w *ledger.Writer, p fleet.Price, r entry.Report) {
 	tokens := r.Prompt + r.Generated + r.Recomputed
 	answered := r.Outcome == fleet.OutcomeDone && r.Status < http.StatusBadRequest
 	if r.Account == "" || !answered && r.Recomputed == 0 || r.Keyed && tokens == 0 {
@@ -67,6 +82,7 @@
 	c := record.Charge{Request: r.ID, Account: r.Account, Pool: r.Pool, Recomputed: r.Recomputed, Keyed: r.Keyed}
 	if answered {
 		c.Prompt, c.Generated = r.Prompt, r.Generated
+		c.Cost = p.Of(r.Prompt, r.Generated)
 	}
 	if !w.Charge(c) {
 		d.Logs.Emit(event.ChargeDropped, zap.String("request", string(r.ID)))
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -164,7 +164,13 @@
 		Admit:    d.admitter.admit,
 		Linger:   d.Settings.Stop.Notice / 2,
 	}
-	desk.Send = func(ctx context.Context, o order.Order) (order.Reply, error) { return h.Execute(ctx, o, r.Send) }
+	desk.Send = func(ctx context.Context, o order.Order) (reply order.Reply, err error) {
+		reply, err = h.Execute(ctx, o, r.Send)
+		if !o.Request.Repeatable {
+			reply.Cost = price(keeper, o.Request.Pool).Call
+		}
+		return reply, err
+	}
 	return kernel.Service{Name: ServiceEntry, Value: h, Drain: h.Drain}, nil
 }
 
--- a/pkg/fleet/document.go
+++ b/pkg/fleet/document.go
@@ -73,10 +73,31 @@
 	Slots int `yaml:"slots,omitempty"`
 	// Workers bounds how many instances the system may keep for the pool.
 	Workers Range `yaml:"workers,omitempty"`
+	// Price is what accounts are charged.
+	Price Price `yaml:"price,omitempty"`
 	// Offers are the places where instances for the pool can be started.
 	Offers []Offer `yaml:"offers,omitempty"`
 }
 
+// Price is what accounts are charged, in millionths of a cent.
+type Price struct {
+	// Prompt and Generated are for one token, Call is for one request.
+	Prompt    MicroCents `yaml:"prompt,omitempty"`
+	Generated MicroCents `yaml:"generated,omitempty"`
+	Call      MicroCents `yaml:"call,omitempty"`
+}
+
+// Of returns the charge for one answered request.
+func (p Price) Of(prompt, generated Tokens) MicroCents {
+	return p.Call + p.Prompt*MicroCents(prompt) + p.Generated*MicroCents(generated)
+}
+
+func (p Price) check(c *strict.Checker, at strict.Place) {
+	c.Require(p.Prompt >= 0, at.Key("prompt"), "expected a price of 0 or more")
+	c.Require(p.Generated >= 0, at.Key("generated"), "expected a price of 0 or more")
+	c.Require(p.Call >= 0, at.Key("call"), "expected a price of 0 or more")
+}
+
 // Range is an inclusive range of counts.
 type Range struct {
 	Min int `yaml:"min,omitempty"`
@@ -204,6 +225,7 @@
 	c.Require(p.Workers.Min >= 0, at.Key("workers").Key("min"), "expected a count of 0 or more")
 	c.Require(p.Workers.Max >= p.Workers.Min, at.Key("workers").Key("max"), "expected a count not below min")
 	p.Weights.check(c, at.Key("weights"))
+	p.Price.check(c, at.Key("price"))
 	for i, o := range p.Offers {
 		here := at.Key("offers").Index(i)
 		c.Require(o.Zone != "", here.Key("zone"), "an offer needs a zone")
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -158,12 +158,14 @@
     slots: %d
     workers: {min: 3, max: 12}
     weights: {latency: 2}
+    price: {prompt: 10, generated: 50}
     offers:
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
   - name: %s
     kind: service
     workers: {min: 2, max: 6}
+    price: {call: 7000}
     offers:
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
       - {zone: %s, datacentre: %s, class: small, market: reclaimable, hourly: %d}
