Show that a killed node's letters are finished by the others

Cause: the takeover of accepted asynchronous work was shown in the fuzz only.

Change: a second case over daemons as processes: 40 letters are accepted by one node, which is then killed; each must come whole from another node.

Conclusion: accepted letters survive the death of their node.

--- a/pkg/trial/processes/faults_test.go
+++ b/pkg/trial/processes/faults_test.go
@@ -77,21 +77,50 @@
 	}
 }
 
-// chat asks and checks that a whole answer is the right one.
-func (w *world) chat(t *tally, n, number int) {
-	question := fmt.Sprint("which stall rule is number ", number)
+func question(number int) string { return fmt.Sprint("which stall rule is number ", number) }
+
+func chatBody(text string) []byte {
 	body, err := json.Marshal(edge.ChatRequest{
 		Model:    string(trial.PoolModel),
-		Messages: []edge.Message{{Role: "user", Content: edge.Content(question)}},
+		Messages: []edge.Message{{Role: "user", Content: edge.Content(text)}},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	status, _, data := w.call(n, http.MethodPost, "/v1/chat/completions", "", body)
+	return body
+}
+
+// enqueue asks for a letter that is answered later.
+func (w *world) enqueue(n int, key, text string) (status int) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+w.nodes[n].callers+"/v1/chat/completions", bytes.NewReader(chatBody(text)))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+w.Keys[account])
+	req.Header.Set(edge.KeyHeader, key)
+	req.Header.Set("Prefer", "respond-async")
+	res, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Body.Close()).To(Succeed())
+	return res.StatusCode
+}
+
+// letter returns the text of an answered letter; empty if there is none yet.
+func (w *world) letter(n int, key string) string {
+	_, _, data := w.call(n, http.MethodGet, "/v1/requests/"+key, "", nil)
+	var s edge.State
+	var a edge.Answer
+	if json.Unmarshal(data, &s) != nil || s.Answer == nil || json.Unmarshal([]byte(s.Answer.Body), &a) != nil {
+		return ""
+	}
+	return a.Choices[0].Message.Content
+}
+
+// chat asks and checks that a whole answer is the right one.
+func (w *world) chat(t *tally, n, number int) {
+	status, _, data := w.call(n, http.MethodPost, "/v1/chat/completions", "", chatBody(question(number)))
 	if status != http.StatusOK {
 		return
 	}
 	var a edge.Answer
-	prompt := "user: " + question + "\n"
-	err = json.Unmarshal(data, &a)
+	prompt := "user: " + question(number) + "\n"
+	err := json.Unmarshal(data, &a)
 	if err != nil || a.Choices[0].Message.Content != standin.Answer(prompt, standin.LengthOf(prompt)) {
 		t.mu.Lock()
 		t.wrong = append(t.wrong, string(data))
@@ -100,6 +129,22 @@
 }
 
 var _ = Describe("Daemons as processes", func() {
+	It("finish the letters that a killed node had accepted, once and whole", func() {
+		w := newWorld(3)
+		const letters = 40
+		for i := range letters {
+			status := w.enqueue(1, fmt.Sprint("letter-", i), question(i))
+			Expect(status).To(Equal(http.StatusAccepted))
+		}
+		stop(w.nodes[1].process, syscall.SIGKILL)
+		for i := range letters {
+			prompt := "user: " + question(i) + "\n"
+			Eventually(func() string { return w.letter(2, fmt.Sprint("letter-", i)) }).
+				WithTimeout(60 * time.Second).WithPolling(100 * time.Millisecond).
+				Should(Equal(standin.Answer(prompt, standin.LengthOf(prompt))))
+		}
+	})
+
 	It("keep their promises through kills, freezes, reclaims and outages of the log", func() {
 		w, t := newWorld(3), &tally{}
 		var g errgroup.Group
