Answer callers of a stopping try-out, and take JSON whatever its type says

Change: the balancer offers a connection to any node if none is ready; the node answers 503, not run. A body that is JSON is taken whatever its type says.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"io"
 	"mime"
 	"net/http"
@@ -86,10 +87,16 @@
 	return value
 }
 
-// readJSON reads a body that must be JSON.
+// readJSON reads a body that must be JSON. JSON under another type is accepted,
+// because common command-line clients send it as a form unless told otherwise.
 func (h *Handler) readJSON(w http.ResponseWriter, r *http.Request) (body []byte, err error) {
+	body, err = h.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
 	kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	if r.Header.Get("Content-Type") != "" && (err != nil || kind != "application/json") {
+	typed := r.Header.Get("Content-Type") == "" || (err == nil && kind == "application/json")
+	if !typed && !json.Valid(body) {
 		return nil, &Error{
 			Status:  http.StatusUnsupportedMediaType,
 			Code:    "unsupported_media_type",
@@ -97,7 +104,7 @@
 			Outcome: fleet.OutcomeNotRun,
 		}
 	}
-	return h.readBody(w, r)
+	return body, nil
 }
 
 func refusedKey(message string) *Error {
--- a/pkg/trial/balancer.go
+++ b/pkg/trial/balancer.go
@@ -28,7 +28,8 @@
 	b.nodes = nodes
 }
 
-// pick returns the next node that is ready, if any is.
+// pick returns the next node that is ready. If none is, it returns any, which
+// then tells the caller that it drains.
 func (b *balancer) pick() (d *daemon.Daemon, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -39,7 +40,7 @@
 			return d, true
 		}
 	}
-	return nil, false
+	return d, d != nil
 }
 
 func (b *balancer) start() (err error) {
