Make one piece of code serve the loops and the queries that stood twice

Cause: eight parts wrote the same ticker loop, and five commands the same call with its JSON or text.

Change: interval.Run and command's query serve them.

--- a/pkg/capacity/keeper.go
+++ b/pkg/capacity/keeper.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/journal"
 	"github.com/skylarkloom/skylarkloom/pkg/lease"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
@@ -106,20 +108,8 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	k.init()
 	defer close(k.done)
-	every := k.Every
-	if every == 0 {
-		every = DefaultEvery
-	}
-	tick := time.NewTicker(every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			k.Step(ctx)
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	interval.Run(ctx, cmp.Or(k.Every, DefaultEvery), k.Step)
+	return nil
 }
 
 // Step looks at every pool once, if the duty is this node's.
--- a/pkg/command/config.go
+++ b/pkg/command/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strconv"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/config"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/operator"
 )
 
 // pollEvery is how often a condition that is waited for is looked at.
@@ -150,32 +152,23 @@
 }
 
 func configHistory(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var (
-		c      connection
-		asJSON bool
-	)
-	c.declare(sub)
-	sub.Bool(&asJSON, "j", "json", "write JSON")
-	return func(ctx context.Context, s Streams) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		changes, err := client.History(ctx)
-		if err != nil {
-			return explain(err)
-		}
+	ask := func(ctx context.Context, c *operator.Client) ([]Shown, error) {
+		changes, err := c.History(ctx)
 		list := make([]Shown, len(changes))
-		rows := []string{row("REVISION", "TIME", "AUTHOR", "MESSAGE")}
 		for i, c := range changes {
 			list[i] = shown(c)
-			rows = append(rows, row(c.Revision, c.Time.UTC().Format(time.RFC3339), c.Author, c.Message))
-		}
-		if asJSON {
-			return writeJSON(s.Out, list)
 		}
-		return table(s.Out, rows...)
+		return list, err
+	}
+	return query(sub, ask, writeHistory)
+}
+
+func writeHistory(w io.Writer, list []Shown) error {
+	rows := []string{row("REVISION", "TIME", "AUTHOR", "MESSAGE")}
+	for _, c := range list {
+		rows = append(rows, row(c.Revision, c.Time.UTC().Format(time.RFC3339), c.Author, c.Message))
 	}
+	return table(w, rows...)
 }
 
 func configDiff(sub *flaggy.Subcommand) func(context.Context, Streams) error {
--- a/pkg/command/status.go
+++ b/pkg/command/status.go
@@ -12,32 +12,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
+	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
 	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/operator"
 )
 
 func showStatus(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var (
-		c      connection
-		asJSON bool
-	)
-	c.declare(sub)
-	sub.Bool(&asJSON, "j", "json", "write JSON")
-	return func(ctx context.Context, s Streams) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		status, err := client.Status(ctx)
-		if err != nil {
-			return explain(err)
-		}
-		if asJSON {
-			return writeJSON(s.Out, status)
-		}
-		return writeStatus(s.Out, status)
-	}
+	ask := func(ctx context.Context, c *operator.Client) (operate.Status, error) { return c.Status(ctx) }
+	return query(sub, ask, writeStatus)
 }
 
 func writeStatus(w io.Writer, s operate.Status) error {
@@ -96,66 +79,37 @@
 }
 
 func showOrder(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var (
-		c            connection
-		asJSON       bool
-		account, key string
-	)
-	c.declare(sub)
-	sub.Bool(&asJSON, "j", "json", "write JSON")
+	var account, key string
 	sub.AddPositionalValue(&account, "ACCOUNT", 1, true, "the client account")
 	sub.AddPositionalValue(&key, "KEY", 2, true, "the idempotency key")
-	return func(ctx context.Context, s Streams) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		state, err := client.Order(ctx, fleet.KeyRef{Account: fleet.AccountName(account), Key: fleet.Key(key)})
+	ask := func(ctx context.Context, c *operator.Client) (edge.State, error) {
+		state, err := c.Order(ctx, fleet.KeyRef{Account: fleet.AccountName(account), Key: fleet.Key(key)})
 		var answer *operator.AnswerError
 		if errors.As(err, &answer) && answer.Status == http.StatusNotFound {
-			return errors.Newf("account %q has no request with key %q", account, key)
-		}
-		if err != nil {
-			return explain(err)
-		}
-		if asJSON {
-			return writeJSON(s.Out, state)
-		}
-		rows := []string{row("key", state.Key), row("pool", state.Pool), row("status", state.Status), row("outcome", state.Outcome)}
-		if !state.Deadline.IsZero() {
-			rows = append(rows, row("deadline", state.Deadline.UTC().Format(time.RFC3339)))
-		}
-		if state.Answer != nil {
-			rows = append(rows, row("answer", state.Answer.Status))
-		}
-		if state.Detail != "" {
-			rows = append(rows, row("detail", state.Detail))
+			return state, errors.Newf("account %q has no request with key %q", account, key)
 		}
-		return table(s.Out, rows...)
+		return state, err
 	}
+	return query(sub, ask, writeOrder)
 }
 
-func showBill(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var (
-		c      connection
-		asJSON bool
-	)
-	c.declare(sub)
-	sub.Bool(&asJSON, "j", "json", "write JSON")
-	return func(ctx context.Context, s Streams) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		bill, err := client.Bill(ctx)
-		if err != nil {
-			return explain(err)
-		}
-		if asJSON {
-			return writeJSON(s.Out, bill)
-		}
-		return writeBill(s.Out, bill)
+func writeOrder(w io.Writer, state edge.State) error {
+	rows := []string{row("key", state.Key), row("pool", state.Pool), row("status", state.Status), row("outcome", state.Outcome)}
+	if !state.Deadline.IsZero() {
+		rows = append(rows, row("deadline", state.Deadline.UTC().Format(time.RFC3339)))
+	}
+	if state.Answer != nil {
+		rows = append(rows, row("answer", state.Answer.Status))
 	}
+	if state.Detail != "" {
+		rows = append(rows, row("detail", state.Detail))
+	}
+	return table(w, rows...)
+}
+
+func showBill(sub *flaggy.Subcommand) func(context.Context, Streams) error {
+	ask := func(ctx context.Context, c *operator.Client) (operate.Bill, error) { return c.Bill(ctx) }
+	return query(sub, ask, writeBill)
 }
 
 func writeBill(w io.Writer, b operate.Bill) error {
--- a/pkg/command/suspect.go
+++ b/pkg/command/suspect.go
@@ -3,40 +3,28 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
+	"github.com/skylarkloom/skylarkloom/pkg/api/operate"
 	"github.com/skylarkloom/skylarkloom/pkg/operator"
 )
 
 func suspectList(sub *flaggy.Subcommand) func(context.Context, Streams) error {
-	var (
-		c      connection
-		asJSON bool
-	)
-	c.declare(sub)
-	sub.Bool(&asJSON, "j", "json", "write JSON")
-	return func(ctx context.Context, s Streams) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		list, err := client.Suspects(ctx)
-		if err != nil {
-			return explain(err)
-		}
-		if asJSON {
-			return writeJSON(s.Out, list)
-		}
-		rows := []string{row("CONTENT", "POOL", "VERDICT", "CRASHES", "EXPIRES")}
-		for _, k := range list {
-			rows = append(rows, row(k.Content, k.Pool, k.Verdict, k.Crashes, k.Expires.UTC().Format(time.RFC3339)))
-		}
-		return table(s.Out, rows...)
+	ask := func(ctx context.Context, c *operator.Client) ([]operate.Suspect, error) { return c.Suspects(ctx) }
+	return query(sub, ask, writeSuspects)
+}
+
+func writeSuspects(w io.Writer, list []operate.Suspect) error {
+	rows := []string{row("CONTENT", "POOL", "VERDICT", "CRASHES", "EXPIRES")}
+	for _, k := range list {
+		rows = append(rows, row(k.Content, k.Pool, k.Verdict, k.Crashes, k.Expires.UTC().Format(time.RFC3339)))
 	}
+	return table(w, rows...)
 }
 
 func suspectRelease(sub *flaggy.Subcommand) func(context.Context, Streams) error {
--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/entry"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/limit"
 	"github.com/skylarkloom/skylarkloom/pkg/router"
@@ -109,17 +110,11 @@
 // run gives waiting requests the room that opens without their doing, and keeps
 // the shares of the limits.
 func (a *admitter) run(ctx context.Context) error {
-	tick := time.NewTicker(resizeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			a.resize()
-			a.split()
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	interval.Run(ctx, resizeEvery, func(context.Context) {
+		a.resize()
+		a.split()
+	})
+	return nil
 }
 
 func (a *admitter) resize() {
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/entry"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/ledger"
 	"github.com/skylarkloom/skylarkloom/pkg/metrics"
@@ -110,22 +111,17 @@
 
 // observe looks at what does not work until the context ends.
 func (d *Daemon) observe(ctx context.Context, o *observer) error {
-	tick := time.NewTicker(observeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			began, ended := o.degradation.Observe(now, d.broken(now))
-			for _, what := range began {
-				d.Logs.Emit(event.OperatorDegraded, zap.String("what", what))
-			}
-			for _, what := range ended {
-				d.Logs.Emit(event.OperatorRestored, zap.String("what", what))
-			}
+	interval.Run(ctx, observeEvery, func(context.Context) {
+		now := time.Now()
+		began, ended := o.degradation.Observe(now, d.broken(now))
+		for _, what := range began {
+			d.Logs.Emit(event.OperatorDegraded, zap.String("what", what))
 		}
-	}
+		for _, what := range ended {
+			d.Logs.Emit(event.OperatorRestored, zap.String("what", what))
+		}
+	})
+	return nil
 }
 
 // broken lists what does not work.
--- a/pkg/ledger/writer.go
+++ b/pkg/ledger/writer.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 )
 
@@ -83,21 +85,9 @@
 func (w *Writer) Run(ctx context.Context) error {
 	w.Done()
 	defer close(w.done)
-	every := w.Every
-	if every == 0 {
-		every = DefaultEvery
-	}
-	tick := time.NewTicker(every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			w.flush(ctx)
-		case <-ctx.Done():
-			w.last(context.WithoutCancel(ctx))
-			return nil
-		}
-	}
+	interval.Run(ctx, cmp.Or(w.Every, DefaultEvery), w.flush)
+	w.last(context.WithoutCancel(ctx))
+	return nil
 }
 
 // flush writes what is queued, trying again until the context ends.
--- a/pkg/order/serve.go
+++ b/pkg/order/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 )
 
 // Intervals of the server.
@@ -83,16 +84,8 @@
 	defer close(s.done)
 	var g errgroup.Group
 	g.SetLimit(serveLimit)
-	tick := time.NewTicker(serveEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			s.sweep(ctx, &g)
-		case <-ctx.Done():
-			return g.Wait()
-		}
-	}
+	interval.Run(ctx, serveEvery, func(ctx context.Context) { s.sweep(ctx, &g) })
+	return g.Wait()
 }
 
 // sweep starts what is to be done now.
--- a/pkg/rollout/keeper.go
+++ b/pkg/rollout/keeper.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/lease"
 )
 
@@ -67,20 +69,8 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	k.init()
 	defer close(k.done)
-	every := k.Every
-	if every == 0 {
-		every = DefaultEvery
-	}
-	tick := time.NewTicker(every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			k.Step(ctx)
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	interval.Run(ctx, cmp.Or(k.Every, DefaultEvery), k.Step)
+	return nil
 }
 
 // Step looks at every pool once. The lease is claimed only while there is
--- a/pkg/roster/poller.go
+++ b/pkg/roster/poller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/platform"
 )
 
@@ -21,16 +22,9 @@
 
 // Run polls until the context ends.
 func (p *Poller) Run(ctx context.Context) error {
-	tick := time.NewTicker(p.Every)
-	defer tick.Stop()
-	for {
-		p.Poll(ctx)
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	p.Poll(ctx)
+	interval.Run(ctx, p.Every, p.Poll)
+	return nil
 }
 
 // Poll reads once.
--- a/pkg/router/poller.go
+++ b/pkg/router/poller.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 )
 
 // Bounds of the polling.
@@ -36,20 +38,9 @@
 
 // Run polls until the context ends.
 func (p *Poller) Run(ctx context.Context) error {
-	every := p.Every
-	if every == 0 {
-		every = DefaultPollEvery
-	}
-	tick := time.NewTicker(every)
-	defer tick.Stop()
-	for {
-		p.Poll(ctx)
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	p.Poll(ctx)
+	interval.Run(ctx, cmp.Or(p.Every, DefaultPollEvery), p.Poll)
+	return nil
 }
 
 // Poll reads each of the endpoints once.
