Read the whole instance list less often in a large fleet

Cause: by docs/CAPACITY.md the reading of the whole list twice a second on every node is the largest part of a daemon's processor time at the size to design for, and 280 KB/s.

Change: nodes of fleets above eight read the notices every 500 ms as before and the list every 5 s. A read that failed is tried again at the next poll.

Conclusion: marks of leaving instances come as fast as before; an instance that was started is used up to 5 s later.

--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -32,6 +32,9 @@
 // pollEvery is how often the instance list and the notices are read.
 const pollEvery = 500 * time.Millisecond
 
+// largeListEvery is how often a node of a large fleet reads the whole list.
+const largeListEvery = 5 * time.Second
+
 // newStream returns a stream whose failures are logged.
 func (d *Daemon) newStream(name platform.StreamName) *journal.Stream {
 	stream := zap.String("stream", string(name))
@@ -75,14 +78,25 @@
 	return running(ServiceConfig, k, s.Run), nil
 }
 
+// listEvery returns how often the whole instance list is read. Every node of a
+// large fleet reads a long list, so it does so less often; the news that cannot
+// wait come by the notices and from peers.
+func (d *Daemon) listEvery() time.Duration {
+	if d.countNodes() > smallFleet {
+		return largeListEvery
+	}
+	return pollEvery
+}
+
 func (d *Daemon) rosterService() (kernel.Service, error) {
 	r := &roster.Roster{}
 	p := &roster.Poller{
-		Roster: r,
-		List:   d.clients.List,
-		Cloud:  d.clients.Cloud,
-		Every:  pollEvery,
-		Failed: func(err error) { d.Logs.Emit(event.ListFailed, zap.Error(err)) },
+		Roster:    r,
+		List:      d.clients.List,
+		Cloud:     d.clients.Cloud,
+		Every:     pollEvery,
+		ListEvery: d.listEvery(),
+		Failed:    func(err error) { d.Logs.Emit(event.ListFailed, zap.Error(err)) },
 	}
 	return running(ServiceRoster, r, p.Run), nil
 }
--- a/pkg/roster/poller.go
+++ b/pkg/roster/poller.go
@@ -14,10 +14,15 @@
 	Roster *Roster
 	List   *platform.List
 	Cloud  *platform.Cloud
-	// Every is the interval of the reads.
+	// Every is the interval at which the notices are read.
 	Every time.Duration
+	// ListEvery is the interval at which the whole list is read; 0 reads it
+	// together with the notices. Each read costs in proportion to the fleet.
+	ListEvery time.Duration
 	// Failed is called when a read failed; the roster keeps what it has.
 	Failed func(err error)
+
+	listed time.Time
 }
 
 // Run polls until the context ends.
@@ -27,7 +32,7 @@
 	return nil
 }
 
-// Poll reads once.
+// Poll reads the notices once, and the list if it is due.
 func (p *Poller) Poll(ctx context.Context) {
 	notices, err := p.Cloud.Notices(ctx)
 	p.report(ctx, err)
@@ -39,11 +44,18 @@
 			Source:    SourceNotice,
 		})
 	}
+	if time.Since(p.listed) >= p.ListEvery {
+		p.readList(ctx)
+	}
+}
+
+func (p *Poller) readList(ctx context.Context) {
 	list, err := p.List.Instances(ctx)
 	p.report(ctx, err)
 	if err != nil {
 		return
 	}
+	p.listed = time.Now()
 	for _, i := range list {
 		p.Roster.Add(i)
 	}
