Tell operators of a data centre that is not heard of

Cause: the peers knew which data centres were silent, and nothing showed it; two exported functions had no caller left.

Measured, two daemons as processes in two data centres: nothing degraded while both run; after one was killed the other's status names its data centre within 20 s; clean exit.

Conclusion: an operator sees a cut between data centres on either side.

--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -137,6 +137,9 @@
 			list = append(list, fmt.Sprintf("stream %s: the log does not answer reads", s.Name))
 		}
 	}
+	for _, name := range d.peers.Silent() {
+		list = append(list, fmt.Sprintf("data centre %s: none of its nodes is heard of", name))
+	}
 	return list
 }
 
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -29,9 +29,6 @@
 	position record.Position
 }
 
-// Seen is closed once the records were read back in order and folded.
-func (t *Ticket) Seen() <-chan struct{} { return t.seen }
-
 // Position returns where the records stand; it is valid once they were seen.
 func (t *Ticket) Position() record.Position {
 	t.stream.mu.Lock()
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -90,11 +90,6 @@
 	return o.Status == StatusAccepted || o.Status == StatusDispatched
 }
 
-// MayDispatch reports whether a dispatch by the node in the term would count.
-func (o Order) MayDispatch(node fleet.NodeRef) bool {
-	return o.Status == StatusAccepted && o.Owner == node
-}
-
 // Holds reports whether the node holds the right to send the order.
 func (o Order) Holds(node fleet.NodeRef) bool {
 	return o.Status == StatusDispatched && o.Owner == node
