Look up a duty's services, and an instance's place, in one place each

Cause: the read of the whole change found the same four look-ups in the capacity and rollout services, and an instance's place built by hand four times.

Change: dutyParts and placeAt serve them.

Conclusion: no change in behaviour.

--- a/pkg/capacity/keeper.go
+++ b/pkg/capacity/keeper.go
@@ -203,7 +203,7 @@
 	}
 	for _, i := range d.Retire {
 		k.Retire(i)
-		k.did(ActionRetiring, p.Name, Place{Zone: i.Zone, Class: i.Class, Market: i.Market}, nil)
+		k.did(ActionRetiring, p.Name, placeAt(i), nil)
 	}
 }
 
@@ -326,7 +326,7 @@
 		if err == nil {
 			delete(k.retired, i.Ref())
 		}
-		k.did(ActionStopped, i.Pool, Place{Zone: i.Zone, Class: i.Class, Market: i.Market}, err)
+		k.did(ActionStopped, i.Pool, placeAt(i), err)
 	}
 }
 
--- a/pkg/capacity/plan.go
+++ b/pkg/capacity/plan.go
@@ -36,6 +36,9 @@
 // PlaceOf returns the place of an offer.
 func PlaceOf(o fleet.Offer) Place { return Place{Zone: o.Zone, Class: o.Class, Market: o.Market} }
 
+// placeAt returns the place where an instance runs.
+func placeAt(i fleet.Instance) Place { return Place{Zone: i.Zone, Class: i.Class, Market: i.Market} }
+
 // Demand is what is asked of a pool now.
 type Demand struct {
 	Running int
@@ -127,7 +130,7 @@
 func (v View) present() map[Place]int {
 	have := make(map[Place]int)
 	for _, i := range v.live() {
-		have[Place{Zone: i.Zone, Class: i.Class, Market: i.Market}]++
+		have[placeAt(i)]++
 	}
 	return have
 }
@@ -155,7 +158,7 @@
 		return cmp.Or(cmp.Compare(b.Hourly, a.Hourly), cmp.Compare(a.ID, b.ID))
 	})
 	for _, i := range live {
-		if extra[Place{Zone: i.Zone, Class: i.Class, Market: i.Market}] > 0 {
+		if extra[placeAt(i)] > 0 {
 			return []fleet.Instance{i}
 		}
 	}
--- a/pkg/daemon/capacity.go
+++ b/pkg/daemon/capacity.go
@@ -34,37 +34,47 @@
 	return running(ServiceLease, b, b.Stream.Run), nil
 }
 
-// capacityService keeps the pools at the instances that they need.
-func (d *Daemon) capacityService() (kernel.Service, error) {
-	b, err := kernel.Find[*lease.Book](&d.kernel, ServiceLease)
-	if err != nil {
-		return kernel.Service{}, err
+// dutyParts are the services that a duty under a lease works with.
+type dutyParts struct {
+	book   *lease.Book
+	router *router.Router
+	roster *roster.Roster
+	config *config.Keeper
+}
+
+func (d *Daemon) dutyParts() (p dutyParts, err error) {
+	if p.book, err = kernel.Find[*lease.Book](&d.kernel, ServiceLease); err != nil {
+		return p, err
 	}
-	r, err := kernel.Find[*router.Router](&d.kernel, ServiceRouter)
-	if err != nil {
-		return kernel.Service{}, err
+	if p.router, err = kernel.Find[*router.Router](&d.kernel, ServiceRouter); err != nil {
+		return p, err
 	}
-	known, err := kernel.Find[*roster.Roster](&d.kernel, ServiceRoster)
-	if err != nil {
-		return kernel.Service{}, err
+	if p.roster, err = kernel.Find[*roster.Roster](&d.kernel, ServiceRoster); err != nil {
+		return p, err
 	}
-	k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	p.config, err = kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	return p, err
+}
+
+// capacityService keeps the pools at the instances that they need.
+func (d *Daemon) capacityService() (kernel.Service, error) {
+	p, err := d.dutyParts()
 	if err != nil {
 		return kernel.Service{}, err
 	}
 	c := &capacity.Keeper{
-		Book:      b,
+		Book:      p.book,
 		Cloud:     d.clients.Cloud,
-		Pools:     pools(k),
-		Instances: known.Instances,
-		Demand:    func(pool fleet.PoolName) capacity.Demand { return capacity.Demand{Running: r.Demand(pool)} },
-		Candidate: func() bool { return known.Read() && !d.leaving.Load() && d.peers.Chosen(dutyCapacity) },
+		Pools:     pools(p.config),
+		Instances: p.roster.Instances,
+		Demand:    func(pool fleet.PoolName) capacity.Demand { return capacity.Demand{Running: p.router.Demand(pool)} },
+		Candidate: func() bool { return p.roster.Read() && !d.leaving.Load() && d.peers.Chosen(dutyCapacity) },
 		Stands:    func() bool { return d.peers.Chosen(dutyCapacity) },
 		Retire: func(i fleet.Instance) {
-			known.Mark(roster.Mark{Instance: i.Ref(), Condition: fleet.ConditionLeaving, Source: roster.SourceRetire})
+			p.roster.Mark(roster.Mark{Instance: i.Ref(), Condition: fleet.ConditionLeaving, Source: roster.SourceRetire})
 		},
-		Retired: func() []fleet.Instance { return known.From(roster.SourceRetire) },
-		Idle:    func(i fleet.Instance) bool { return r.Idle(i.Ref()) },
+		Retired: func() []fleet.Instance { return p.roster.From(roster.SourceRetire) },
+		Idle:    func(i fleet.Instance) bool { return p.router.Idle(i.Ref()) },
 		Did:     d.capacityDid,
 	}
 	return running(ServiceCapacity, c, c.Run), nil
--- a/pkg/daemon/rollout.go
+++ b/pkg/daemon/rollout.go
@@ -11,7 +11,6 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
-	"github.com/skylarkloom/skylarkloom/pkg/lease"
 	"github.com/skylarkloom/skylarkloom/pkg/rollout"
 	"github.com/skylarkloom/skylarkloom/pkg/roster"
 	"github.com/skylarkloom/skylarkloom/pkg/router"
@@ -22,30 +21,18 @@
 
 // rolloutService brings the engines to the version of the configuration.
 func (d *Daemon) rolloutService() (kernel.Service, error) {
-	b, err := kernel.Find[*lease.Book](&d.kernel, ServiceLease)
-	if err != nil {
-		return kernel.Service{}, err
-	}
-	r, err := kernel.Find[*router.Router](&d.kernel, ServiceRouter)
-	if err != nil {
-		return kernel.Service{}, err
-	}
-	known, err := kernel.Find[*roster.Roster](&d.kernel, ServiceRoster)
-	if err != nil {
-		return kernel.Service{}, err
-	}
-	k, err := kernel.Find[*config.Keeper](&d.kernel, ServiceConfig)
+	p, err := d.dutyParts()
 	if err != nil {
 		return kernel.Service{}, err
 	}
 	c := &rollout.Keeper{
-		Book:      b,
-		Pools:     modelPools(k),
-		Endpoints: func(pool fleet.PoolName) []rollout.Endpoint { return rolloutEndpoints(known, r, pool) },
+		Book:      p.book,
+		Pools:     modelPools(p.config),
+		Endpoints: func(pool fleet.PoolName) []rollout.Endpoint { return rolloutEndpoints(p.roster, p.router, pool) },
 		Command: func(ctx context.Context, i fleet.Instance, c engine.Command) error {
 			return endpoint.DialEngine(i, d.client).CommandFunc(ctx, c)
 		},
-		Candidate: func() bool { return known.Read() && !d.leaving.Load() && d.peers.Chosen(dutyRollout) },
+		Candidate: func() bool { return p.roster.Read() && !d.leaving.Load() && d.peers.Chosen(dutyRollout) },
 		Did: func(s rollout.Step, pool fleet.PoolName, err error) {
 			id := event.RolloutStep
 			if err != nil {
