Let engines take over cached parts of prompts from each other

Change: a request names another engine that probably holds what the chosen one lacks: the home that is leaving, the home that is too busy, or the one that was the home before a new engine came. Nothing is counted on it. The account and amount of a request stand in its log lines.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -38,7 +38,7 @@
 	all := j.h.Endpoints(j.pool.Name)
 	ready := make([]serving.Endpoint, 0, len(all))
 	for _, e := range all {
-		if e.State == serving.StateReady && !slices.Contains(j.tried, e.ID) && !slices.Contains(unreachable, e.ID) {
+		if (e.State == serving.StateReady || j.pool.Engine != nil) && !slices.Contains(j.tried, e.ID) && !slices.Contains(unreachable, e.ID) {
 			ready = append(ready, e)
 		}
 	}
@@ -46,7 +46,7 @@
 	if j.pool.Engine == nil {
 		return placement.Service(loads)
 	}
-	need := placement.Need{Prompt: j.request.Prompt, Shared: placement.Shared(j.request.Parts)}
+	need := placement.Need{Prompt: j.request.Prompt, Shared: placement.Shared(j.request.Parts), Fetches: j.pool.Engine.Fetches}
 	return placement.Engine(need, loads)
 }
 
@@ -58,6 +58,7 @@
 		Left:     j.left(),
 		Urgency:  j.urgency(),
 		Engine:   j.pool.Engine != nil,
+		Source:   c.Source.Address,
 	}
 	if j.account != nil {
 		dispatch.Account = j.account.Name
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -347,6 +347,9 @@
 	if j.route != nil {
 		fields = append(fields, zap.String("route", string(j.route.Name)), zap.Duration("limit", j.limit))
 	}
+	if j.account != nil {
+		fields = append(fields, zap.String("account", string(j.account.Name)), zap.Float64("amount", j.request.Amount(j.account.Quota)))
+	}
 	if len(j.tried) > 0 {
 		tried := make([]string, len(j.tried))
 		for i, id := range j.tried {
--- a/pkg/placement/engine_test.go
+++ b/pkg/placement/engine_test.go
@@ -25,15 +25,25 @@
 	ends []clock.Instant
 }
 
+// fetchRate is how many cached tokens an engine takes over from another in a
+// millisecond.
+const fetchRate = 76.0
+
 // run takes a request and returns when its first event comes, and how many
-// shared tokens were read again.
-func (e *engine) run(r request, now clock.Instant) (first clock.Instant, read fleet.Tokens) {
+// tokens were read. What the source holds is taken over instead.
+func (e *engine) run(r request, source *engine, now clock.Instant) (first clock.Instant, read fleet.Tokens) {
 	e.ends = slices.DeleteFunc(e.ends, func(t clock.Instant) bool { return t <= now })
 	warm := true
+	var fetched fleet.Tokens
 	for _, p := range r.parts {
 		warm = warm && e.cached[p.ID]
 		if !warm {
-			read += p.Tokens
+			if source != nil && source.cached[p.ID] {
+				fetched += p.Tokens
+			} else {
+				read += p.Tokens
+				source = nil
+			}
 			e.cached[p.ID] = true
 		}
 	}
@@ -43,6 +53,7 @@
 	}
 	slow := 1 + 0.01*float64(len(e.ends))
 	took := time.Duration(float64(read) / rate * slow * float64(time.Millisecond))
+	took += time.Duration(float64(fetched) / fetchRate * float64(time.Millisecond))
 	e.free = max(e.free, now).Add(took)
 	first = e.free.Add(40 * time.Millisecond)
 	e.ends = append(e.ends, first.Add(r.streams))
@@ -77,14 +88,29 @@
 // play plays a load against engines that have the usual rate at first and the
 // given ones later.
 func play(load []request, rates []float64, tracker *placement.Tracker, choose pick) (r result) {
+	return playChanging(load, rates, len(rates), tracker, choose)
+}
+
+// replaceAt is when some of the engines say that they leave, noticeTime how long
+// before they are gone.
+const (
+	replaceAt  = 12 * time.Second
+	noticeTime = 2 * time.Second
+)
+
+// playChanging plays a load against engines of which only the first stay; others
+// come shortly before the rest leaves.
+func playChanging(load []request, rates []float64, stay int, tracker *placement.Tracker, choose pick) (r result) {
 	start := clock.Instant(time.Hour)
 	engines := make(map[fleet.InstanceID]*engine)
 	endpoints := make([]serving.Endpoint, 0, len(rates))
-	for i, rate := range rates {
-		id := fleet.InstanceID("e" + string(rune('a'+i)))
+	add := func(id fleet.InstanceID, rate float64) {
 		engines[id] = &engine{id: id, rate: usualRate, later: rate, turns: start.Add(turnsAt), cached: map[serving.PartID]bool{}}
 		endpoints = append(endpoints, serving.Endpoint{ID: id, State: serving.StateReady, Slots: 96, DataCentre: "a"})
 	}
+	for i, rate := range rates {
+		add(fleet.InstanceID("e"+string(rune('a'+i))), rate)
+	}
 	type step struct {
 		at clock.Instant
 		do func(now clock.Instant)
@@ -95,10 +121,19 @@
 		i, _ := slices.BinarySearchFunc(steps, at, func(s step, t clock.Instant) int { return cmp.Or(cmp.Compare(s.at, t), -1) })
 		steps = slices.Insert(steps, i, step{at, do})
 	}
+	if stay < len(rates) {
+		after(start.Add(replaceAt), func(clock.Instant) {
+			for i := stay; i < len(rates); i++ {
+				endpoints[i].State = serving.StateDraining
+				add(fleet.InstanceID("new"+string(rune('a'+i))), usualRate)
+			}
+		})
+		after(start.Add(replaceAt+noticeTime), func(clock.Instant) { endpoints = slices.Delete(endpoints, stay, len(rates)) })
+	}
 	for _, q := range load {
 		after(start.Add(q.at), func(now clock.Instant) {
 			c := choose(q, endpoints, now)
-			first, read := engines[c.Endpoint.ID].run(q, now)
+			first, read := engines[c.Endpoint.ID].run(q, engines[c.Source.ID], now)
 			r.read += read
 			reading := tracker.Begin(c.Endpoint.ID, c.Uncached, now)
 			after(first, func(then clock.Instant) {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -49,8 +49,11 @@
 	Backlog fleet.Tokens
 	// Warm is how many leading tokens of the request's prompt it is known to hold.
 	Warm fleet.Tokens
-	// Home tells that the endpoint is where the prompt's shared parts belong.
-	Home bool
+	// Home is the endpoint's place among the homes of the prompt's shared parts,
+	// from 1 on; 0 if it is none of them.
+	Home int
+	// Leaving tells that it takes no more requests; it may still hold parts.
+	Leaving bool
 	// ReadRate is how many prompt tokens it reads in a millisecond; 0 if unknown.
 	ReadRate float64
 	// Faults is the recent share of its exchanges that failed, 0 to 1.
@@ -68,6 +71,8 @@
 	Prompt fleet.Tokens
 	// Shared is how many leading tokens other requests share.
 	Shared fleet.Tokens
+	// Fetches tells that engines can take over cached parts from each other.
+	Fetches bool
 }
 
 // Choice is an endpoint with what is expected of it.
@@ -77,6 +82,9 @@
 	First time.Duration
 	// Uncached is how many prompt tokens the endpoint will have to read.
 	Uncached fleet.Tokens
+	// Source is another engine that probably holds parts of the prompt which the
+	// endpoint lacks; its address is empty if there is none.
+	Source serving.Endpoint
 	// Idle tells that the endpoint has places free and nothing waits there.
 	Idle bool
 }
@@ -86,15 +94,58 @@
 // so that a home that falls behind sheds to colder engines.
 func Engine(n Need, loads []Load) (c Choice, ok bool) {
 	best := math.Inf(1)
+	home := homeOf(loads)
+	var warm fleet.Tokens
 	for _, l := range loads {
-		cost, choice := engineCost(n, l)
+		if l.Leaving {
+			continue
+		}
+		cost, choice := engineCost(n, l, l.Home > 0 && l.Home == home)
 		if cost < best {
-			best, c, ok = cost, choice, true
+			best, c, warm, ok = cost, choice, l.Warm, true
 		}
 	}
+	if ok && n.Fetches {
+		c.Source = sourceFor(n, c.Endpoint.ID, warm, loads)
+	}
 	return c, ok
 }
 
+// homeOf returns the first place among the homes that takes requests.
+func homeOf(loads []Load) (home int) {
+	for _, l := range loads {
+		if l.Home > 0 && !l.Leaving && (home == 0 || l.Home < home) {
+			home = l.Home
+		}
+	}
+	return home
+}
+
+// leastFetched is the least number of tokens that are worth a transfer.
+const leastFetched = 500
+
+// sourceFor returns the engine that probably holds most of what another one lacks
+// of a prompt's shared parts, by a record or for being a home. It answers fleets
+// that change: a home that is leaving still holds what its successor lacks, and
+// the second home was the first until a new endpoint went before it. What is
+// taken over is not counted on, since the source may not hold it.
+func sourceFor(n Need, id fleet.InstanceID, warm fleet.Tokens, loads []Load) (source serving.Endpoint) {
+	most := warm + leastFetched
+	for _, l := range loads {
+		if l.Endpoint.ID == id || l.Avoid || l.Doubted {
+			continue
+		}
+		tokens := l.Warm
+		if l.Home > 0 {
+			tokens = max(tokens, fleet.Tokens(homeTrust/float64(l.Home)*float64(n.Shared)))
+		}
+		if tokens >= most {
+			most, source = tokens+1, l.Endpoint
+		}
+	}
+	return source
+}
+
 // avoidCost keeps avoided endpoints behind all others.
 const avoidCost = float64(time.Hour)
 
@@ -114,10 +165,10 @@
 	return min(rereadMost, float64(waiting)/float64(rereadWait))
 }
 
-func engineCost(n Need, l Load) (float64, Choice) {
+func engineCost(n Need, l Load, home bool) (float64, Choice) {
 	rate := l.rate()
 	warm := l.Warm
-	if l.Home {
+	if home {
 		warm = max(warm, fleet.Tokens(homeTrust*float64(n.Shared)))
 	}
 	uncached := max(0, n.Prompt-warm)
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -120,6 +120,63 @@
 	Entry("with few engines", pattern{perSecond: 14, burst: 1.4}, usualRate, usualRate, usualRate),
 )
 
+var _ = Describe("Cached parts of a prompt", func() {
+	fetching := func(t *placement.Tracker) pick {
+		return func(r request, endpoints []serving.Endpoint, now clock.Instant) placement.Choice {
+			n := need(r)
+			n.Fetches = true
+			c, ok := placement.Engine(n, t.Loads(endpoints, r.parts, "a", now))
+			Expect(ok).To(BeTrue())
+			return c
+		}
+	}
+
+	It("are taken over while engines leave and others come, so that fewer are read again", func() {
+		rates := []float64{usualRate, usualRate, usualRate, usualRate, usualRate, usualRate}
+		all := load(pattern{perSecond: 35, burst: 1.2})
+		var plain, taking placement.Tracker
+		without := playChanging(all, rates, 3, &plain, policy(&plain))
+		with := playChanging(all, rates, 3, &taking, fetching(&taking))
+		AddReportEntry("without", fmt.Sprintf("%+v", without))
+		AddReportEntry("with", fmt.Sprintf("%+v", with))
+		Expect(with.read).To(BeNumerically("<", without.read))
+		Expect(with.onTime).To(BeNumerically(">=", without.onTime))
+		Expect(with.worst).To(BeNumerically(">=", without.worst))
+	})
+
+	need := placement.Need{Prompt: 9000, Shared: 6000, Fetches: true}
+	id := func(name string) serving.Endpoint { return serving.Endpoint{ID: fleet.InstanceID(name), Slots: 96} }
+	DescribeTable("are taken over from",
+		func(n placement.Need, loads []placement.Load, chosen, source string) {
+			c, ok := placement.Engine(n, loads)
+			Expect(ok).To(BeTrue())
+			Expect(string(c.Endpoint.ID)).To(Equal(chosen))
+			Expect(string(c.Source.ID)).To(Equal(source))
+		},
+		Entry("the home that is leaving", need, []placement.Load{
+			{Endpoint: id("a"), Home: 1, Leaving: true}, {Endpoint: id("b"), Home: 2}, {Endpoint: id("c")},
+		}, "b", "a"),
+		Entry("the home if it is too busy", need, []placement.Load{
+			{Endpoint: id("a"), Home: 1, Backlog: 60_000}, {Endpoint: id("b")},
+		}, "b", "a"),
+		Entry("the home before a new one", need, []placement.Load{
+			{Endpoint: id("new"), Home: 1}, {Endpoint: id("a"), Home: 2}, {Endpoint: id("c")},
+		}, "new", "a"),
+		Entry("an engine that is known to hold them", need, []placement.Load{
+			{Endpoint: id("a"), Warm: 6000, Backlog: 60_000}, {Endpoint: id("b")},
+		}, "b", "a"),
+		Entry("none if the engine holds them", need, []placement.Load{
+			{Endpoint: id("a"), Home: 1, Warm: 6000}, {Endpoint: id("b"), Home: 2},
+		}, "a", ""),
+		Entry("none that may be cut off or out of reach", need, []placement.Load{
+			{Endpoint: id("a"), Home: 1, Doubted: true}, {Endpoint: id("b")}, {Endpoint: id("c"), Warm: 6000, Avoid: true},
+		}, "b", ""),
+		Entry("none where engines cannot", placement.Need{Prompt: 9000, Shared: 6000}, []placement.Load{
+			{Endpoint: id("a"), Home: 1, Leaving: true}, {Endpoint: id("b"), Home: 2},
+		}, "b", ""),
+	)
+})
+
 var _ = Describe("What a node learns of its endpoints", func() {
 	now := clock.Instant(time.Hour)
 	endpoints := []serving.Endpoint{
--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -114,7 +114,7 @@
 // Loads returns the loads of endpoints for a request with the given parts.
 func (t *Tracker) Loads(endpoints []serving.Endpoint, parts []serving.Part, at fleet.DataCentreName, now clock.Instant) []Load {
 	loads := make([]Load, 0, len(endpoints))
-	home := homeOf(endpoints, parts)
+	ranked := homesOf(endpoints, parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	doubts := t.doubts(endpoints, at, now)
@@ -125,7 +125,8 @@
 			Running:  s.work.Running + s.others.Running,
 			Backlog:  s.work.Backlog + s.others.Backlog,
 			Warm:     s.warmTokens(parts, now),
-			Home:     e.ID == home,
+			Home:     1 + slices.Index(ranked, e.ID),
+			Leaving:  e.State == serving.StateDraining,
 			ReadRate: s.readRate(now),
 			Faults:   s.faults,
 			Remote:   e.DataCentre != at,
@@ -147,25 +148,38 @@
 	return tokens
 }
 
-// homeOf returns the endpoint on which all nodes agree, without a message, for
-// the last part that a prompt shares with others.
-func homeOf(endpoints []serving.Endpoint, parts []serving.Part) (home fleet.InstanceID) {
+// mostHomes is how many endpoints are ranked as homes of a prompt.
+const mostHomes = 3
+
+// homesOf returns the endpoints on which all nodes agree, without a message, for
+// the last part that a prompt shares with others; the first choice first.
+func homesOf(endpoints []serving.Endpoint, parts []serving.Part) (ranked []fleet.InstanceID) {
 	if len(parts) == 0 {
-		return ""
+		return nil
 	}
 	key := parts[max(0, len(parts)-2)].ID
-	var best uint64
+	var best [mostHomes + 1]uint64
+	ranked = make([]fleet.InstanceID, 0, mostHomes+1)
 	for _, e := range endpoints {
 		var h xxhash.Digest
 		h.Reset()
 		// Writes to the hash never fail.
 		_, _ = h.WriteString(string(key))
 		_, _ = h.WriteString(string(e.ID))
-		if sum := h.Sum64(); home == "" || sum > best {
-			best, home = sum, e.ID
+		sum := h.Sum64()
+		at := len(ranked)
+		for at > 0 && sum > best[at-1] {
+			at--
+		}
+		if at == mostHomes {
+			continue
 		}
+		copy(best[at+1:], best[at:])
+		best[at] = sum
+		ranked = slices.Insert(ranked, at, e.ID)
+		ranked = ranked[:min(len(ranked), mostHomes)]
 	}
-	return home
+	return ranked
 }
 
 // Shared returns how many leading tokens of a prompt other requests share.
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -93,6 +93,8 @@
 type Engine struct {
 	// Slots is how many requests are processed in one batch.
 	Slots int
+	// Fetches tells that engines can take over cached parts from each other.
+	Fetches bool
 }
 
 // Scale bounds the orders of endpoints in each data centre.
