Count the endpoints that a pool begins with only until they are complete

Cause: while the demand is not measured, the need is a part of the endpoints that the deployment began with.

Change: the count ends once no further endpoint has registered for two heartbeats (provision.Census, with a test).

--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -115,9 +114,16 @@
 	slices.SortFunc(places, func(a, b provision.Place) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 	now := clock.Now()
 	measured := f.demand.Measured(now)
-	initial, settled := f.initial[p.Name].settled(now)
-	if !measured && !settled {
-		return nil
+	initial := 0
+	if !measured {
+		census := f.initial[p.Name]
+		if census == nil {
+			return nil
+		}
+		complete := false
+		if initial, complete = census.Complete(now); !complete {
+			return nil
+		}
 	}
 	policy := provision.DefaultPolicy
 	need := policy.Need(demand, measured, initial)
@@ -135,21 +141,6 @@
 	return wants
 }
 
-// settleTime is how long no further endpoint must have registered until those
-// that a deployment begins with are taken to be complete; two heartbeats.
-const settleTime = 2500 * time.Millisecond
-
-// census is how many endpoints a pool has had at the most, and since when.
-type census struct {
-	most  int
-	since clock.Instant
-}
-
-// settled returns the number once it has stood for a while.
-func (c census) settled(now clock.Instant) (most int, ok bool) {
-	return c.most, c.most > 0 && now.Sub(c.since) > settleTime
-}
-
 // countInitial counts the endpoints that a pool had before its demand was
 // measured. They register one after the other.
 func (f *Front) countInitial() {
@@ -161,9 +152,10 @@
 	f.dutyMu.Lock()
 	defer f.dutyMu.Unlock()
 	for name := range c.Pools {
-		if n := len(f.directory.Endpoints(name)); n > f.initial[name].most {
-			f.initial[name] = census{most: n, since: now}
+		if f.initial[name] == nil {
+			f.initial[name] = &provision.Census{}
 		}
+		f.initial[name].Note(len(f.directory.Endpoints(name)), now)
 	}
 }
 
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -122,7 +122,7 @@
 	// dutyMu guards plan and initial.
 	dutyMu  sync.Mutex
 	plan    map[fleet.PoolName][]provision.Count
-	initial map[fleet.PoolName]census
+	initial map[fleet.PoolName]*provision.Census
 
 	counters  *counters
 	directory directory.Directory
@@ -144,7 +144,7 @@
 	f.startedAt, f.startedOn = time.Now(), clock.Now()
 	f.self = fleet.NodeRef{Name: f.Settings.Node, Incarnation: fleet.Incarnation(f.startedAt.UnixNano())}
 	f.plan = make(map[fleet.PoolName][]provision.Count)
-	f.initial = make(map[fleet.PoolName]census)
+	f.initial = make(map[fleet.PoolName]*provision.Census)
 	f.fellows.Self, f.fellows.At = f.self.Name, f.Settings.DataCentre
 	f.fellows.Spent = f.quotas.Heard
 	f.tracker.Unheard = func(name fleet.DataCentreName) bool { return f.fellows.Unheard(name, clock.Now()) }
--- a/pkg/provision/provision_test.go
+++ b/pkg/provision/provision_test.go
@@ -104,6 +104,26 @@
 	})
 })
 
+var _ = Describe("The endpoints that a pool begins with", func() {
+	It("are counted until no more register, without those that were ordered", func() {
+		var c provision.Census
+		now := clock.Instant(time.Hour)
+		_, complete := c.Complete(now)
+		Expect(complete).To(BeFalse())
+		for present := range 5 {
+			c.Note(present, now)
+			now = now.Add(time.Second)
+		}
+		_, complete = c.Complete(now)
+		Expect(complete).To(BeFalse())
+		now = now.Add(5 * time.Second)
+		c.Note(30, now)
+		number, complete := c.Complete(now)
+		Expect(complete).To(BeTrue())
+		Expect(number).To(Equal(4))
+	})
+})
+
 var _ = Describe("Demand", func() {
 	It("is measured in engines, once requests were counted for a while", func() {
 		var d provision.Demand
