Read a store that is away less often on nodes that another one reads for

Change: such a node tries again after 0.4 to 0.9 s; two tries fit into the age at which requests with a key are refused. Relays, and nodes without one, try as before.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -29,6 +29,11 @@
 	// retryLeast and retryMost bound the pause after a failed read.
 	retryLeast = 60 * time.Millisecond
 	retryMost  = 180 * time.Millisecond
+	// servedLeast and servedMost bound it for a node that another one reads for: all
+	// nodes of a large fleet would otherwise press a store that is away. A few tries
+	// still fit into the age that a confirmation may have.
+	servedLeast = 400 * time.Millisecond
+	servedMost  = 900 * time.Millisecond
 )
 
 // Source reads a topic of the store.
@@ -47,6 +52,8 @@
 	// Skip tells whether the next read may be left out, since what another node has
 	// read serves. It may be nil.
 	Skip func() bool
+	// Served tells whether another node reads for this one as a rule. It may be nil.
+	Served func() bool
 	// Whole is called with the newest record of each key, Changed with those
 	// that came from an offset on. Sent is when the call that returned them was made.
 	Whole   func(b platform.Batch, sent clock.Instant)
@@ -116,13 +123,21 @@
 			return
 		case err != nil:
 			f.fail(err)
-			pause(ctx, retryLeast+rand.N(retryMost-retryLeast))
+			pause(ctx, f.retryPause())
 		default:
 			pause(ctx, f.Pace)
 		}
 	}
 }
 
+// retryPause returns the pause after a failed read.
+func (f *Follower) retryPause() time.Duration {
+	if f.Served != nil && f.isPrimed() && f.Served() {
+		return servedLeast + rand.N(servedMost-servedLeast)
+	}
+	return retryLeast + rand.N(retryMost-retryLeast)
+}
+
 func (f *Follower) isPrimed() bool {
 	f.folding.Lock()
 	defer f.folding.Unlock()
--- a/pkg/front/follow.go
+++ b/pkg/front/follow.go
@@ -30,6 +30,7 @@
 		Whole:   func(b platform.Batch, sent clock.Instant) { f.foldConfig(b.Records, sent) },
 		Changed: func(_ fleet.Offset, records []platform.Record, sent clock.Instant) { f.foldConfig(records, sent) },
 		Skip:    f.skipConfig,
+		Served:  f.served,
 	}
 	return kernel.Service{
 		Name: ServiceConfig,
@@ -80,7 +81,7 @@
 // directoryService follows the entries of endpoints.
 func (f *Front) directoryService() kernel.Service {
 	f.endpointFeed = feed.Follower{
-		Source: f.source(), Topic: platform.TopicEndpoints, Skip: f.skipEndpoints, Pace: directoryPace, Logs: f.Logs,
+		Source: f.source(), Topic: platform.TopicEndpoints, Skip: f.skipEndpoints, Served: f.served, Pace: directoryPace, Logs: f.Logs,
 		Whole: func(b platform.Batch, sent clock.Instant) {
 			list := f.changes(b.Records)
 			f.directory.Replace(list, clock.Now())
@@ -130,6 +131,9 @@
 	return &fellow.News{From: from, To: to, Changes: changes}
 }
 
+// served tells whether another node reads the store for this one as a rule.
+func (f *Front) served() bool { return !f.fellows.Relays() }
+
 // skipConfig tells whether another node's reading of the configuration serves:
 // it was confirmed lately, and nobody is known to have a newer version.
 func (f *Front) skipConfig() bool {
