--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -89,11 +89,10 @@
 
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
-	Log     string `yaml:"log"`
-	List    string `yaml:"list"`
-	Cloud   string `yaml:"cloud"`
-	Weights string `yaml:"weights,omitempty"`
-	Token   Secret `yaml:"token,omitempty"`
+	Log   string `yaml:"log"`
+	List  string `yaml:"list"`
+	Cloud string `yaml:"cloud"`
+	Token Secret `yaml:"token,omitempty"`
 }
 
 // Orders says how the order streams are laid out. All nodes must agree.
@@ -197,9 +196,6 @@
 	checkURL(c, at.Key("log"), p.Log)
 	checkURL(c, at.Key("list"), p.List)
 	checkURL(c, at.Key("cloud"), p.Cloud)
-	if p.Weights != "" {
-		checkURL(c, at.Key("weights"), p.Weights)
-	}
 	p.Token.check(c, at.Key("token"))
 }
 
