Keep as many endpoints as a pool begins with until the demand is measured

Change: as many as there are; the share is gone from the policy, and the test that held 13 of 18 holds 18 of 18.

--- a/pkg/provision/provision.go
+++ b/pkg/provision/provision.go
@@ -17,16 +17,13 @@
 	Utilisation float64
 	// Spare is how many engines there are beyond the demand.
 	Spare float64
-	// Unmeasured is the part of the endpoints that the deployment began with that
-	// are needed while the demand is not known.
-	Unmeasured float64
 	// LeastOnDemand is how many engines on demand each data centre keeps, so that
 	// one that is cut off goes on.
 	LeastOnDemand int
 }
 
 // DefaultPolicy is used unless a deployment says otherwise.
-var DefaultPolicy = Policy{Utilisation: 0.6, Spare: 1.2, Unmeasured: 0.7, LeastOnDemand: 1}
+var DefaultPolicy = Policy{Utilisation: 0.6, Spare: 1.2, LeastOnDemand: 1}
 
 // Place is what there is of a pool in a data centre.
 type Place struct {
@@ -44,10 +41,11 @@
 }
 
 // Need returns how many engines a demand takes. Initial is how many the
-// deployment began with; it stands for a demand that is not measured yet.
+// deployment began with: as many are needed while the demand is not measured yet,
+// since callers come all at once.
 func (p Policy) Need(demand float64, measured bool, initial int) int {
 	if !measured {
-		return int(math.Ceil(p.Unmeasured * float64(initial)))
+		return initial
 	}
 	return int(math.Ceil(demand/p.Utilisation + p.Spare))
 }
--- a/pkg/provision/provision_test.go
+++ b/pkg/provision/provision_test.go
@@ -72,7 +72,7 @@
 	})
 
 	It("goes by what the deployment began with until the demand is measured", func() {
-		Expect(policy.Need(0, false, 18)).To(Equal(13))
+		Expect(policy.Need(0, false, 18)).To(Equal(18))
 		Expect(policy.Need(0, true, 18)).To(BeNumerically("<", 4))
 	})
 
