--- a/pkg/command/explain.go
+++ b/pkg/command/explain.go
@@ -41,6 +41,9 @@
 	Status    int            `json:"status"`
 	Outcome   string         `json:"outcome"`
 	Route     string         `json:"route"`
+	Account   string         `json:"account"`
+	// Amount is what the request counts as in the account's quota.
+	Amount float64 `json:"amount"`
 	Error     string         `json:"error"`
 	// Took, Age and Limit are in seconds.
 	Took    float64 `json:"took"`
@@ -185,6 +188,8 @@
 		{"reason", l.Reason, l.Reason != ""},
 		{"status", l.Status, l.Status != 0},
 		{"route", l.Route, l.Route != ""},
+		{"account", l.Account, l.Account != ""},
+		{"amount", l.Amount, l.Amount != 0},
 		{"version", l.Version, l.Version != 0},
 		{"age", fmt.Sprintf("%.3fs", l.Age), l.Age != 0},
 		{"took", fmt.Sprintf("%.3fs", l.Took), l.Took != 0},
