Fill a quota's bucket at each report of the others, from the configuration's adoption on

A bucket regained what its rate gives only when a request came to the node, over the whole time since the last one: after idle time it swallowed a burst that the others had just used. And what the others admitted in the first second after a start was left out, since accounts became known by the housekeeping.

Change: the bucket is filled at each report too, and accounts are known with the configuration.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -16,6 +16,9 @@
 
 // Bucket is a node's estimate of what is left of an account's quota.
 type Bucket struct {
+	// quota and nodes are what the bucket was last filled by.
+	quota   serving.Quota
+	nodes   Nodes
 	spent   float64
 	updated clock.Instant
 	// spentOwn is what this node has admitted in all.
@@ -44,6 +47,7 @@
 
 // fill lets the bucket regain what the rate gives, less the share of silent nodes.
 func (b *Bucket) fill(q serving.Quota, n Nodes, now clock.Instant) {
+	b.quota, b.nodes = q, n
 	passed := now.Sub(b.updated).Seconds()
 	b.updated = now
 	b.spent = max(0, b.spent-passed*q.Rate*n.heardShare())
@@ -69,7 +73,7 @@
 	// growth, so that a single request does not look like one.
 	steadyShares = 6
 	// mostGrowth bounds the growth that is believed.
-	mostGrowth = 2
+	mostGrowth = 1.5
 )
 
 // Nodes tells how many nodes there are and how many are not heard of.
@@ -206,6 +210,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if b := t.buckets[a]; b != nil {
+		b.fill(b.quota, b.nodes, now)
 		b.spent = max(0, b.spent+amount)
 		b.others.add(amount, recentTime, now)
 	}
--- a/pkg/allotment/allotment_test.go
+++ b/pkg/allotment/allotment_test.go
@@ -135,6 +135,18 @@
 		Expect(ok).To(BeTrue())
 	})
 
+	It("does not save up what it regains in idle times beyond the burst", func() {
+		now := clock.Instant(time.Hour)
+		q := &allotment.Quotas{}
+		account := &serving.Account{Name: "acc", Quota: serving.Quota{Rate: 100, Burst: 100}}
+		nodes := allotment.Nodes{Total: 2}
+		q.Know([]serving.Account{*account}, nodes, now)
+		now = now.Add(time.Minute)
+		q.Heard("acc", 100, now)
+		ok, _ := q.Take(account, 50, nodes, now)
+		Expect(ok).To(BeFalse(), "the other node has just used the burst")
+	})
+
 	It("says how long until there may be room, and takes back what did not run", func() {
 		q := &allotment.Quotas{}
 		account := &serving.Account{Name: "acc", Quota: serving.Quota{Rate: 100, Burst: 100}}
--- a/pkg/front/follow.go
+++ b/pkg/front/follow.go
@@ -69,6 +69,7 @@
 		}
 		next.Config = c
 		f.document.Store(&r.Value)
+		f.quotas.Know(c.Accounts, f.nodes(), clock.Now())
 		f.Logs.Emit(event.ConfigAdopted, zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
 	}
 	if next.Config == nil {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -302,9 +302,6 @@
 	f.directory.Expire(clock.Now())
 	f.pool.Sweep(time.Now())
 	f.expire()
-	if c := f.config.Load(); c != nil {
-		f.quotas.Know(c.Accounts, f.nodes(), clock.Now())
-	}
 	f.countInitial()
 	f.tracker.Forget(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
