Part the bucket of a quota from the quotas

Cause: pkg/allotment held the estimate of one account, the limits over nodes and the tolerance in one file, the types after their methods. Tests of the package and the linter pass.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -5,7 +5,6 @@
 package allotment
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -14,68 +13,6 @@
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
-// Bucket is a node's estimate of what is left of an account's quota.
-type Bucket struct {
-	// quota and nodes are what the bucket was last filled by.
-	quota   serving.Quota
-	nodes   Nodes
-	spent   float64
-	updated clock.Instant
-	// spentOwn is what this node has admitted in all.
-	spentOwn float64
-	// others is the rate at which the other nodes were heard to admit.
-	others flow
-	// asked and usual are the rate at which this node was asked, lately and over long.
-	asked, usual flow
-}
-
-// flow is an average rate that decays with time.
-type flow struct {
-	rate float64
-	at   clock.Instant
-}
-
-// now returns the rate as of an instant, averaged over a time.
-func (f flow) now(over time.Duration, now clock.Instant) float64 {
-	return f.rate * math.Exp(-now.Sub(f.at).Seconds()/over.Seconds())
-}
-
-func (f *flow) add(amount float64, over time.Duration, now clock.Instant) {
-	f.rate = f.now(over, now) + amount/over.Seconds()
-	f.at = now
-}
-
-// fill lets the bucket regain what the rate gives, less the share of silent nodes.
-func (b *Bucket) fill(q serving.Quota, n Nodes, now clock.Instant) {
-	b.quota, b.nodes = q, n
-	passed := now.Sub(b.updated).Seconds()
-	b.updated = now
-	b.spent = max(0, b.spent-passed*q.Rate*n.heardShare())
-}
-
-// unheard estimates what the other nodes admitted and this one has yet to hear
-// of. It answers an account that sets in with many times its load on all nodes at
-// once: each takes the growth that it sees itself to be that of the others.
-func (b *Bucket) unheard(q serving.Quota, n Nodes, now clock.Instant) float64 {
-	steady := steadyShares * q.Rate / float64(max(1, n.Total))
-	growth := (b.asked.now(recentTime, now) + steady) / (b.usual.now(usualTime, now) + steady)
-	return min(max(1, growth), mostGrowth) * b.others.now(recentTime, now) * n.Lag.Seconds()
-}
-
-const (
-	// recentTime is the time over which present rates are averaged; little more
-	// than a round of the exchange.
-	recentTime = 500 * time.Millisecond
-	// usualTime is the time over which a node's usual rate is averaged; longer than
-	// the window of quotas.
-	usualTime = 10 * time.Second
-	// steadyShares is how many even shares of a quota are added to both rates of a
-	// growth, so that a single request does not look like one.
-	steadyShares = 12
-	// mostGrowth bounds the growth that is believed.
-	mostGrowth = 1.5
-)
-
 // Nodes tells how many nodes there are and how many are not heard of.
 type Nodes struct {
 	// Total counts all nodes, this one included; at least 1.
@@ -93,28 +30,6 @@
 	return float64(n.Total-n.Silent) / float64(n.Total)
 }
 
-// early tells how long an amount has to wait while this node, started again, has
-// yet to hear of the others: all may have been killed at once, and their callers
-// come back to each of them. Until then it spends a few even shares of what the
-// quota regained since the end, and one request whatever its size.
-func (t *Quotas) early(b *Bucket, q serving.Quota, amount float64, n Nodes, now clock.Instant) time.Duration {
-	if t.Started == 0 || b.spentOwn == 0 || now.Sub(t.Started) >= hearTime {
-		return 0
-	}
-	share := earlyShares * q.Rate / float64(max(1, n.Total))
-	regained := now.Sub(t.Started) + restartTime
-	return time.Duration((b.spentOwn+amount)/share*float64(time.Second)) - regained
-}
-
-const (
-	// hearTime is how long a node that started again hears too little of the others;
-	// some rounds of the exchange.
-	hearTime = 1200 * time.Millisecond
-	// earlyShares is how many even shares a node spends in that time; balancers
-	// spread callers unevenly.
-	earlyShares = 3
-)
-
 // restartTime is the least time that passes between the end of all nodes and their
 // next start: the platform's delay and the start itself.
 const restartTime = 500 * time.Millisecond
@@ -182,7 +97,7 @@
 	b := t.bucket(a, n, now)
 	b.asked.add(amount, recentTime, now)
 	b.usual.add(amount, usualTime, now)
-	if wait := t.early(b, a.Quota, amount, n, now); wait > 0 {
+	if wait = t.early(b, a.Quota, amount, n, now); wait > 0 {
 		return false, wait
 	}
 	used := b.spent + b.unheard(a.Quota, n, now)
@@ -194,6 +109,28 @@
 	return true, 0
 }
 
+// early tells how long an amount has to wait while this node, started again, has
+// yet to hear of the others: all may have been killed at once, and their callers
+// come back to each of them. Until then it spends a few even shares of what the
+// quota regained since the end, and one request whatever its size.
+func (t *Quotas) early(b *Bucket, q serving.Quota, amount float64, n Nodes, now clock.Instant) time.Duration {
+	if t.Started == 0 || b.spentOwn == 0 || now.Sub(t.Started) >= hearTime {
+		return 0
+	}
+	share := earlyShares * q.Rate / float64(max(1, n.Total))
+	regained := now.Sub(t.Started) + restartTime
+	return time.Duration((b.spentOwn+amount)/share*float64(time.Second)) - regained
+}
+
+const (
+	// hearTime is how long a node that started again hears too little of the others;
+	// some rounds of the exchange.
+	hearTime = 1200 * time.Millisecond
+	// earlyShares is how many even shares a node spends in that time; balancers
+	// spread callers unevenly.
+	earlyShares = 3
+)
+
 // Return gives back what was admitted for a request that did not run.
 func (t *Quotas) Return(a fleet.AccountName, amount float64) {
 	t.mu.Lock()
