Keep an even pace in large fleets for accounts whose callers press on

Each node refuses until the quota has regained something, sees room together with all others, and admits until it hears of them half a second later, while refused callers ask six times the quota: 1.4 million tokens in half a second, then nearly none for 2.5 s.

Change: a node that refused an account in the last 2 s admits 1.3 even shares, a larger request being paid for later, where nodes hear of each other through relays. Small fleets behave as before.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -30,6 +30,9 @@
 	return float64(n.Total-n.Silent) / float64(n.Total)
 }
 
+// leastWait is when a caller may come back that was refused for the pace alone.
+const leastWait = 250 * time.Millisecond
+
 // restartTime is the least time that passes between the end of all nodes and their
 // next start: the platform's delay and the start itself.
 const restartTime = 500 * time.Millisecond
@@ -100,10 +103,19 @@
 	if wait = t.early(b, a.Quota, amount, n, now); wait > 0 {
 		return false, wait
 	}
-	used := b.spent + b.unheard(a.Quota, n, now)
+	used := b.spent
+	if n.Lag < paceLag || !b.pressed(now) {
+		used += b.unheard(a.Quota, n, now)
+	}
 	if room := t.capacity(a.Quota, n) - used; amount > room && used > 0 {
+		b.refuse(now)
 		return false, time.Duration((amount - room) / a.Quota.Rate * float64(time.Second))
 	}
+	if n.Lag >= paceLag && !b.pace(a.Quota, n, now) {
+		b.refuse(now)
+		return false, leastWait
+	}
+	b.paced -= amount
 	b.spent += amount
 	b.spentOwn += amount
 	return true, 0
--- a/pkg/allotment/bucket.go
+++ b/pkg/allotment/bucket.go
@@ -19,6 +19,11 @@
 	spentOwn float64
 	// others is the rate at which the other nodes were heard to admit.
 	others flow
+	// refused is when this node last refused the account; paced is what it may admit
+	// since then at an even pace, negative after a request that was larger.
+	refused clock.Instant
+	paced   float64
+	pacedAt clock.Instant
 	// asked and usual are the rate at which this node was asked, lately and over long.
 	asked, usual flow
 }
@@ -56,7 +61,44 @@
 	return min(max(1, growth), mostGrowth) * b.others.now(recentTime, now) * n.Lag.Seconds()
 }
 
+// pressed tells whether the account was refused lately, so that callers press on.
+func (b *Bucket) pressed(now clock.Instant) bool {
+	return b.refused != 0 && now.Sub(b.refused) <= pressTime
+}
+
+// pace tells whether this node's even share has room. It answers callers that
+// press on beyond a quota: without it all nodes see room at the same time, admit
+// too much until they hear of each other, and then nothing for long.
+func (b *Bucket) pace(q serving.Quota, n Nodes, now clock.Instant) bool {
+	if !b.pressed(now) {
+		return true
+	}
+	share := paceShares * q.Rate / float64(max(1, n.Total))
+	b.paced = min(share*paceTime.Seconds(), b.paced+share*now.Sub(b.pacedAt).Seconds())
+	b.pacedAt = now
+	return b.paced > 0
+}
+
+// refuse notes that the account was refused.
+func (b *Bucket) refuse(now clock.Instant) {
+	if !b.pressed(now) {
+		b.paced, b.pacedAt = 0, now
+	}
+	b.refused = now
+}
+
 const (
+	// pressTime is how long after a refusal callers are taken to press on; longer
+	// than the pauses that they are told.
+	pressTime = 2 * time.Second
+	// paceLag is the lag from which on the pace is kept; nodes that hear of each other
+	// sooner do without.
+	paceLag = 300 * time.Millisecond
+	// paceShares is how many even shares a node admits in that time; balancers spread
+	// callers unevenly.
+	paceShares = 1.3
+	// paceTime is how much of its share a node may save up in that time.
+	paceTime = 500 * time.Millisecond
 	// recentTime is the time over which present rates are averaged; little more
 	// than a round of the exchange.
 	recentTime = 500 * time.Millisecond
