--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -104,15 +104,15 @@
 		return false, wait
 	}
 	used := b.spent
-	if n.Lag < paceLag || !b.pressed(now) {
+	if !b.pressed(n, now) {
 		used += b.unheard(a.Quota, n, now)
 	}
 	if room := t.capacity(a.Quota, n) - used; amount > room && used > 0 {
-		b.refuse(now)
+		b.refuse(n, now)
 		return false, time.Duration((amount - room) / a.Quota.Rate * float64(time.Second))
 	}
-	if n.Lag >= paceLag && !b.pace(a.Quota, n, now) {
-		b.refuse(now)
+	if !b.pace(a.Quota, n, now) {
+		b.refuse(n, now)
 		return false, leastWait
 	}
 	b.paced -= amount
--- a/pkg/allotment/bucket.go
+++ b/pkg/allotment/bucket.go
@@ -61,16 +61,17 @@
 	return min(max(1, growth), mostGrowth) * b.others.now(recentTime, now) * n.Lag.Seconds()
 }
 
-// pressed tells whether the account was refused lately, so that callers press on.
-func (b *Bucket) pressed(now clock.Instant) bool {
-	return b.refused != 0 && now.Sub(b.refused) <= pressTime
+// pressed tells whether the account was refused lately, so that callers press on,
+// and the nodes hear of each other too late to do without a pace.
+func (b *Bucket) pressed(n Nodes, now clock.Instant) bool {
+	return n.Lag >= paceLag && b.refused != 0 && now.Sub(b.refused) <= pressTime
 }
 
 // pace tells whether this node's even share has room. It answers callers that
 // press on beyond a quota: without it all nodes see room at the same time, admit
 // too much until they hear of each other, and then nothing for long.
 func (b *Bucket) pace(q serving.Quota, n Nodes, now clock.Instant) bool {
-	if !b.pressed(now) {
+	if !b.pressed(n, now) {
 		return true
 	}
 	share := paceShares * q.Rate / float64(max(1, n.Total))
@@ -80,8 +81,8 @@
 }
 
 // refuse notes that the account was refused.
-func (b *Bucket) refuse(now clock.Instant) {
-	if !b.pressed(now) {
+func (b *Bucket) refuse(n Nodes, now clock.Instant) {
+	if !b.pressed(n, now) {
 		b.paced, b.pacedAt = 0, now
 	}
 	b.refused = now
--- a/pkg/allotment/relay_test.go
+++ b/pkg/allotment/relay_test.go
@@ -106,10 +106,16 @@
 // returns the most that was used in any window, and what was refused in all.
 func (r *relayed) mostUsed(account *serving.Account, load func(second float64) float64) (most, refused float64) {
 	spent, refused := r.play(account, load)
-	for at := range spent[:len(spent)-int(windowTime/playStep)] {
-		most = max(most, sum(spent[at:at+int(windowTime/playStep)]))
+	return mostIn(spent), refused
+}
+
+// mostIn returns the most that was used in any window.
+func mostIn(spent []float64) (most float64) {
+	length := int(windowTime / playStep)
+	for at := range spent[:len(spent)-length] {
+		most = max(most, sum(spent[at:at+length]))
 	}
-	return most, refused
+	return most
 }
 
 func sum(amounts []float64) (total float64) {
@@ -217,10 +223,7 @@
 				}
 				return usual
 			})
-			most, length := 0.0, int(windowTime/playStep)
-			for at := range spent[:len(spent)-length] {
-				most = max(most, sum(spent[at:at+length]))
-			}
+			most := mostIn(spent)
 			allowed := (rate*windowTime.Seconds()+rate)*(1+over) + slack
 			Expect(most).To(BeNumerically("<=", allowed), "seed %d: %.3f of the rate %.0f", seed, most/allowed, rate)
 			// What callers ask beyond the quota is not owed; a fifth of it may be lost.
