gateway: log at which stage a caller left

Event 2210 and the metric callers_left_total now name the stage, from a look at the socket (pkg/connection, which also serves the check of idle connections in pkg/forward). No decision changes.

--- /dev/null
+++ b/pkg/connection/connection.go
@@ -0,0 +1,86 @@
+// Package connection reports the state of TCP connections without reading from
+// them.
+package connection
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// State is the state of a connection as seen from this end.
+type State string
+
+// The states of a connection.
+const (
+	// StateIdle means that the connection is open and has no unread bytes.
+	StateIdle State = "idle"
+	// StateReadable means that the connection has unread bytes. The peer may have
+	// closed it behind them.
+	StateReadable State = "readable"
+	// StateClosed means that one of the two ends closed or reset the connection.
+	StateClosed State = "closed"
+	// StateUnknown means that the connection is not a socket.
+	StateUnknown State = "unknown"
+)
+
+// StateOf returns the current state of a connection. It does not wait for a
+// concurrent Read.
+func StateOf(c net.Conn) State {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return StateUnknown
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return StateClosed
+	}
+	state := StateClosed
+	// RawConn.Read would wait until a Read in another goroutine returns.
+	err = raw.Control(func(fd uintptr) { state = peek(int(fd)) })
+	if err != nil {
+		return StateClosed
+	}
+	return state
+}
+
+func peek(fd int) State {
+	var buffer [1]byte
+	for {
+		n, _, err := unix.Recvfrom(fd, buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return StateIdle
+		case err == nil && n > 0:
+			return StateReadable
+		default:
+			return StateClosed
+		}
+	}
+}
+
+// contextKey is the key of a connection in a context.
+type contextKey struct{}
+
+// NewContext returns a context that holds a connection. It can serve as the
+// ConnContext of an http.Server.
+func NewContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// Closed reports whether the context is done or its connection is closed.
+//
+// The context of a request in net/http is done only after a goroutine of the server
+// has read the end of the connection. On a busy node that goroutine may run long
+// after the close arrived.
+func Closed(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	c, ok := ctx.Value(contextKey{}).(net.Conn)
+	return ok && StateOf(c) == StateClosed
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -45,6 +45,8 @@
 	// Matches reports whether a response belongs to this request. A late response
 	// to an earlier request may precede it on a reused connection.
 	Matches func(status int, h http.Header) bool
+	// OnSend is called directly before the first byte is sent, if set.
+	OnSend func()
 }
 
 // UnsentError reports a request of which the endpoint received nothing.
@@ -139,6 +141,9 @@
 		}
 		return nil, &NoResponseError{Address: req.Address, Reused: c.uses > 1, Cause: err}
 	}
+	if req.OnSend != nil {
+		req.OnSend()
+	}
 	written, sent, err := c.send(req)
 	if err != nil && sent == 0 {
 		return fail(true, err)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 )
 
 const (
@@ -72,7 +74,8 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && c.usable() {
+		// Unread bytes on an idle connection would belong to no request.
+		if time.Now().Before(c.expires) && connection.StateOf(c.Conn) == connection.StateIdle {
 			c.uses++
 			return c, nil
 		}
@@ -185,24 +188,3 @@
 	}
 	return defaultIdleTimeout
 }
-
-// usable reports whether an idle connection is open and has no unread bytes, which
-// would belong to no request.
-func (c *conn) usable() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && empty
-}
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -19,6 +19,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/feed"
@@ -226,6 +227,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			BaseContext:       func(net.Listener) context.Context { return ctx },
+			ConnContext:       connection.NewContext,
 		}
 		return f.serve(ctx, f.callerServer, f.Settings.CallerAddress, done)
 	}
@@ -287,6 +289,7 @@
 		RecordStart:   f.recordStart,
 		RecordDemand:  f.demand.Add,
 		OnFinish:      f.metrics.observe,
+		OnCallerLeft:  f.metrics.countCallerLeft,
 		Tracker:       &f.tracker,
 		Quotas:        &f.quotas,
 		Retries:       &f.retries,
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -29,6 +29,7 @@
 	timeToFirst       *prometheus.HistogramVec
 	duration          *prometheus.HistogramVec
 	connectionsOpened prometheus.Counter
+	callersLeft       *prometheus.CounterVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -45,6 +46,9 @@
 		connectionsOpened: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "skylarkloom_front_connections_total", Help: "Connections opened to endpoints.",
 		}),
+		callersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_front_callers_left_total", Help: "Requests whose callers left, by stage (unread, unsent, sent to an endpoint).",
+		}, []string{"stage"}),
 	}
 }
 
@@ -58,6 +62,11 @@
 	}
 }
 
+// countCallerLeft counts a request whose caller left.
+func (m *requestMetrics) countCallerLeft(stage gateway.LeaveStage) {
+	m.callersLeft.WithLabelValues(string(stage)).Inc()
+}
+
 // gauges returns the metrics whose values are read when they are collected.
 func (f *Front) gauges() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -97,7 +106,7 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft)
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -78,6 +78,10 @@
 		Body:           p.body,
 		MaxConnections: p.connectionLimit(),
 		Matches:        p.responseMatches,
+		OnSend: func() {
+			p.recordIfCallerLeft(LeaveUnsent)
+			p.sent = true
+		},
 	})
 	if err != nil {
 		p.recordSendFailure(a, err)
@@ -180,8 +184,7 @@
 func (p *proxyRequest) respondExhausted(reason Reason) {
 	switch {
 	case p.callerGone():
-		p.reason = ReasonCallerGone
-		p.handler.Logs.Emit(event.RequestAborted, p.logFields()...)
+		p.abandon()
 		p.reportResult(0)
 	case !p.mayHaveRun:
 		p.refundQuota()
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -133,8 +133,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	p.writer.WriteHeader(a.response.Status)
 	if _, err := p.writer.Write(body); err != nil {
-		p.reason = ReasonCallerGone
-		p.handler.Logs.Emit(event.RequestAborted, p.logFields(zap.Error(err))...)
+		p.abandon(zap.Error(err))
 	}
 	p.handler.Logs.Emit(event.RequestServed, p.logFields(zap.Int("status", a.response.Status))...)
 	p.reportResult(a.response.Status)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
@@ -46,6 +48,20 @@
 	ReasonCallerGone          Reason = "caller left"
 )
 
+// LeaveStage is how far a request had come when its caller left.
+type LeaveStage string
+
+// The stages of a request at which its caller may leave. Their values are logged and
+// are labels of metrics.
+const (
+	// LeaveUnread means before the node had read the request.
+	LeaveUnread LeaveStage = "unread"
+	// LeaveUnsent means before the request was sent to an endpoint.
+	LeaveUnsent LeaveStage = "unsent"
+	// LeaveSent means after the request was sent to an endpoint.
+	LeaveSent LeaveStage = "sent"
+)
+
 const (
 	// retryAfterTransient is the Retry-After time for a transient failure.
 	retryAfterTransient = 100 * time.Millisecond
@@ -67,8 +83,8 @@
 	Confirmed clock.Instant
 }
 
-// Handler serves the requests of callers. All functions except OnFinish must be
-// set.
+// Handler serves the requests of callers. All functions except OnFinish and
+// OnCallerLeft must be set.
 type Handler struct {
 	// Config returns the configuration in force. Its embedded pointer is nil until
 	// the first configuration is known.
@@ -87,6 +103,8 @@
 	RecordDemand func(fleet.PoolName, float64)
 	// OnFinish is called at the end of each request, if set.
 	OnFinish func(Result)
+	// OnCallerLeft is called at the end of each request whose caller left, if set.
+	OnCallerLeft func(LeaveStage)
 
 	Tracker *placement.Tracker
 	Quotas  *allotment.QuotaLimiter
@@ -130,6 +148,10 @@
 	body        []byte
 	contentHash uint64
 	started     time.Time
+	// leaveStage is the stage at which the caller left, if it was not yet LeaveSent.
+	leaveStage LeaveStage
+	// sent reports whether the request was sent to an endpoint.
+	sent bool
 	// timeout is the maximum duration of the request with all attempts.
 	timeout time.Duration
 	// tried lists the endpoints to which the request was sent.
@@ -150,6 +172,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := &proxyRequest{handler: h, writer: w, httpRequest: r, request: platform.ReadRequest(r.Header), started: time.Now()}
+	p.recordIfCallerLeft(LeaveUnread)
 	if h.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -399,6 +422,23 @@
 // callerGone reports whether the caller has disconnected.
 func (p *proxyRequest) callerGone() bool { return p.httpRequest.Context().Err() != nil }
 
+// recordIfCallerLeft records that the caller has left at a stage, if it has.
+func (p *proxyRequest) recordIfCallerLeft(stage LeaveStage) {
+	if p.leaveStage == "" && !p.sent && connection.Closed(p.httpRequest.Context()) {
+		p.leaveStage = stage
+	}
+}
+
+// abandon logs and counts a request whose caller has left.
+func (p *proxyRequest) abandon(fields ...zap.Field) {
+	p.reason = ReasonCallerGone
+	stage := cmp.Or(p.leaveStage, LeaveSent)
+	p.handler.Logs.Emit(event.RequestAborted, p.logFields(append(fields, zap.String("stage", string(stage)))...)...)
+	if p.handler.OnCallerLeft != nil {
+		p.handler.OnCallerLeft(stage)
+	}
+}
+
 // attemptContext returns the context of one attempt.
 func (p *proxyRequest) attemptContext(timeout time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(p.httpRequest.Context(), timeout)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -92,11 +92,13 @@
 		s.respondExhausted(reason)
 		return
 	}
-	s.reason = reason
+	last := zap.Int64("last", int64(s.lastEvent))
 	if s.callerGone() {
-		s.reason = ReasonCallerGone
+		s.abandon(last)
+	} else {
+		s.reason = reason
+		s.handler.Logs.Emit(event.RequestAborted, s.logFields(last)...)
 	}
-	s.handler.Logs.Emit(event.RequestAborted, s.logFields(zap.Int64("last", int64(s.lastEvent)))...)
 	s.reportResult(0)
 	panic(http.ErrAbortHandler)
 }
