--- /dev/null
+++ b/pkg/gateway/caller_left_test.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
+	"github.com/skylarkloom/skylarkloom/pkg/event"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/forward"
+	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
+)
+
+// busyConn is a caller's connection on a node without processor time: it delivers
+// what was sent, but not that the caller closed it, until the server stops reading.
+type busyConn struct {
+	*net.TCPConn
+	// readable is closed when the node starts to read.
+	readable <-chan struct{}
+	stopOnce *sync.Once
+	stopped  chan struct{}
+}
+
+func (c busyConn) Read(p []byte) (n int, err error) {
+	<-c.readable
+	n, err = c.TCPConn.Read(p)
+	if err == io.EOF {
+		<-c.stopped
+	}
+	return n, err
+}
+
+// SetReadDeadline is how net/http ends its read at the end of a request.
+func (c busyConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.stopOnce.Do(func() { close(c.stopped) })
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// busyListener accepts the caller's connection as a busyConn.
+type busyListener struct {
+	net.Listener
+	readable <-chan struct{}
+	accepted chan net.Conn
+}
+
+func (l busyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted <- c
+	return busyConn{TCPConn: c.(*net.TCPConn), readable: l.readable, stopOnce: &sync.Once{}, stopped: make(chan struct{})}, nil
+}
+
+// departure is a node with one caller, which leaves at a moment that a spec chooses.
+type departure struct {
+	handler *Handler
+	// respond is the behaviour of the endpoints; n counts the requests from 1.
+	respond func(w http.ResponseWriter, n int64)
+	// arrivals counts the requests that reached an endpoint.
+	arrivals atomic.Int64
+	stages   chan LeaveStage
+	caller   net.Conn
+	// accepted is the node's end of the caller's connection.
+	accepted net.Conn
+	readable chan struct{}
+	finished chan struct{}
+}
+
+// newDeparture starts a node, which does not read its caller's connection before
+// readable is closed.
+func newDeparture() *departure {
+	d := &departure{stages: make(chan LeaveStage, 4), readable: make(chan struct{}), finished: make(chan struct{})}
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Skylarkloom-Attempt-Id", r.Header.Get("Skylarkloom-Attempt-Id"))
+		w.Header().Set("Skylarkloom-Response-Seal", "s")
+		d.respond(w, d.arrivals.Add(1))
+	}))
+	ginkgo.DeferCleanup(endpoint.Close)
+	config := &serving.Config{
+		Version: 1,
+		Routes: []serving.Route{
+			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: serving.KindSafe, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 3, Targets: []serving.Target{{Pool: "desk", Weight: 1}}},
+			{Name: "tale", Host: "h", PathPrefix: "/tale/", Kind: serving.KindStream, Resumable: true, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 3, Targets: []serving.Target{{Pool: "desk", Weight: 1}}},
+		},
+		Pools: map[fleet.PoolName]serving.Pool{"desk": {Name: "desk"}},
+	}
+	config.BuildIndex()
+	var finishOnce sync.Once
+	d.handler = &Handler{
+		Config: func() Config { return Config{Config: config, Confirmed: clock.Now()} },
+		Endpoints: func(fleet.PoolName) (list []serving.Endpoint) {
+			for _, id := range []fleet.InstanceID{"e1", "e2", "e3"} {
+				list = append(list, serving.Endpoint{ID: id, Address: strings.TrimPrefix(endpoint.URL, "http://"), State: serving.StateReady, Slots: 4})
+			}
+			return list
+		},
+		Nodes:         func() allotment.Nodes { return allotment.Nodes{Total: 1} },
+		IsQuarantined: func(uint64) bool { return false },
+		RecordCrash:   func(uint64, fleet.InstanceID) {},
+		RecordStart:   func(fleet.AccountName) {},
+		RecordDemand:  func(fleet.PoolName, float64) {},
+		OnFinish:      func(Result) { finishOnce.Do(func() { close(d.finished) }) },
+		OnCallerLeft:  func(s LeaveStage) { d.stages <- s },
+		Tracker:       &placement.Tracker{}, Quotas: &allotment.QuotaLimiter{},
+		Retries: &allotment.RetryBudget{Ratio: 1, Slack: 50, Window: 10 * time.Second}, Pool: &forward.Pool{},
+		Logs: &event.Logs{}, MaxKeyAge: time.Minute, Random: func() float64 { return 0 }, Draining: func() bool { return false },
+	}
+	node := httptest.NewUnstartedServer(d.handler)
+	listener := busyListener{Listener: node.Listener, readable: d.readable, accepted: make(chan net.Conn, 1)}
+	node.Listener = listener
+	node.Config.ConnContext = connection.NewContext
+	node.Start()
+	ginkgo.DeferCleanup(func() {
+		node.CloseClientConnections()
+		node.Close()
+	})
+	var err error
+	d.caller, err = net.Dial("tcp", node.Listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	// Specs close it earlier.
+	ginkgo.DeferCleanup(func() { _ = d.caller.Close() })
+	d.accepted = <-listener.accepted
+	return d
+}
+
+// request sends a request of the caller.
+func (d *departure) request(path string) {
+	_, err := fmt.Fprintf(d.caller, "GET %s HTTP/1.1\r\nHost: h\r\nSkylarkloom-Attempt-Id: r1\r\n\r\n", path)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// leave closes the caller's connection and waits until the close has arrived.
+func (d *departure) leave() {
+	Expect(d.caller.Close()).To(Succeed())
+	if connection.StateOf(d.accepted) == connection.StateReadable {
+		return
+	}
+	Eventually(func() connection.State { return connection.StateOf(d.accepted) }).Should(Equal(connection.StateClosed))
+}
+
+// expectArrivals waits for the end of the first request and expects that so many
+// requests reached an endpoint, then and shortly after.
+func (d *departure) expectArrivals(count int) {
+	Eventually(d.finished, "3s").Should(BeClosed())
+	Consistently(d.arrivals.Load, "50ms").Should(BeEquivalentTo(count), "requests that reached an endpoint")
+}
+
+func refuseUnrun(w http.ResponseWriter) {
+	w.Header().Set("Skylarkloom-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// A node without processor time sent requests on whose callers had closed their
+// connections: net/http cancels a request only in a goroutine of its own.
+var _ = ginkgo.Describe("A request whose caller left while the node was busy", func() {
+	ginkgo.It("is not sent when the caller left before it was read", func() {
+		d := newDeparture()
+		d.respond = func(w http.ResponseWriter, _ int64) { w.WriteHeader(http.StatusOK) }
+		d.request("/look/1")
+		d.leave()
+		close(d.readable)
+		d.expectArrivals(0)
+		Expect(d.stages).To(Receive(Equal(LeaveUnread)))
+	})
+
+	ginkgo.DescribeTable("is not sent when the caller left while an endpoint was chosen",
+		func(path string) {
+			d := newDeparture()
+			close(d.readable)
+			d.respond = func(w http.ResponseWriter, _ int64) { w.WriteHeader(http.StatusOK) }
+			endpoints := d.handler.Endpoints
+			var once sync.Once
+			d.handler.Endpoints = func(p fleet.PoolName) []serving.Endpoint {
+				once.Do(d.leave)
+				return endpoints(p)
+			}
+			d.request(path)
+			d.expectArrivals(0)
+			Expect(d.stages).To(Receive(Equal(LeaveUnsent)))
+		},
+		ginkgo.Entry("a request with a buffered response", "/look/1"),
+		ginkgo.Entry("a stream", "/tale/1"),
+	)
+
+	ginkgo.DescribeTable("is not sent again when the caller left during an attempt",
+		func(path string, fail func(http.ResponseWriter)) {
+			d := newDeparture()
+			close(d.readable)
+			d.respond = func(w http.ResponseWriter, n int64) {
+				if n == 1 {
+					d.leave()
+				}
+				fail(w)
+			}
+			d.request(path)
+			d.expectArrivals(1)
+			Expect(d.stages).To(Receive(Equal(LeaveSent)))
+		},
+		ginkgo.Entry("a request that the endpoint refused", "/look/1", refuseUnrun),
+		ginkgo.Entry("a request whose response was lost", "/look/1", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }),
+		ginkgo.Entry("a request that failed", "/look/1", func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }),
+		ginkgo.Entry("a stream that was refused", "/tale/1", refuseUnrun),
+		ginkgo.Entry("a stream that broke off before its first event", "/tale/1", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }),
+	)
+})
+
+// A caller that has sent more than its request ended net/http's watch for its close.
+var _ = ginkgo.Describe("A request whose caller sent another one and left", func() {
+	ginkgo.It("is not sent again", func() {
+		d := newDeparture()
+		close(d.readable)
+		d.respond = func(w http.ResponseWriter, n int64) {
+			if n == 1 {
+				d.request("/look/2")
+				Eventually(func() connection.State { return connection.StateOf(d.accepted) }).Should(Equal(connection.StateReadable))
+				d.leave()
+			}
+			refuseUnrun(w)
+		}
+		d.request("/look/1")
+		d.expectArrivals(1)
+	})
+})
