gateway: do not send a request whose caller's close is already in the socket

Callers saw: nothing; endpoints got requests up to a second after their callers had left (GONE). Cause: a request's context is cancelled by a goroutine of net/http that reads the close. Without processor time it runs behind the handlers, which send their requests on. The node now looks at the socket when the handler starts, before each attempt and directly before the first byte; nothing that happens later can be known then.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -45,10 +47,14 @@
 	// Matches reports whether a response belongs to this request. A late response
 	// to an earlier request may precede it on a reused connection.
 	Matches func(status int, h http.Header) bool
-	// OnSend is called directly before the first byte is sent, if set.
-	OnSend func()
+	// Abandoned is called directly before the first byte is sent, if set. If it returns
+	// true, nothing is sent.
+	Abandoned func() bool
 }
 
+// ErrAbandoned is the cause of an UnsentError for a request that was abandoned.
+var ErrAbandoned = errors.New("request abandoned before it was sent")
+
 // UnsentError reports a request of which the endpoint received nothing.
 type UnsentError struct {
 	Address string
@@ -116,7 +122,7 @@
 func (r *Response) Close() {
 	notReset := r.stopReset()
 	if notReset && r.complete && r.keepAlive && r.requestWritten() && r.conn.reader.Buffered() == 0 {
-		r.pool.put(r.conn, r.Header)
+		r.pool.put(r.conn, time.Now().Add(idleTimeout(r.Header)))
 		return
 	}
 	r.pool.discard(r.conn)
@@ -129,6 +135,11 @@
 	if err != nil {
 		return nil, &UnsentError{Address: req.Address, Cause: err}
 	}
+	if req.Abandoned != nil && req.Abandoned() {
+		c.uses--
+		p.put(c, cmp.Or(c.expires, time.Now().Add(defaultIdleTimeout)))
+		return nil, &UnsentError{Address: req.Address, Cause: ErrAbandoned}
+	}
 	stopReset := context.AfterFunc(ctx, c.reset)
 	fail := func(unsent bool, err error) (*Response, error) {
 		stopReset()
@@ -141,9 +152,6 @@
 		}
 		return nil, &NoResponseError{Address: req.Address, Reused: c.uses > 1, Cause: err}
 	}
-	if req.OnSend != nil {
-		req.OnSend()
-	}
 	written, sent, err := c.send(req)
 	if err != nil && sent == 0 {
 		return fail(true, err)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -140,10 +140,9 @@
 	}
 }
 
-// put adds an idle connection to the pool. It expires after the idle timeout that
-// the header of its last response allows.
-func (p *Pool) put(c *conn, header http.Header) {
-	c.expires = time.Now().Add(idleTimeout(header))
+// put adds an idle connection to the pool, which may be used until it expires.
+func (p *Pool) put(c *conn, expires time.Time) {
+	c.expires = expires
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[c.address]
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -78,10 +78,7 @@
 		Body:           p.body,
 		MaxConnections: p.connectionLimit(),
 		Matches:        p.responseMatches,
-		OnSend: func() {
-			p.recordIfCallerLeft(LeaveUnsent)
-			p.sent = true
-		},
+		Abandoned:      p.abandonUnsent,
 	})
 	if err != nil {
 		p.recordSendFailure(a, err)
@@ -92,6 +89,16 @@
 	return a, nil
 }
 
+// abandonUnsent reports whether the caller left before the request was sent in this
+// attempt.
+func (p *proxyRequest) abandonUnsent() bool {
+	if p.callerGone() {
+		return true
+	}
+	p.sent = true
+	return false
+}
+
 // connectionLimit returns this node's share of an endpoint's connections; 0
 // means no limit.
 func (p *proxyRequest) connectionLimit() int {
@@ -184,6 +191,9 @@
 func (p *proxyRequest) respondExhausted(reason Reason) {
 	switch {
 	case p.callerGone():
+		if !p.mayHaveRun {
+			p.refundQuota()
+		}
 		p.abandon()
 		p.reportResult(0)
 	case !p.mayHaveRun:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,7 +4,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -148,8 +147,8 @@
 	body        []byte
 	contentHash uint64
 	started     time.Time
-	// leaveStage is the stage at which the caller left, if it was not yet LeaveSent.
-	leaveStage LeaveStage
+	// leftUnread reports whether the caller had left when the node read the request.
+	leftUnread bool
 	// sent reports whether the request was sent to an endpoint.
 	sent bool
 	// timeout is the maximum duration of the request with all attempts.
@@ -172,7 +171,11 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := &proxyRequest{handler: h, writer: w, httpRequest: r, request: platform.ReadRequest(r.Header), started: time.Now()}
-	p.recordIfCallerLeft(LeaveUnread)
+	if p.leftUnread = p.callerGone(); p.leftUnread {
+		p.abandon()
+		p.reportResult(0)
+		return
+	}
 	if h.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -420,19 +423,18 @@
 }
 
 // callerGone reports whether the caller has disconnected.
-func (p *proxyRequest) callerGone() bool { return p.httpRequest.Context().Err() != nil }
-
-// recordIfCallerLeft records that the caller has left at a stage, if it has.
-func (p *proxyRequest) recordIfCallerLeft(stage LeaveStage) {
-	if p.leaveStage == "" && !p.sent && connection.Closed(p.httpRequest.Context()) {
-		p.leaveStage = stage
-	}
-}
+func (p *proxyRequest) callerGone() bool { return connection.Closed(p.httpRequest.Context()) }
 
 // abandon logs and counts a request whose caller has left.
 func (p *proxyRequest) abandon(fields ...zap.Field) {
 	p.reason = ReasonCallerGone
-	stage := cmp.Or(p.leaveStage, LeaveSent)
+	stage := LeaveUnsent
+	switch {
+	case p.leftUnread:
+		stage = LeaveUnread
+	case p.sent:
+		stage = LeaveSent
+	}
 	p.handler.Logs.Emit(event.RequestAborted, p.logFields(append(fields, zap.String("stage", string(stage)))...)...)
 	if p.handler.OnCallerLeft != nil {
 		p.handler.OnCallerLeft(stage)
