gateway: look for the caller once an attempt, and watch it until the response starts

It now ends with the first event, after which a write to a caller that left fails. The stage "unread" is no longer told apart from "unsent".

--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -47,7 +47,7 @@
 			Name: "skylarkloom_front_connections_total", Help: "Connections opened to endpoints.",
 		}),
 		callersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "skylarkloom_front_callers_left_total", Help: "Requests whose callers left, by stage (unread, unsent, sent to an endpoint).",
+			Name: "skylarkloom_front_callers_left_total", Help: "Requests whose callers left, by stage (before or after they were sent to an endpoint).",
 		}, []string{"stage"}),
 	}
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -32,6 +34,11 @@
 	choice   placement.Choice
 	prefill  *placement.Prefill
 	response *forward.Response
+	// cancel ends the exchange.
+	cancel context.CancelFunc
+	// started reports whether the endpoint has sent the first event or a complete
+	// response.
+	started  atomic.Bool
 	finished bool
 }
 
@@ -56,6 +63,8 @@
 // send sends the request to an endpoint and waits for the response header.
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (a *attempt, err error) {
 	a = &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
+	ctx, a.cancel = context.WithCancel(ctx)
+	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
 		Instance: c.Endpoint.ID,
 		Timeout:  p.remaining(),
@@ -99,6 +108,20 @@
 	return false
 }
 
+// watchCaller cancels the exchange if the caller leaves before the response starts.
+// net/http cancels it sooner, unless the caller has sent more than its request.
+func (a *attempt) watchCaller(ctx context.Context) {
+	time.AfterFunc(closeCheckInterval, func() {
+		switch {
+		case ctx.Err() != nil || a.started.Load():
+		case a.proxy.callerGone():
+			a.cancel()
+		default:
+			a.watchCaller(ctx)
+		}
+	})
+}
+
 // connectionLimit returns this node's share of an endpoint's connections; 0
 // means no limit.
 func (p *proxyRequest) connectionLimit() int {
@@ -147,6 +170,7 @@
 // recordFirstEvent records that the endpoint has processed the prompt. Only the
 // first call has an effect.
 func (a *attempt) recordFirstEvent() {
+	a.started.Store(true)
 	a.proxy.recordStart()
 	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, clock.Now())
 }
@@ -160,6 +184,7 @@
 	if a.response != nil {
 		a.response.Close()
 	}
+	a.cancel()
 	a.proxy.handler.Tracker.End(a.prefill)
 }
 
@@ -171,7 +196,8 @@
 		p.attemptTaken = false
 		return true
 	}
-	if p.callerGone() || len(p.tried) >= p.route.MaxAttempts || p.remaining() <= 0 {
+	// abandonUnsent looks for the caller of a first attempt.
+	if len(p.tried) > 0 && p.callerGone() || len(p.tried) >= p.route.MaxAttempts || p.remaining() <= 0 {
 		return false
 	}
 	if p.mayHaveRun && !p.route.Repeatable() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
@@ -20,7 +19,6 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
-	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
@@ -55,8 +53,6 @@
 // The stages of a request at which its caller may leave. Their values are logged and
 // are labels of metrics.
 const (
-	// LeaveUnread means before the node had read the request.
-	LeaveUnread LeaveStage = "unread"
 	// LeaveUnsent means before the request was sent to an endpoint.
 	LeaveUnsent LeaveStage = "unsent"
 	// LeaveSent means after the request was sent to an endpoint.
@@ -72,9 +68,8 @@
 	// retryJitter is the share of a Retry-After time that is added at most as
 	// jitter, so that callers do not retry together.
 	retryJitter = 0.5
-	// closeCheckInterval is the pause between checks whether the caller of a running
-	// attempt has left. Together with the reset of the attempt it stays below half a
-	// second.
+	// closeCheckInterval is the pause between checks whether the caller of an attempt
+	// has left. It stays well below half a second.
 	closeCheckInterval = 200 * time.Millisecond
 	// defaultMaxBodyBytes is the size limit of a request body if the configuration
 	// sets none.
@@ -153,8 +148,6 @@
 	body        []byte
 	contentHash uint64
 	started     time.Time
-	// leftUnread reports whether the caller had left when the node read the request.
-	leftUnread bool
 	// sent reports whether the request was sent to an endpoint.
 	sent bool
 	// timeout is the maximum duration of the request with all attempts.
@@ -177,7 +170,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := &proxyRequest{handler: h, writer: w, httpRequest: r, request: platform.ReadRequest(r.Header), started: time.Now()}
-	if p.leftUnread = p.callerGone(); p.leftUnread {
+	// On a busy node many callers have left before their requests are read. Answering
+	// them would delay the others.
+	if p.callerGone() {
 		p.abandon()
 		p.reportResult(0)
 		return
@@ -435,10 +430,7 @@
 func (p *proxyRequest) abandon(fields ...zap.Field) {
 	p.reason = ReasonCallerGone
 	stage := LeaveUnsent
-	switch {
-	case p.leftUnread:
-		stage = LeaveUnread
-	case p.sent:
+	if p.sent {
 		stage = LeaveSent
 	}
 	p.handler.Logs.Emit(event.RequestAborted, p.logFields(append(fields, zap.String("stage", string(stage)))...)...)
@@ -451,15 +443,5 @@
 // leaves, also if the caller has sent more than its request: net/http does not notice
 // a close behind unread bytes.
 func (p *proxyRequest) attemptContext(timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(p.httpRequest.Context(), timeout)
-	var group errgroup.Group
-	group.Go(func() error {
-		interval.Run(ctx, closeCheckInterval, func(context.Context) {
-			if p.callerGone() {
-				cancel()
-			}
-		})
-		return nil
-	})
-	return ctx, cancel
+	return context.WithTimeout(p.httpRequest.Context(), timeout)
 }
