--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -158,7 +158,21 @@
 		p.handler.Tracker.RecordOutcome(id, false)
 		p.recordCrash(id)
 	}
-	p.handler.Logs.Emit(event.EndpointFailed, zap.String("request", string(p.request.ID)), zap.String("endpoint", string(id)), zap.Error(err))
+	p.logEndpointFailure(a, err)
+}
+
+// logEndpointFailure logs a failed exchange, with what identifies the request's
+// content and whether the endpoint had begun to answer it.
+func (p *proxyRequest) logEndpointFailure(a *attempt, err error, extra ...zap.Field) {
+	blocks := make([]string, len(p.request.PrefixBlocks))
+	for i, b := range p.request.PrefixBlocks {
+		blocks[i] = string(b.ID)
+	}
+	fields := []zap.Field{
+		zap.String("request", string(p.request.ID)), zap.String("endpoint", string(a.choice.Endpoint.ID)), zap.Error(err),
+		zap.Bool("header", a.response != nil), zap.Bool("started", a.started.Load()), zap.Strings("blocks", blocks),
+	}
+	p.handler.Logs.Emit(event.EndpointFailed, append(fields, extra...)...)
 }
 
 // recordCrash records that this request's content crashed the endpoint, as inferred
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -111,8 +111,7 @@
 	body, err := readBounded(a.response)
 	if err != nil || !metadata.Sealed || a.response.Header.Get("Content-Encoding") != "" {
 		p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
-		p.handler.Logs.Emit(event.EndpointFailed, zap.String("request", string(p.request.ID)),
-			zap.String("endpoint", string(a.choice.Endpoint.ID)), zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed), zap.Error(err))
+		p.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
 	}
 	a.recordFirstEvent()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -196,8 +196,7 @@
 					s.recordCrash(id)
 				}
 			}
-			s.handler.Logs.Emit(event.EndpointFailed, zap.String("request", string(s.request.ID)), zap.String("endpoint", string(id)),
-				zap.Int64("last", int64(s.lastEvent)), zap.Error(err))
+			s.logEndpointFailure(a, err, zap.Int64("last", int64(s.lastEvent)))
 			return outcomeLost, reason
 		}
 		watchdog.Reset(s.eventGapTimeout())
