--- a/pkg/event/serve.go
+++ b/pkg/event/serve.go
@@ -32,6 +32,7 @@
 	SnapshotUnavailable
 	PlanChanged
 	AnnounceFailed
+	EndpointCrashed
 )
 
 var serveEvents = []Definition{
@@ -62,5 +63,6 @@
 	{SnapshotUnavailable, SubsystemPeer, zapcore.WarnLevel, "snapshot unavailable", "A snapshot of configuration and endpoints could not be fetched from or served to another node.", "If this continues, check the network paths between the nodes."},
 	{PlanChanged, SubsystemCapacity, zapcore.InfoLevel, "endpoint plan changed", "The planned number of endpoints changed with the demand or the market.", "None."},
 	{AnnounceFailed, SubsystemPeer, zapcore.WarnLevel, "node not announced", "The store did not accept the node's address; the announcement is retried, and other nodes do not find this one meanwhile.", "If this continues, check the store."},
-	{ContentRefused, SubsystemSuspect, zapcore.WarnLevel, "content refused", "A content crashed several endpoints and is refused.", "Ask the caller for the content."},
+	{EndpointCrashed, SubsystemSuspect, zapcore.WarnLevel, "endpoint crashed", "An endpoint broke off a request and refuses connections; the field subjects names the request's prefix blocks and its content, which may have caused this.", "None, unless a subject recurs."},
+	{ContentRefused, SubsystemSuspect, zapcore.WarnLevel, "content refused", "A content, or a prefix block of prompts, crashed several endpoints and is refused.", "Find the callers by the subject in events 2229, and ask them for the content."},
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +87,12 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
+// BrokeOff reports whether an error means that the endpoint closed or reset the
+// connection before its response was complete.
+func BrokeOff(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
 // ConnectionLimitError reports that the node has no free connection to an address
 // and may not open another one.
 type ConnectionLimitError struct{ Limit int }
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -81,6 +81,16 @@
 		}
 		p.discard(c)
 	}
+	c, err := p.open(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	c.uses++
+	return c, nil
+}
+
+// open opens a new connection to the request's address.
+func (p *Pool) open(ctx context.Context, req Request) (*conn, error) {
 	if err := p.reserveConn(req); err != nil {
 		return nil, err
 	}
@@ -92,7 +102,17 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &conn{Conn: raw, address: req.Address, reader: bufio.NewReaderSize(raw, readBufferBytes), uses: 1}, nil
+	return &conn{Conn: raw, address: req.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+}
+
+// Probe opens a connection to an address and keeps it for the next request.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.open(ctx, Request{Address: address})
+	if err != nil {
+		return err
+	}
+	p.put(c, time.Now().Add(defaultIdleTimeout))
+	return nil
 }
 
 // popIdle removes and returns the most recently used idle connection, which the
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -125,6 +125,7 @@
 	cancelDuties context.CancelFunc
 	usageCounter usage.Counter
 	quarantine   quarantine.Tracker
+	crashes      quarantine.Detector
 	demand       provision.DemandMeter
 	// dutyMu guards lastPlans and initialCounts.
 	dutyMu        sync.Mutex
@@ -158,6 +159,13 @@
 	f.directory.OnChange = f.logEndpointChange
 	f.peers.OnLivenessChange = f.logPeerLiveness
 	f.quarantine.OnQuarantined = f.logQuarantined
+	f.crashes.Probe, f.crashes.OnCrash = f.connections.Probe, f.recordCrash
+	f.crashes.Go = func(fn func()) {
+		f.group.Go(func() error {
+			fn()
+			return nil
+		})
+	}
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
@@ -284,8 +292,9 @@
 		},
 		Endpoints:     f.directory.Endpoints,
 		Nodes:         f.nodes,
-		IsQuarantined: func(content uint64) bool { return f.quarantine.Quarantined(quarantine.ContentHash(content)) },
-		RecordCrash:   f.recordCrash,
+		IsQuarantined: func(subjects []quarantine.Subject) bool { return f.quarantine.Quarantined(subjects, clock.Now()) },
+		RecordBroken:  f.crashes.RecordBroken,
+		RecordServed:  f.quarantine.RecordServed,
 		RecordStart:   f.recordStart,
 		RecordDemand:  f.demand.Add,
 		OnFinish:      f.metrics.observe,
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -91,6 +91,9 @@
 		gauge("endpoints", "Endpoints that have a directory entry.", func() float64 { return float64(len(f.directory.Listed())) }),
 		gauge("nodes", "Nodes that share the limits.", func() float64 { return float64(f.peers.Count().Total) }),
 		gauge("nodes_silent", "Nodes among them without a recent digest.", func() float64 { return float64(f.peers.Count().Silent) }),
+		gauge("quarantined", "Contents and prefix blocks that are refused because they crash endpoints.", func() float64 {
+			return float64(f.quarantine.Count(clock.Now()))
+		}),
 		gauge("duties", "1 while the node holds the duties.", func() float64 {
 			if f.holdsDuties.Load() {
 				return 1
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/usage"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -158,7 +159,7 @@
 		Address:    f.internalAddress(),
 		Work:       f.tracker.LocalWork(),
 		Consumed:   f.quotas.LocalTotals(),
-		Crashes:    f.quarantine.Recent(),
+		Quarantine: f.quarantine.Report(clock.Now()),
 		Demand:     f.demand.ByPool(),
 		Clock:      f.wallClock(),
 	}
@@ -180,9 +181,7 @@
 // applyDigest applies the digest of another node.
 func (f *Front) applyDigest(d gossip.Digest) {
 	f.usageCounter.Merge(d.Node, d.Usage)
-	for _, c := range d.Crashes {
-		f.quarantine.Record(c, clock.Now())
-	}
+	f.quarantine.Merge(d.Quarantine, clock.Now())
 	f.tracker.SetPeerWork(f.peers.Work())
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
 }
@@ -206,13 +205,24 @@
 	}
 }
 
-// recordCrash records that a content crashed an endpoint.
-func (f *Front) recordCrash(content uint64, id fleet.InstanceID) {
-	f.quarantine.Record(quarantine.Crash{Content: quarantine.ContentHash(content), Instance: id}, clock.Now())
+// recordCrash records that an endpoint crashed while it had a request with the given
+// subjects.
+func (f *Front) recordCrash(e serving.Endpoint, subjects []quarantine.Subject, at clock.Instant) {
+	f.tracker.RecordUnreachable(e.ID, clock.Now())
+	f.quarantine.RecordCrash(e.ID, subjects, at, clock.Now())
+	f.Logs.Emit(event.EndpointCrashed, zap.String("endpoint", string(e.ID)), zap.Strings("subjects", formatSubjects(subjects)))
+}
+
+func (f *Front) logQuarantined(s quarantine.Subject) {
+	f.Logs.Emit(event.ContentRefused, zap.Strings("subjects", formatSubjects([]quarantine.Subject{s})))
 }
 
-func (f *Front) logQuarantined(content quarantine.ContentHash) {
-	f.Logs.Emit(event.ContentRefused, zap.String("content", fmt.Sprintf("%016x", uint64(content))))
+func formatSubjects(subjects []quarantine.Subject) []string {
+	texts := make([]string, len(subjects))
+	for i, s := range subjects {
+		texts[i] = fmt.Sprintf("%016x", uint64(s))
+	}
+	return texts
 }
 
 // expireGossipState removes expired crashes and usage counts and updates the demand.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -34,6 +34,10 @@
 	choice   placement.Choice
 	prefill  *placement.Prefill
 	response *forward.Response
+	// begunAt is when the response header arrived, 0 before.
+	begunAt clock.Instant
+	// servedRecorded reports whether the attempt was recorded as served.
+	servedRecorded bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 	// started reports whether the endpoint has sent the first event or a complete
@@ -94,7 +98,8 @@
 		a.finish()
 		return nil, err
 	}
-	p.handler.Tracker.RecordResponse(c.Endpoint, clock.Now())
+	a.begunAt = clock.Now()
+	p.handler.Tracker.RecordResponse(c.Endpoint, a.begunAt)
 	return a, nil
 }
 
@@ -156,7 +161,7 @@
 		}
 	} else {
 		p.handler.Tracker.RecordOutcome(id, false)
-		p.recordCrash(id)
+		a.recordFailure(err)
 	}
 	p.logEndpointFailure(a, err)
 }
@@ -175,10 +180,21 @@
 	p.handler.Logs.Emit(event.EndpointFailed, append(fields, extra...)...)
 }
 
-// recordCrash records that this request's content crashed the endpoint, as inferred
-// from a failure while the endpoint processed it.
-func (p *proxyRequest) recordCrash(id fleet.InstanceID) {
-	p.handler.RecordCrash(p.contentHash, id)
+// recordFailure records that the endpoint broke off, if it did before the attempt
+// counts as served.
+func (a *attempt) recordFailure(err error) {
+	if forward.BrokeOff(err) && !a.servedRecorded {
+		a.proxy.handler.RecordBroken(a.choice.Endpoint, a.proxy.subjects, clock.Now())
+	}
+}
+
+// recordServed records that the endpoint served the request. Only the first call has
+// an effect.
+func (a *attempt) recordServed() {
+	if !a.servedRecorded {
+		a.servedRecorded = true
+		a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
+	}
 }
 
 // recordFirstEvent records that the endpoint has processed the prompt. Only the
@@ -217,7 +233,7 @@
 	if p.mayHaveRun && !p.route.Repeatable() {
 		return false
 	}
-	if p.handler.IsQuarantined(p.contentHash) {
+	if p.handler.IsQuarantined(p.subjects) {
 		return false
 	}
 	if len(p.tried) > 0 && !p.handler.Retries.Take(p.pool.Name, p.handler.Nodes().Total, clock.Now()) {
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -111,10 +111,12 @@
 	body, err := readBounded(a.response)
 	if err != nil || !metadata.Sealed || a.response.Header.Get("Content-Encoding") != "" {
 		p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
+		a.recordFailure(err)
 		p.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
 	}
 	a.recordFirstEvent()
+	a.recordServed()
 	failed := a.response.Status >= http.StatusInternalServerError
 	p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, !failed)
 	if failed && p.route.Repeatable() && p.takeAttempt() {
--- a/pkg/gateway/caller_left_test.go
+++ b/pkg/gateway/caller_left_test.go
@@ -23,6 +23,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
@@ -113,8 +114,9 @@
 			return list
 		},
 		Nodes:         func() allotment.Nodes { return allotment.Nodes{Total: 1} },
-		IsQuarantined: func(uint64) bool { return false },
-		RecordCrash:   func(uint64, fleet.InstanceID) {},
+		IsQuarantined: func([]quarantine.Subject) bool { return false },
+		RecordBroken:  func(serving.Endpoint, []quarantine.Subject, clock.Instant) {},
+		RecordServed:  func([]quarantine.Subject, clock.Instant) {},
 		RecordStart:   func(fleet.AccountName) {},
 		RecordDemand:  func(fleet.PoolName, float64) {},
 		OnFinish:      func(Result) { finishOnce.Do(func() { close(d.finished) }) },
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
+	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -93,10 +94,15 @@
 	Endpoints func(fleet.PoolName) []serving.Endpoint
 	// Nodes returns how many nodes share the limits.
 	Nodes func() allotment.Nodes
-	// IsQuarantined reports whether a content must not be sent to endpoints.
-	IsQuarantined func(content uint64) bool
-	// RecordCrash records that a content crashed an endpoint.
-	RecordCrash func(content uint64, id fleet.InstanceID)
+	// IsQuarantined reports whether requests with any of the subjects must not be sent to
+	// endpoints.
+	IsQuarantined func([]quarantine.Subject) bool
+	// RecordBroken records that an endpoint broke off a request that it had just begun to
+	// answer, or not yet.
+	RecordBroken func(serving.Endpoint, []quarantine.Subject, clock.Instant)
+	// RecordServed records that an endpoint served a request which it began to answer at
+	// the given instant.
+	RecordServed func(subjects []quarantine.Subject, begunAt clock.Instant)
 	// RecordStart records that an endpoint started work on a request of an account.
 	RecordStart func(fleet.AccountName)
 	// RecordDemand adds the engine milliseconds of a request to the demand of a pool.
@@ -146,8 +152,9 @@
 	account     *serving.Account
 	pool        serving.Pool
 	body        []byte
-	contentHash uint64
-	started     time.Time
+	// subjects identify what other requests may have in common with this one.
+	subjects []quarantine.Subject
+	started  time.Time
 	// sent reports whether the request was sent to an endpoint.
 	sent bool
 	// timeout is the maximum duration of the request with all attempts.
@@ -219,8 +226,8 @@
 	if !p.readBody() {
 		return false
 	}
-	p.contentHash = p.hashContent()
-	if h.IsQuarantined(p.contentHash) {
+	p.subjects = quarantine.Subjects(p.hashContent(), p.request.PrefixBlocks)
+	if h.IsQuarantined(p.subjects) {
 		return p.refuse(http.StatusServiceUnavailable, ReasonQuarantined, 0)
 	}
 	p.pool = p.config.Pools[p.pickPool()]
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -32,6 +32,9 @@
 	// the first event that is admitted. It exceeds 1 because predictions err and a
 	// late response still has some value.
 	lateStartFactor = 1.5
+	// servedTime is the time after the start of its response after which a stream is not
+	// taken for the cause of a crash any more.
+	servedTime = time.Second
 	// eventBufferBytes is the size of a stream's read buffer.
 	eventBufferBytes = 4 << 10
 )
@@ -139,8 +142,10 @@
 	body, err := readBounded(a.response)
 	s.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
 	if err != nil || !metadata.Sealed {
+		a.recordFailure(err)
 		return outcomeLost, ReasonInvalidResponse
 	}
+	a.recordServed()
 	a.recordFirstEvent()
 	if s.route.Repeatable() && s.takeAttempt() {
 		s.attemptTaken = true
@@ -181,6 +186,7 @@
 		e, err := events.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
 			s.handler.Tracker.RecordOutcome(id, true)
+			a.recordServed()
 			s.handler.Logs.Emit(event.RequestServed, s.logFields(zap.Int64("last", int64(s.lastEvent)), zap.Duration("first", s.timeToFirst))...)
 			s.reportResult(a.response.Status)
 			return outcomeResponded, ""
@@ -192,15 +198,17 @@
 			reason := s.failureReason(ctx)
 			if reason != ReasonTimeout {
 				s.handler.Tracker.RecordOutcome(id, false)
-				if s.timeToFirst == 0 {
-					s.recordCrash(id)
-				}
+				a.recordFailure(err)
 			}
 			s.logEndpointFailure(a, err, zap.Int64("last", int64(s.lastEvent)))
 			return outcomeLost, reason
 		}
 		watchdog.Reset(s.eventGapTimeout())
-		s.handler.Tracker.RecordResponse(a.choice.Endpoint, clock.Now())
+		now := clock.Now()
+		s.handler.Tracker.RecordResponse(a.choice.Endpoint, now)
+		if now.Sub(a.begunAt) >= servedTime {
+			a.recordServed()
+		}
 		a.recordFirstEvent()
 		if e.hasID && s.hasLastEvent && e.id <= s.lastEvent {
 			continue
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -67,8 +67,6 @@
 	Consumed map[fleet.AccountName]float64 `cbor:"7,keyasint,omitempty"`
 	// Usage holds the sender's counts of the last windows.
 	Usage usage.Counts `cbor:"8,keyasint,omitempty"`
-	// Crashes are the recent crashes of endpoints with the contents that caused them.
-	Crashes []quarantine.Crash `cbor:"9,keyasint,omitempty"`
 	// Clock is the sender's time of day, which does not jump while the sender runs.
 	// In an aggregate it is corrected by the clocks of the covered nodes.
 	Clock time.Time `cbor:"10,keyasint"`
@@ -91,6 +89,9 @@
 	SilentNodes int `cbor:"18,keyasint,omitempty"`
 	// ReachableDataCentres are the data centres from which a digest arrived recently.
 	ReachableDataCentres []fleet.DataCentreName `cbor:"19,keyasint,omitempty"`
+	// Quarantine is what the sender knows of requests that crash endpoints. Earlier
+	// versions sent less under the number 9.
+	Quarantine quarantine.Report `cbor:"20,keyasint"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
--- /dev/null
+++ b/pkg/quarantine/culprits.go
@@ -0,0 +1,148 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
+
+const (
+	// minCrashes is the number of crashes that a subject has to explain before it is
+	// quarantined.
+	minCrashes = 3
+	// crashSpacing is the time by which crashes have to differ in order to count
+	// separately. Endpoints that are lost together, because their instances are reclaimed,
+	// had many subjects in common; those that are served elsewhere meanwhile are cleared.
+	crashSpacing = 400 * time.Millisecond
+)
+
+// Crash is the crash of an endpoint. Subjects are those of the requests that may have
+// caused it, each with its rank in its request: a larger rank is more specific.
+type Crash struct {
+	Instance fleet.InstanceID
+	At       clock.Instant
+	Subjects map[Subject]int
+}
+
+// groupCrashes groups suspicions, which are sorted by time, by the crash that they
+// belong to.
+func groupCrashes(suspicions []suspicion) (crashes []Crash) {
+	latest := make(map[fleet.InstanceID]int)
+	for _, s := range suspicions {
+		i, ok := latest[s.instance]
+		if !ok || s.at.Sub(crashes[i].At) >= sameCrashTime {
+			i = len(crashes)
+			latest[s.instance] = i
+			crashes = append(crashes, Crash{Instance: s.instance, At: s.at, Subjects: make(map[Subject]int)})
+		}
+		for rank, subject := range s.subjects {
+			crashes[i].Subjects[subject] = max(crashes[i].Subjects[subject], rank)
+		}
+	}
+	return crashes
+}
+
+// Evidence is what is known about crashes, sorted by time.
+type Evidence struct {
+	Crashes []Crash
+	// LastServed returns when an endpoint began to answer the last request with a subject
+	// that it served, or 0.
+	LastServed func(Subject) clock.Instant
+	// IsQuarantined reports whether a subject is quarantined, OnProbation whether it was
+	// before.
+	IsQuarantined, OnProbation func(Subject) bool
+}
+
+// Culprits returns the subjects to quarantine, which explain the crashes best: a subject
+// has to be in at least minCrashes of them since it was last served. A crash that a
+// quarantined subject explains says nothing about the other subjects in it. Of subjects
+// that explain equally many crashes, the most specific one is chosen, since refusing it
+// affects the fewest requests.
+func (e *Evidence) Culprits() (culprits []Subject) {
+	for {
+		best, ok := e.best(culprits)
+		if !ok {
+			return culprits
+		}
+		culprits = append(culprits, best)
+	}
+}
+
+// candidate is a subject with the crashes that it may have caused.
+type candidate struct {
+	subject Subject
+	rank    int
+	// crashes counts the crashes since the subject was last served, unexplained those
+	// among them that no quarantined subject explains. Crashes at almost the same time
+	// count once.
+	crashes, unexplained spacedCount
+}
+
+// best returns the subject that explains the most crashes beside the given culprits.
+func (e *Evidence) best(culprits []Subject) (best Subject, ok bool) {
+	candidates := make(map[Subject]*candidate)
+	isQuarantined := func(s Subject) bool { return e.IsQuarantined(s) || slices.Contains(culprits, s) }
+	for _, crash := range e.Crashes {
+		explained := false
+		for s := range crash.Subjects {
+			explained = explained || isQuarantined(s)
+		}
+		for s, rank := range crash.Subjects {
+			if crash.At <= e.LastServed(s).Add(maxClockError) || isQuarantined(s) {
+				continue
+			}
+			c := candidates[s]
+			if c == nil {
+				c = &candidate{subject: s}
+				candidates[s] = c
+			}
+			c.rank = max(c.rank, rank)
+			c.crashes.add(crash.At)
+			if !explained {
+				c.unexplained.add(crash.At)
+			}
+		}
+	}
+	var chosen *candidate
+	for _, c := range candidates {
+		needed := minCrashes
+		if e.OnProbation(c.subject) {
+			needed = 1
+		}
+		if c.unexplained.count > 0 && c.crashes.count >= needed && (chosen == nil || c.compare(chosen) > 0) {
+			chosen = c
+		}
+	}
+	if chosen == nil {
+		return 0, false
+	}
+	return chosen.subject, true
+}
+
+// compare returns a positive number if c is the more likely culprit.
+func (c *candidate) compare(other *candidate) int {
+	return cmp.Or(
+		cmp.Compare(c.unexplained.count, other.unexplained.count),
+		cmp.Compare(c.rank, other.rank),
+		cmp.Compare(c.crashes.count, other.crashes.count),
+		cmp.Compare(c.subject, other.subject),
+	)
+}
+
+// spacedCount counts instants that differ by at least crashSpacing from the one that was
+// counted before.
+type spacedCount struct {
+	count int
+	last  clock.Instant
+}
+
+// add counts an instant that is not before the last one.
+func (c *spacedCount) add(at clock.Instant) {
+	if c.count == 0 || at.Sub(c.last) >= crashSpacing {
+		c.count++
+		c.last = at
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/detector.go
@@ -0,0 +1,71 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
+)
+
+// probeTimeout limits one probe of an endpoint.
+const probeTimeout = 500 * time.Millisecond
+
+// Detector tells crashes of endpoints from exchanges that broke off for other reasons:
+// after a crash, the endpoint refuses connections. All functions must be set; otherwise
+// the zero value is ready to use.
+type Detector struct {
+	// Probe opens a connection to an address.
+	Probe func(ctx context.Context, address string) error
+	// Go runs a function in the background.
+	Go func(func())
+	// OnCrash is called for each request that was in flight at an endpoint which crashed.
+	OnCrash func(e serving.Endpoint, subjects []Subject, at clock.Instant)
+
+	mu sync.Mutex
+	// broken holds the exchanges that broke off at endpoints which are being probed.
+	broken map[fleet.InstanceID][]brokenExchange
+}
+
+// brokenExchange is an exchange that broke off.
+type brokenExchange struct {
+	subjects []Subject
+	at       clock.Instant
+}
+
+// RecordBroken records that an exchange with an endpoint broke off, and finds out in the
+// background whether the endpoint crashed.
+func (d *Detector) RecordBroken(e serving.Endpoint, subjects []Subject, at clock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.broken == nil {
+		d.broken = make(map[fleet.InstanceID][]brokenExchange)
+	}
+	probing := len(d.broken[e.ID]) > 0
+	d.broken[e.ID] = append(d.broken[e.ID], brokenExchange{subjects: subjects, at: at})
+	if !probing {
+		d.Go(func() { d.probe(e) })
+	}
+}
+
+// probe finds out whether an endpoint crashed.
+func (d *Detector) probe(e serving.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := d.Probe(ctx, e.Address)
+	d.mu.Lock()
+	broken := d.broken[e.ID]
+	delete(d.broken, e.ID)
+	d.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	for _, b := range broken {
+		d.OnCrash(e, b.subjects, b.at)
+	}
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,103 +1,308 @@
-// Package quarantine protects endpoints from request contents that crash them. A
-// content that crashed several different endpoints is refused on every node.
+// Package quarantine protects endpoints from requests that crash them. What such
+// requests have in common, a whole content or a prefix block of their prompts, is
+// found from the crashes that all nodes observe, and is refused on every node.
 package quarantine
 
 import (
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2"
+
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
 const (
-	// quarantineThreshold is the number of different endpoints that a content has to
-	// crash before it is quarantined.
-	quarantineThreshold = 3
 	// crashTTL is the time for which a crash counts.
 	crashTTL = 2 * time.Minute
-	// maxRecent is the maximum number of crashes that a node reports in one
-	// digest. It leaves room for repeated crashes by one content, which matter most,
-	// when many endpoints fail at the same time.
-	maxRecent = 48
+	// firstQuarantine is how long a subject is quarantined for the first time. The time
+	// doubles with each further time, up to maxQuarantine.
+	firstQuarantine, maxQuarantine = 2 * time.Minute, time.Hour
+	// probationFactor times the last quarantine is how long a subject is quarantined
+	// again after a single crash.
+	probationFactor = 4
+	// reportTime is how long a crash or a success is reported to the other nodes.
+	reportTime = 10 * time.Second
+	// maxSuspicions is the maximum number of suspicions that are kept, maxReported the
+	// maximum number in one report, which has to fit into a datagram.
+	maxSuspicions, maxReported = 512, 48
+	// maxSubjects is the maximum number of subjects of a request. Of a longer prompt the
+	// first prefix blocks are left out.
+	maxSubjects = 12
+	// maxServed is the number of subjects for which the last success is kept.
+	maxServed = 8192
+	// sameCrashTime is the maximum time between two reports of one crash.
+	sameCrashTime = time.Second
+	// maxClockError is by how much the times of two nodes may differ for the same event.
+	maxClockError = 50 * time.Millisecond
 )
 
-// ContentHash identifies the content of a request.
-type ContentHash uint64
+// Subject identifies what requests have in common and what may crash the endpoints
+// that run them: a content or a prefix block.
+type Subject uint64
+
+// Subjects returns the subjects of a request, the least specific one first: its prefix
+// blocks except the last, which belongs to the request alone, and its content.
+func Subjects(content uint64, blocks []serving.PrefixBlock) []Subject {
+	shared := blocks[:max(0, len(blocks)-1)]
+	shared = shared[max(0, len(shared)-(maxSubjects-1)):]
+	subjects := make([]Subject, 0, len(shared)+1)
+	for _, b := range shared {
+		subjects = append(subjects, Subject(xxhash.Sum64String(string(b.ID))))
+	}
+	return append(subjects, contentSubject(content))
+}
+
+// contentSubject returns the subject of a content. It differs from that of a block with
+// the same hash.
+func contentSubject(content uint64) Subject {
+	return Subject(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("content"), content)))
+}
+
+// Suspicion describes a request that was in flight at an endpoint when the endpoint
+// crashed, and that may have caused the crash.
+type Suspicion struct {
+	Instance fleet.InstanceID `cbor:"1,keyasint"`
+	// Subjects are the subjects of the request, the least specific one first.
+	Subjects []Subject `cbor:"2,keyasint"`
+	// Age is the time since the crash.
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
+// Success describes the last request with a subject that an endpoint served.
+type Success struct {
+	Subject Subject `cbor:"1,keyasint"`
+	// Age is the time since the endpoint began to answer.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// Quarantine describes a subject that is refused.
+type Quarantine struct {
+	Subject Subject `cbor:"1,keyasint"`
+	// Remaining is the time until requests with the subject are accepted again.
+	Remaining time.Duration `cbor:"2,keyasint"`
+	// Count is the number of times that the subject has been quarantined.
+	Count int `cbor:"3,keyasint"`
+}
+
+// Report is what a node reports to the others.
+type Report struct {
+	Suspicions  []Suspicion  `cbor:"1,keyasint,omitempty"`
+	Successes   []Success    `cbor:"2,keyasint,omitempty"`
+	Quarantines []Quarantine `cbor:"3,keyasint,omitempty"`
+}
+
+// suspicion is a Suspicion with the instant of the crash.
+type suspicion struct {
+	instance fleet.InstanceID
+	subjects []Subject
+	at       clock.Instant
+}
+
+// quarantine is the state of a subject that is or was quarantined.
+type quarantine struct {
+	until clock.Instant
+	count int
+}
 
-// Crash records that a content crashed an endpoint. A node infers it from an
-// exchange that failed before the response header or the first event.
-type Crash struct {
-	Content  ContentHash      `cbor:"1,keyasint"`
-	Instance fleet.InstanceID `cbor:"2,keyasint"`
+// length returns how long the current quarantine lasts.
+func (q quarantine) length() time.Duration {
+	const maxDoublings = 10
+	return min(firstQuarantine<<min(q.count-1, maxDoublings), maxQuarantine)
 }
 
-// Tracker records crashes and quarantines contents. The zero value is ready to use.
+// Tracker records crashes and successes and quarantines subjects. The zero value is
+// ready to use.
 type Tracker struct {
-	// OnQuarantined, if set, is called once when a content becomes quarantined.
-	OnQuarantined func(ContentHash)
+	// OnQuarantined, if set, is called when a subject becomes quarantined.
+	OnQuarantined func(Subject)
 
-	mu      sync.Mutex
-	crashes map[ContentHash]map[fleet.InstanceID]clock.Instant
-	// recent holds the latest crashes, newest last.
-	recent []Crash
+	mu sync.Mutex
+	// suspicions are the known suspicions, oldest first.
+	suspicions []suspicion
+	// served holds when an endpoint began to answer the last request with a subject that
+	// it served.
+	served      *lru.Cache[Subject, clock.Instant]
+	quarantined map[Subject]quarantine
 }
 
-// Record records a crash and reports whether it was new.
-func (t *Tracker) Record(crash Crash, now clock.Instant) bool {
+// RecordCrash records that a request may have crashed an endpoint.
+func (t *Tracker) RecordCrash(instance fleet.InstanceID, subjects []Subject, at, now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashes == nil {
-		t.crashes = make(map[ContentHash]map[fleet.InstanceID]clock.Instant)
+	if t.addSuspicion(suspicion{instance: instance, subjects: subjects, at: at}) {
+		t.evaluate(now)
 	}
-	crashedAt := t.crashes[crash.Content]
-	if crashedAt == nil {
-		crashedAt = make(map[fleet.InstanceID]clock.Instant)
-		t.crashes[crash.Content] = crashedAt
+}
+
+// RecordServed records that an endpoint served a request which it began to answer at
+// the given instant. This clears the subjects of crashes before it.
+func (t *Tracker) RecordServed(subjects []Subject, begunAt clock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range subjects {
+		t.addServed(s, begunAt)
 	}
-	if _, ok := crashedAt[crash.Instance]; ok {
+}
+
+// Quarantined reports whether any of the subjects is quarantined.
+func (t *Tracker) Quarantined(subjects []Subject, now clock.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(subjects, func(s Subject) bool { return t.isQuarantined(s, now) })
+}
+
+// Count returns the number of subjects that are quarantined.
+func (t *Tracker) Count(now clock.Instant) (count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s := range t.quarantined {
+		if t.isQuarantined(s, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// isQuarantined reports whether a subject is quarantined. The caller holds the lock.
+func (t *Tracker) isQuarantined(s Subject, now clock.Instant) bool {
+	return now < t.quarantined[s].until
+}
+
+// addSuspicion adds a suspicion and reports whether it is new. The caller holds the lock.
+func (t *Tracker) addSuspicion(added suspicion) bool {
+	if len(added.subjects) == 0 {
 		return false
 	}
-	crashedAt[crash.Instance] = now
-	t.recent = append(t.recent, crash)
-	if excess := len(t.recent) - maxRecent; excess > 0 {
-		t.recent = slices.Delete(t.recent, 0, excess)
+	for _, s := range t.suspicions {
+		if s.instance == added.instance && slices.Equal(s.subjects, added.subjects) && abs(s.at.Sub(added.at)) < sameCrashTime {
+			return false
+		}
 	}
-	if len(crashedAt) == quarantineThreshold && t.OnQuarantined != nil {
-		t.OnQuarantined(crash.Content)
+	i, _ := slices.BinarySearchFunc(t.suspicions, added.at, func(s suspicion, at clock.Instant) int { return int(s.at - at) })
+	t.suspicions = slices.Insert(t.suspicions, i, added)
+	if excess := len(t.suspicions) - maxSuspicions; excess > 0 {
+		t.suspicions = slices.Delete(t.suspicions, 0, excess)
 	}
 	return true
 }
 
-// Quarantined reports whether a content is quarantined.
-func (t *Tracker) Quarantined(content ContentHash) bool {
+// addServed records the instant of a success if it is the latest. A subject that was
+// quarantined before and is served now is trusted again. The caller holds the lock.
+func (t *Tracker) addServed(s Subject, begunAt clock.Instant) {
+	if t.served == nil {
+		// New fails only if the size is not positive.
+		t.served, _ = lru.New[Subject, clock.Instant](maxServed)
+	}
+	if last, _ := t.served.Get(s); begunAt > last {
+		t.served.Add(s, begunAt)
+	}
+	if q, ok := t.quarantined[s]; ok && begunAt > q.until {
+		delete(t.quarantined, s)
+	}
+}
+
+// lastServed returns the instant of the last success with a subject, or 0. The caller
+// holds the lock.
+func (t *Tracker) lastServed(s Subject) clock.Instant {
+	if t.served == nil {
+		return 0
+	}
+	at, _ := t.served.Peek(s)
+	return at
+}
+
+// evaluate quarantines the subjects that explain the known crashes. The caller holds
+// the lock.
+func (t *Tracker) evaluate(now clock.Instant) {
+	evidence := Evidence{
+		Crashes:       groupCrashes(t.suspicions),
+		LastServed:    t.lastServed,
+		IsQuarantined: func(s Subject) bool { return t.isQuarantined(s, now) },
+		OnProbation:   func(s Subject) bool { return t.quarantined[s].count > 0 },
+	}
+	for _, s := range evidence.Culprits() {
+		q := quarantine{count: t.quarantined[s].count + 1}
+		q.until = now.Add(q.length())
+		t.setQuarantine(s, q)
+	}
+}
+
+// setQuarantine quarantines a subject. The caller holds the lock.
+func (t *Tracker) setQuarantine(s Subject, q quarantine) {
+	if t.quarantined == nil {
+		t.quarantined = make(map[Subject]quarantine)
+	}
+	t.quarantined[s] = q
+	if t.OnQuarantined != nil {
+		t.OnQuarantined(s)
+	}
+}
+
+// Report returns what the other nodes need to know, which includes what this node
+// learned from them.
+func (t *Tracker) Report(now clock.Instant) (r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.crashes[content]) >= quarantineThreshold
+	reported := make(map[Subject]bool)
+	for _, s := range slices.Backward(t.suspicions) {
+		if now.Sub(s.at) > reportTime || len(r.Suspicions) == maxReported {
+			break
+		}
+		for _, subject := range s.subjects {
+			if at := t.lastServed(subject); at > s.at && !reported[subject] {
+				reported[subject] = true
+				r.Successes = append(r.Successes, Success{Subject: subject, Age: now.Sub(at)})
+			}
+		}
+		r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at)})
+	}
+	for s, q := range t.quarantined {
+		if remaining := q.until.Sub(now); remaining > 0 {
+			r.Quarantines = append(r.Quarantines, Quarantine{Subject: s, Remaining: remaining, Count: q.count})
+		}
+	}
+	return r
 }
 
-// Recent returns the latest crashes, to be reported to the other nodes. They include
-// those that other nodes reported.
-func (t *Tracker) Recent() []Crash {
+// Merge applies the report of another node.
+func (t *Tracker) Merge(r Report, now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.Clone(t.recent)
+	for _, s := range r.Successes {
+		t.addServed(s.Subject, now.Add(-s.Age))
+	}
+	for _, q := range r.Quarantines {
+		// A report that is under way for a moment extends a quarantine by that moment.
+		if known := t.quarantined[q.Subject]; q.Count > known.count || q.Count == known.count && now.Add(q.Remaining) > known.until.Add(sameCrashTime) {
+			t.setQuarantine(q.Subject, quarantine{until: now.Add(q.Remaining), count: q.Count})
+		}
+	}
+	changed := false
+	for _, s := range r.Suspicions {
+		changed = t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age)}) || changed
+	}
+	if changed {
+		t.evaluate(now)
+	}
 }
 
-// Expire removes the crashes older than crashTTL.
+// Expire removes the crashes older than crashTTL and the quarantines whose probation is
+// over.
 func (t *Tracker) Expire(now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for content, crashedAt := range t.crashes {
-		for id, at := range crashedAt {
-			if now.Sub(at) > crashTTL {
-				delete(crashedAt, id)
-			}
-		}
-		if len(crashedAt) == 0 {
-			delete(t.crashes, content)
+	t.suspicions = slices.DeleteFunc(t.suspicions, func(s suspicion) bool { return now.Sub(s.at) > crashTTL })
+	for s, q := range t.quarantined {
+		if now.Sub(q.until) > probationFactor*q.length() {
+			delete(t.quarantined, s)
 		}
 	}
-	t.recent = slices.DeleteFunc(t.recent, func(crash Crash) bool { return t.crashes[crash.Content] == nil })
 }
+
+func abs(d time.Duration) time.Duration { return max(d, -d) }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
 func TestQuarantine(t *testing.T) {
@@ -17,46 +18,160 @@
 	RunSpecs(t, "quarantine")
 }
 
+// subjects returns the subjects of a request with the given content and blocks; a last
+// block, which belongs to the request alone, is added.
+func subjects(content uint64, blocks ...string) []quarantine.Subject {
+	list := make([]serving.PrefixBlock, 0, len(blocks)+1)
+	for _, b := range blocks {
+		list = append(list, serving.PrefixBlock{ID: serving.PrefixBlockID(b), Tokens: 100})
+	}
+	return quarantine.Subjects(content, append(list, serving.PrefixBlock{ID: "own", Tokens: 10}))
+}
+
 var _ = Describe("The quarantine", func() {
-	now := clock.Instant(time.Hour)
+	const start = clock.Instant(time.Hour)
+	at := start.Add
+	// crash records a crash at an instant, as soon as it happens.
+	crash := func(t *quarantine.Tracker, id fleet.InstanceID, subjects []quarantine.Subject, when time.Duration) {
+		t.RecordCrash(id, subjects, at(when), at(when))
+	}
+	instances := []fleet.InstanceID{"a", "b", "c", "d", "e", "f"}
 
 	It("quarantines a content that crashed three endpoints, whichever node recorded the crashes", func() {
 		var local, remote quarantine.Tracker
 		notified := 0
-		local.OnQuarantined = func(quarantine.ContentHash) { notified++ }
-		remote.Record(quarantine.Crash{Content: 7, Instance: "a"}, now)
-		remote.Record(quarantine.Crash{Content: 7, Instance: "b"}, now)
-		local.Record(quarantine.Crash{Content: 7, Instance: "c"}, now)
-		Expect(local.Quarantined(7)).To(BeFalse())
+		local.OnQuarantined = func(quarantine.Subject) { notified++ }
+		crash(&remote, "a", subjects(7), 0)
+		crash(&remote, "b", subjects(7), time.Second)
+		crash(&local, "c", subjects(7), 2*time.Second)
+		now := at(2 * time.Second)
+		Expect(local.Quarantined(subjects(7), now)).To(BeFalse())
 		for range 2 {
-			for _, crash := range remote.Recent() {
-				local.Record(crash, now)
-			}
+			local.Merge(remote.Report(now), now)
 		}
-		Expect(local.Quarantined(7)).To(BeTrue())
+		Expect(local.Quarantined(subjects(7), now)).To(BeTrue())
+		Expect(local.Quarantined(subjects(8), now)).To(BeFalse())
 		Expect(notified).To(Equal(1))
-		Expect(remote.Quarantined(7)).To(BeFalse())
+		Expect(remote.Quarantined(subjects(7), now)).To(BeFalse())
+		remote.Merge(local.Report(now), now)
+		Expect(remote.Quarantined(subjects(7), now)).To(BeTrue())
+	})
+
+	It("quarantines a prefix block that requests with different contents share, and not the blocks before it", func() {
+		var t quarantine.Tracker
+		for i, id := range instances[:3] {
+			crash(&t, id, subjects(uint64(i), "shared", "session", "deadly"), time.Duration(i)*time.Second)
+		}
+		now := at(2 * time.Second)
+		Expect(t.Quarantined(subjects(9, "shared", "session", "deadly"), now)).To(BeTrue())
+		Expect(t.Quarantined(subjects(9, "other", "deadly", "x"), now)).To(BeTrue())
+		Expect(t.Quarantined(subjects(9, "shared", "session", "other"), now)).To(BeFalse())
+		Expect(t.Count(now)).To(Equal(1))
+	})
+
+	It("quarantines a block before it as well when that one alone goes on crashing endpoints", func() {
+		var t quarantine.Tracker
+		for i, id := range instances[:3] {
+			crash(&t, id, subjects(uint64(i), "shared", "session"), time.Duration(i)*time.Second)
+		}
+		Expect(t.Quarantined(subjects(9, "shared", "x"), at(2*time.Second))).To(BeFalse())
+		crash(&t, "d", subjects(3, "shared", "other"), 3*time.Second)
+		Expect(t.Quarantined(subjects(9, "shared", "x"), at(3*time.Second))).To(BeTrue())
+	})
+
+	It("does not quarantine what was served between the crashes, on whichever node", func() {
+		var local, remote quarantine.Tracker
+		for i, id := range instances {
+			when := time.Duration(i) * time.Second
+			crash(&local, id, subjects(uint64(i), "shared"), when)
+			crash(&remote, id, subjects(uint64(i+100), "shared"), when)
+			remote.RecordServed(subjects(uint64(i+200), "shared"), at(when+500*time.Millisecond))
+			now := at(when + 900*time.Millisecond)
+			local.Merge(remote.Report(now), now)
+		}
+		Expect(local.Count(at(6 * time.Second))).To(BeZero())
+	})
+
+	It("does not count endpoints separately that are lost at the same time", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			crash(&t, id, subjects(uint64(i), "shared"), time.Duration(i)*20*time.Millisecond)
+		}
+		Expect(t.Count(at(time.Second))).To(BeZero())
+	})
+
+	It("does not put a crash down to the requests beside a quarantined one", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			when := time.Duration(i) * time.Second
+			crash(&t, id, subjects(uint64(i), "deadly"), when)
+			crash(&t, id, subjects(uint64(i+100), "beside"), when)
+		}
+		now := at(6 * time.Second)
+		Expect(t.Quarantined(subjects(9, "deadly"), now) != t.Quarantined(subjects(9, "beside"), now)).To(BeTrue(),
+			"nothing tells the two apart, so one of them explains the crashes")
+		Expect(t.Count(now)).To(Equal(1))
 	})
 
 	It("counts an endpoint once, and does not quarantine contents for a single crashed endpoint", func() {
 		var t quarantine.Tracker
-		for range 5 {
-			t.Record(quarantine.Crash{Content: 1, Instance: "a"}, now)
+		for i := range 5 {
+			crash(&t, "a", subjects(1), time.Duration(i)*10*time.Millisecond)
 		}
-		for c := range quarantine.ContentHash(100) {
-			t.Record(quarantine.Crash{Content: 10 + c, Instance: "a"}, now)
+		for c := range uint64(100) {
+			crash(&t, "a", subjects(10+c), 60*time.Millisecond)
 		}
-		Expect(t.Quarantined(1)).To(BeFalse())
-		Expect(t.Quarantined(50)).To(BeFalse())
+		Expect(t.Count(at(time.Second))).To(BeZero())
 	})
 
 	It("removes crashes that expired", func() {
 		var t quarantine.Tracker
-		for _, id := range []fleet.InstanceID{"a", "b", "c"} {
-			t.Record(quarantine.Crash{Content: 1, Instance: id}, now)
+		for i, id := range instances[:2] {
+			crash(&t, id, subjects(1), time.Duration(i)*time.Second)
+		}
+		t.Expire(at(time.Hour))
+		Expect(t.Report(at(time.Hour)).Suspicions).To(BeEmpty())
+		t.RecordCrash("c", subjects(1), at(time.Hour), at(time.Hour))
+		Expect(t.Count(at(time.Hour))).To(BeZero())
+	})
+
+	It("accepts a subject again after a while, and quarantines it for longer after a further crash", func() {
+		var t quarantine.Tracker
+		for i, id := range instances[:3] {
+			crash(&t, id, subjects(uint64(i), "deadly"), time.Duration(i)*time.Second)
+		}
+		later := at(3 * time.Minute)
+		t.Expire(later)
+		Expect(t.Quarantined(subjects(9, "deadly"), later)).To(BeFalse())
+		t.RecordCrash("d", subjects(9, "deadly"), later, later)
+		Expect(t.Quarantined(subjects(10, "deadly"), later)).To(BeTrue())
+		Expect(t.Quarantined(subjects(10, "deadly"), later.Add(3*time.Minute))).To(BeTrue())
+	})
+
+	It("trusts a subject again that was served after its quarantine", func() {
+		var t quarantine.Tracker
+		for i, id := range instances[:3] {
+			crash(&t, id, subjects(uint64(i), "deadly"), time.Duration(i)*time.Second)
+		}
+		later := at(3 * time.Minute)
+		t.Expire(later)
+		t.RecordServed(subjects(9, "deadly"), later)
+		t.RecordCrash("d", subjects(10, "deadly"), later.Add(time.Second), later.Add(time.Second))
+		Expect(t.Count(later.Add(time.Second))).To(BeZero())
+	})
+
+	It("ends a quarantine although nodes report it to each other", func() {
+		var local, remote quarantine.Tracker
+		for i, id := range instances[:3] {
+			crash(&local, id, subjects(uint64(i), "deadly"), time.Duration(i)*time.Second)
+		}
+		const delay = 5 * time.Millisecond
+		now := at(2 * time.Second)
+		for ; now < at(3*time.Minute); now = now.Add(300 * time.Millisecond) {
+			remote.Merge(local.Report(now), now.Add(delay))
+			local.Merge(remote.Report(now), now.Add(delay))
 		}
-		t.Expire(now.Add(time.Hour))
-		Expect(t.Quarantined(1)).To(BeFalse())
-		Expect(t.Recent()).To(BeEmpty())
+		Expect(local.Count(now)).To(BeZero())
+		Expect(remote.Count(now)).To(BeZero())
 	})
 })
--- /dev/null
+++ b/pkg/quarantine/replay_test.go
@@ -0,0 +1,218 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// load is a load of prompts with prefix blocks on a fleet, in virtual time.
+type load struct {
+	nodes, engines int
+	// perSecond is the number of requests a second.
+	perSecond float64
+	// families and sessions are the numbers of different first and second blocks.
+	families, sessions int
+	// deadlyShare is the share of requests with a deadly block, deadlyPosition the
+	// number of blocks before it.
+	deadlyShare    float64
+	deadlyPosition int
+	// losses are times at which a third of the engines is lost at once, for other reasons.
+	losses []time.Duration
+}
+
+const (
+	replayStep     = 10 * time.Millisecond
+	replayDuration = 20 * time.Second
+	gossipInterval = 300 * time.Millisecond
+	// crashDelay is the time from the start of a response to the crash, answerTime that
+	// to the end of a response, downTime that from a crash to the engine's return.
+	crashDelay, answerTime, downTime = 100 * time.Millisecond, 360 * time.Millisecond, 3 * time.Second
+)
+
+// replayRequest is a request in progress.
+type replayRequest struct {
+	node, engine int
+	subjects     []quarantine.Subject
+	deadly       bool
+	begins       clock.Instant
+	retried      bool
+}
+
+// replayResult is what a load led to.
+type replayResult struct {
+	crashes int
+	// late is the number of deadly requests that reached an engine later than 3 s after
+	// the fifth crash.
+	late int
+	// sound is the number of sound requests and refused that of those among them that
+	// were refused.
+	sound, refused int
+}
+
+// replay plays a load and returns what it led to.
+func replay(l load, seed uint64) (result replayResult) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	trackers := make([]quarantine.Tracker, l.nodes)
+	downUntil := make([]clock.Instant, l.engines)
+	start := clock.Instant(time.Hour)
+	var running []replayRequest
+	var fifthCrash clock.Instant
+	contents := uint64(0)
+	generation := 0
+
+	send := func(r replayRequest, now clock.Instant) {
+		var up []int
+		for e := range downUntil {
+			if now >= downUntil[e] {
+				up = append(up, e)
+			}
+		}
+		if len(up) == 0 || trackers[r.node].Quarantined(r.subjects, now) {
+			if !r.deadly && len(up) > 0 && !r.retried {
+				result.refused++
+			}
+			return
+		}
+		if r.deadly && fifthCrash != 0 && now.Sub(fifthCrash) > 3*time.Second {
+			result.late++
+		}
+		r.engine = up[random.IntN(len(up))]
+		r.begins = now.Add(time.Duration(50+random.IntN(350)) * time.Millisecond)
+		running = append(running, r)
+	}
+	// lose makes an engine unavailable; its requests are sent to other engines.
+	lose := func(engine int, now clock.Instant) {
+		downUntil[engine] = now.Add(downTime)
+		generation++
+		id := fleet.InstanceID(fmt.Sprintf("e%d-%d", engine, generation))
+		var broken []replayRequest
+		running = slices.DeleteFunc(running, func(r replayRequest) bool {
+			if r.engine == engine {
+				broken = append(broken, r)
+			}
+			return r.engine == engine
+		})
+		for _, r := range broken {
+			trackers[r.node].RecordCrash(id, r.subjects, now, now)
+		}
+		for _, r := range broken {
+			if !r.retried {
+				r.retried = true
+				send(r, now)
+			}
+		}
+	}
+	for elapsed := time.Duration(0); elapsed < replayDuration; elapsed += replayStep {
+		now := start.Add(elapsed)
+		if slices.Contains(l.losses, elapsed) {
+			for e := range l.engines / 3 {
+				lose(e, now)
+			}
+		}
+		for _, r := range slices.Clone(running) {
+			if r.deadly && now >= r.begins.Add(crashDelay) && now >= downUntil[r.engine] && slices.ContainsFunc(running, func(o replayRequest) bool { return o.begins == r.begins && o.engine == r.engine }) {
+				result.crashes++
+				if result.crashes == 5 {
+					fifthCrash = now
+				}
+				lose(r.engine, now)
+			}
+		}
+		running = slices.DeleteFunc(running, func(r replayRequest) bool {
+			if r.deadly || now < r.begins.Add(answerTime) {
+				return false
+			}
+			trackers[r.node].RecordServed(r.subjects, r.begins)
+			return true
+		})
+		if random.Float64() < l.perSecond*replayStep.Seconds() {
+			contents++
+			r := replayRequest{node: random.IntN(l.nodes), deadly: random.Float64() < l.deadlyShare}
+			family := random.IntN(l.families)
+			blocks := []string{fmt.Sprint("family", family), fmt.Sprint("session", family, ".", random.IntN(l.sessions))}
+			if r.deadly {
+				blocks = slices.Insert([]string{"family0", "session0.0"}, l.deadlyPosition, "deadly")
+			} else {
+				result.sound++
+			}
+			r.subjects = subjects(contents, blocks...)
+			send(r, now)
+		}
+		if elapsed%gossipInterval == 0 {
+			reports := make([]quarantine.Report, l.nodes)
+			for i := range trackers {
+				reports[i] = trackers[i].Report(now)
+			}
+			for i := range trackers {
+				for j := range reports {
+					if i != j {
+						trackers[i].Merge(reports[j], now)
+					}
+				}
+			}
+		}
+	}
+	return result
+}
+
+// The load of bloomcart-tbilisi's model pool.
+var usualLoad = load{nodes: 6, engines: 18, perSecond: 90, families: 4, sessions: 80}
+
+var _ = Describe("A replayed load", func() {
+	seeds := []uint64{1, 2, 3, 4, 5}
+
+	It("with a deadly block crashes few engines, and sound requests are served", func() {
+		var table bytes.Buffer
+		fmt.Fprintln(&table, "share position seed crashes late sound refused")
+		for _, share := range []float64{0.005, 0.02, 0.1} {
+			for position := range 3 {
+				for _, seed := range seeds {
+					l := usualLoad
+					l.deadlyShare, l.deadlyPosition = share, position
+					r := replay(l, seed)
+					fmt.Fprintln(&table, share, position, seed, r.crashes, r.late, r.sound, r.refused)
+					// The users' rules: three late requests, and half of the sound ones served.
+					Expect(r.late).To(BeNumerically("<=", 3), "share %v, position %d, seed %d", share, position, seed)
+					Expect(2*r.refused).To(BeNumerically("<=", r.sound), "share %v, position %d, seed %d", share, position, seed)
+				}
+			}
+		}
+		golden("deadly.txt", table.Bytes())
+	})
+
+	It("without one quarantines nothing, while engines are lost together again and again", func() {
+		l := usualLoad
+		for at := 2 * time.Second; at < replayDuration; at += 2 * time.Second {
+			l.losses = append(l.losses, at)
+		}
+		for _, seed := range seeds {
+			Expect(replay(l, seed).refused).To(BeZero(), "seed %d", seed)
+		}
+	})
+})
+
+// golden compares a text with a golden file.
+func golden(name string, text []byte) {
+	path := filepath.Join("_fixtures", name)
+	if *update {
+		Expect(os.WriteFile(path, text, 0o600)).To(Succeed())
+	}
+	want, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(text)).To(Equal(string(want)))
+}
