quarantine: wait for the other nodes' reports before a crash counts

Cause: a node learns of its own requests at a crashed engine at once, and of those of other nodes up to two rounds later. Until then popular first blocks seemed to be in crashes that nothing explained. Evidence: event 2222 names the first block of another kind of request 0.2 to 0.4 s after the deadly one. A crash counts from an age of 0.7 s now, subjects are compared by all their crashes, and a report holds the node's own suspicions first.

The new spec of pkg/quarantine fails before.

--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -209,7 +209,7 @@
 // subjects.
 func (f *Front) recordCrash(e serving.Endpoint, subjects []quarantine.Subject, at clock.Instant) {
 	f.tracker.RecordUnreachable(e.ID, clock.Now())
-	f.quarantine.RecordCrash(e.ID, subjects, at, clock.Now())
+	f.quarantine.RecordCrash(e.ID, subjects, at)
 	f.Logs.Emit(event.EndpointCrashed, zap.String("endpoint", string(e.ID)), zap.Strings("subjects", formatSubjects(subjects)))
 }
 
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -17,6 +17,9 @@
 	// separately. Endpoints that are lost together, because their instances are reclaimed,
 	// had many subjects in common; those that are served elsewhere meanwhile are cleared.
 	crashSpacing = 400 * time.Millisecond
+	// settleTime is the age from which a crash counts. By then the other nodes have
+	// reported which of their requests were in flight, and what they served meanwhile.
+	settleTime = 700 * time.Millisecond
 )
 
 // Crash is the crash of an endpoint. Subjects are those of the requests that may have
@@ -75,10 +78,11 @@
 type candidate struct {
 	subject Subject
 	rank    int
-	// crashes counts the crashes since the subject was last served, unexplained those
-	// among them that no quarantined subject explains. Crashes at almost the same time
-	// count once.
-	crashes, unexplained spacedCount
+	// crashes counts the crashes since the subject was last served; those at almost the
+	// same time count once. unexplained counts each of those that no quarantined subject
+	// explains.
+	crashes     spacedCount
+	unexplained int
 }
 
 // best returns the subject that explains the most crashes beside the given culprits.
@@ -102,7 +106,7 @@
 			c.rank = max(c.rank, rank)
 			c.crashes.add(crash.At)
 			if !explained {
-				c.unexplained.add(crash.At)
+				c.unexplained++
 			}
 		}
 	}
@@ -112,7 +116,7 @@
 		if e.OnProbation(c.subject) {
 			needed = 1
 		}
-		if c.unexplained.count > 0 && c.crashes.count >= needed && (chosen == nil || c.compare(chosen) > 0) {
+		if c.unexplained > 0 && c.crashes.count >= needed && (chosen == nil || c.compare(chosen) > 0) {
 			chosen = c
 		}
 	}
@@ -125,7 +129,7 @@
 // compare returns a positive number if c is the more likely culprit.
 func (c *candidate) compare(other *candidate) int {
 	return cmp.Or(
-		cmp.Compare(c.unexplained.count, other.unexplained.count),
+		cmp.Compare(c.unexplained, other.unexplained),
 		cmp.Compare(c.rank, other.rank),
 		cmp.Compare(c.crashes.count, other.crashes.count),
 		cmp.Compare(c.subject, other.subject),
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -30,7 +30,9 @@
 	reportTime = 10 * time.Second
 	// maxSuspicions is the maximum number of suspicions that are kept, maxReported the
 	// maximum number in one report, which has to fit into a datagram.
-	maxSuspicions, maxReported = 512, 48
+	maxSuspicions, maxReported = 512, 96
+	// evaluationPause is the minimum time between two evaluations of the crashes.
+	evaluationPause = 100 * time.Millisecond
 	// maxSubjects is the maximum number of subjects of a request. Of a longer prompt the
 	// first prefix blocks are left out.
 	maxSubjects = 12
@@ -102,6 +104,8 @@
 	instance fleet.InstanceID
 	subjects []Subject
 	at       clock.Instant
+	// local reports whether this node made the observation.
+	local bool
 }
 
 // quarantine is the state of a subject that is or was quarantined.
@@ -129,15 +133,15 @@
 	// it served.
 	served      *lru.Cache[Subject, clock.Instant]
 	quarantined map[Subject]quarantine
+	// evaluateAt is when the crashes have to be evaluated again, 0 if there is no new one.
+	evaluateAt clock.Instant
 }
 
 // RecordCrash records that a request may have crashed an endpoint.
-func (t *Tracker) RecordCrash(instance fleet.InstanceID, subjects []Subject, at, now clock.Instant) {
+func (t *Tracker) RecordCrash(instance fleet.InstanceID, subjects []Subject, at clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.addSuspicion(suspicion{instance: instance, subjects: subjects, at: at}) {
-		t.evaluate(now)
-	}
+	t.addSuspicion(suspicion{instance: instance, subjects: subjects, at: at, local: true})
 }
 
 // RecordServed records that an endpoint served a request which it began to answer at
@@ -154,6 +158,7 @@
 func (t *Tracker) Quarantined(subjects []Subject, now clock.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.evaluate(now)
 	return slices.ContainsFunc(subjects, func(s Subject) bool { return t.isQuarantined(s, now) })
 }
 
@@ -161,6 +166,7 @@
 func (t *Tracker) Count(now clock.Instant) (count int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.evaluate(now)
 	for s := range t.quarantined {
 		if t.isQuarantined(s, now) {
 			count++
@@ -174,14 +180,14 @@
 	return now < t.quarantined[s].until
 }
 
-// addSuspicion adds a suspicion and reports whether it is new. The caller holds the lock.
-func (t *Tracker) addSuspicion(added suspicion) bool {
+// addSuspicion adds a suspicion if it is new. The caller holds the lock.
+func (t *Tracker) addSuspicion(added suspicion) {
 	if len(added.subjects) == 0 {
-		return false
+		return
 	}
 	for _, s := range t.suspicions {
 		if s.instance == added.instance && slices.Equal(s.subjects, added.subjects) && abs(s.at.Sub(added.at)) < sameCrashTime {
-			return false
+			return
 		}
 	}
 	i, _ := slices.BinarySearchFunc(t.suspicions, added.at, func(s suspicion, at clock.Instant) int { return int(s.at - at) })
@@ -189,7 +195,9 @@
 	if excess := len(t.suspicions) - maxSuspicions; excess > 0 {
 		t.suspicions = slices.Delete(t.suspicions, 0, excess)
 	}
-	return true
+	if due := added.at.Add(settleTime); t.evaluateAt == 0 || due < t.evaluateAt {
+		t.evaluateAt = due
+	}
 }
 
 // addServed records the instant of a success if it is the latest. A subject that was
@@ -217,11 +225,22 @@
 	return at
 }
 
-// evaluate quarantines the subjects that explain the known crashes. The caller holds
-// the lock.
+// evaluate quarantines the subjects that explain the known crashes, if there is a new
+// one that has settled. The caller holds the lock.
 func (t *Tracker) evaluate(now clock.Instant) {
+	if t.evaluateAt == 0 || now < t.evaluateAt {
+		return
+	}
+	t.evaluateAt = 0
+	for _, s := range t.suspicions {
+		if due := s.at.Add(settleTime); due > now {
+			t.evaluateAt = max(due, now.Add(evaluationPause))
+			break
+		}
+	}
+	settled := func(c Crash) bool { return now.Sub(c.At) >= settleTime }
 	evidence := Evidence{
-		Crashes:       groupCrashes(t.suspicions),
+		Crashes:       slices.DeleteFunc(groupCrashes(t.suspicions), func(c Crash) bool { return !settled(c) }),
 		LastServed:    t.lastServed,
 		IsQuarantined: func(s Subject) bool { return t.isQuarantined(s, now) },
 		OnProbation:   func(s Subject) bool { return t.quarantined[s].count > 0 },
@@ -249,18 +268,25 @@
 func (t *Tracker) Report(now clock.Instant) (r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reported := make(map[Subject]bool)
-	for _, s := range slices.Backward(t.suspicions) {
-		if now.Sub(s.at) > reportTime || len(r.Suspicions) == maxReported {
-			break
-		}
-		for _, subject := range s.subjects {
-			if at := t.lastServed(subject); at > s.at && !reported[subject] {
-				reported[subject] = true
-				r.Successes = append(r.Successes, Success{Subject: subject, Age: now.Sub(at)})
+	served := make(map[Subject]bool)
+	// In a small fleet the nodes learn all from the first pass. The second one matters
+	// for relays.
+	for _, local := range []bool{true, false} {
+		for _, s := range slices.Backward(t.suspicions) {
+			if now.Sub(s.at) > reportTime || len(r.Suspicions) == maxReported {
+				break
+			}
+			if s.local != local {
+				continue
+			}
+			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at)})
+			for _, subject := range s.subjects {
+				if at := t.lastServed(subject); at > s.at && !served[subject] {
+					served[subject] = true
+					r.Successes = append(r.Successes, Success{Subject: subject, Age: now.Sub(at)})
+				}
 			}
 		}
-		r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at)})
 	}
 	for s, q := range t.quarantined {
 		if remaining := q.until.Sub(now); remaining > 0 {
@@ -283,12 +309,8 @@
 			t.setQuarantine(q.Subject, quarantine{until: now.Add(q.Remaining), count: q.Count})
 		}
 	}
-	changed := false
 	for _, s := range r.Suspicions {
-		changed = t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age)}) || changed
-	}
-	if changed {
-		t.evaluate(now)
+		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age)})
 	}
 }
 
