quarantine: evaluate crashes also while no request asks

Reports of other nodes and the housekeeping evaluate them too now. go test ./pkg/quarantine: failed before, passes three times.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -312,6 +312,7 @@
 	for _, s := range r.Suspicions {
 		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age)})
 	}
+	t.evaluate(now)
 }
 
 // Expire removes the crashes older than crashTTL and the quarantines whose probation is
@@ -319,6 +320,7 @@
 func (t *Tracker) Expire(now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.evaluate(now)
 	t.suspicions = slices.DeleteFunc(t.suspicions, func(s suspicion) bool { return now.Sub(s.at) > crashTTL })
 	for s, q := range t.quarantined {
 		if now.Sub(q.until) > probationFactor*q.length() {
