gateway: do not reuse a connection whose last response could be repeated as another's

Reported by other operators: a worker wrote an earlier refusal once more on a kept connection, and the next request on it was told "not run" while it ran (REFUSED), or ran twice (TWICE). It could happen here: a refusal without a request ID was taken for the response to whatever request waited. A connection is now closed after a response that names no request, and after 421.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -125,6 +125,9 @@
 	return n, err
 }
 
+// DoNotReuse makes Close reset the connection.
+func (r *Response) DoNotReuse() { r.keepAlive = false }
+
 // Close returns the connection to the pool if it can be reused, or else resets it.
 func (r *Response) Close() {
 	notReset := r.stopReset()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -98,6 +98,9 @@
 		a.finish()
 		return nil, err
 	}
+	if isAmbiguousIfRepeated(a.response.Status, platform.ReadResponse(a.response.Status, a.response.Header)) {
+		a.response.DoNotReuse()
+	}
 	a.begunAt = clock.Now()
 	p.handler.Tracker.RecordResponse(c.Endpoint, a.begunAt)
 	return a, nil
@@ -145,6 +148,13 @@
 	return metadata.ID == p.request.ID || metadata.ID == "" && (metadata.NotRun || status/100 != 2)
 }
 
+// isAmbiguousIfRepeated reports whether a response could be taken for the response to a
+// later request if the endpoint sent it twice: it names no request, or the request may
+// be sent to the same address again.
+func isAmbiguousIfRepeated(status int, r platform.Response) bool {
+	return r.ID == "" || status == http.StatusMisdirectedRequest
+}
+
 // recordSendFailure records and logs an exchange that failed before a response
 // header was received. It ignores failures that are due to the caller's disconnect
 // or the request's timeout.
--- a/pkg/gateway/caller_left_test.go
+++ b/pkg/gateway/caller_left_test.go
@@ -16,14 +16,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
 
-	"github.com/skylarkloom/skylarkloom/pkg/allotment"
-	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
-	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
-	"github.com/skylarkloom/skylarkloom/pkg/forward"
-	"github.com/skylarkloom/skylarkloom/pkg/placement"
-	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
@@ -86,7 +80,7 @@
 }
 
 // newDeparture starts a node, which does not read its caller's connection before
-// readable is closed.
+// readable is closed, and connects a caller to it.
 func newDeparture() *departure {
 	d := &departure{stages: make(chan LeaveStage, 4), readable: make(chan struct{}), finished: make(chan struct{})}
 	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -95,51 +89,21 @@
 		d.respond(w, d.arrivals.Add(1))
 	}))
 	ginkgo.DeferCleanup(endpoint.Close)
-	config := &serving.Config{
-		Version: 1,
-		Routes: []serving.Route{
-			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: serving.KindSafe, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 3, Targets: []serving.Target{{Pool: "desk", Weight: 1}}},
-			{Name: "tale", Host: "h", PathPrefix: "/tale/", Kind: serving.KindStream, Resumable: true, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 3, Targets: []serving.Target{{Pool: "desk", Weight: 1}}},
-		},
-		Pools: map[fleet.PoolName]serving.Pool{"desk": {Name: "desk"}},
-	}
-	config.BuildIndex()
+	address := strings.TrimPrefix(endpoint.URL, "http://")
+	d.handler = newHandler(address, address, address)
 	var finishOnce sync.Once
-	d.handler = &Handler{
-		Config: func() Config { return Config{Config: config, Confirmed: clock.Now()} },
-		Endpoints: func(fleet.PoolName) (list []serving.Endpoint) {
-			for _, id := range []fleet.InstanceID{"e1", "e2", "e3"} {
-				list = append(list, serving.Endpoint{ID: id, Address: strings.TrimPrefix(endpoint.URL, "http://"), State: serving.StateReady, Slots: 4})
-			}
-			return list
-		},
-		Nodes:         func() allotment.Nodes { return allotment.Nodes{Total: 1} },
-		IsQuarantined: func([]quarantine.Subject) bool { return false },
-		RecordBroken:  func(serving.Endpoint, []quarantine.Subject, clock.Instant) {},
-		RecordServed:  func([]quarantine.Subject, clock.Instant) {},
-		RecordStart:   func(fleet.AccountName) {},
-		RecordDemand:  func(fleet.PoolName, float64) {},
-		OnFinish:      func(Result) { finishOnce.Do(func() { close(d.finished) }) },
-		OnCallerLeft:  func(s LeaveStage) { d.stages <- s },
-		Tracker:       &placement.Tracker{}, Quotas: &allotment.QuotaLimiter{},
-		Retries: &allotment.RetryBudget{Ratio: 1, Slack: 50, Window: 10 * time.Second}, Pool: &forward.Pool{},
-		Logs: &event.Logs{}, MaxKeyAge: time.Minute, Random: func() float64 { return 0 }, Draining: func() bool { return false },
-	}
-	node := httptest.NewUnstartedServer(d.handler)
-	listener := busyListener{Listener: node.Listener, readable: d.readable, accepted: make(chan net.Conn, 1)}
-	node.Listener = listener
-	node.Config.ConnContext = connection.NewContext
-	node.Start()
-	ginkgo.DeferCleanup(func() {
-		node.CloseClientConnections()
-		node.Close()
+	d.handler.OnFinish = func(Result) { finishOnce.Do(func() { close(d.finished) }) }
+	d.handler.OnCallerLeft = func(s LeaveStage) { d.stages <- s }
+	accepted := make(chan net.Conn, 1)
+	node := startNode(d.handler, func(l net.Listener) net.Listener {
+		return busyListener{Listener: l, readable: d.readable, accepted: accepted}
 	})
 	var err error
-	d.caller, err = net.Dial("tcp", node.Listener.Addr().String())
+	d.caller, err = net.Dial("tcp", node)
 	Expect(err).NotTo(HaveOccurred())
 	// Specs close it earlier.
 	ginkgo.DeferCleanup(func() { _ = d.caller.Close() })
-	d.accepted = <-listener.accepted
+	d.accepted = <-accepted
 	return d
 }
 
