--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -30,6 +31,8 @@
 	// maxResponsesPerRequest limits the responses that are read for one request,
 	// including skipped ones.
 	maxResponsesPerRequest = 4
+	// maxHeadBytes is the size limit of the status line and header of a response.
+	maxHeadBytes = 64 << 10
 	// maxSkippedBodyBytes is the size limit of the body of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
 )
@@ -216,10 +219,12 @@
 func (c *conn) receive(req Request) (res *http.Response, err error) {
 	httpRequest := &http.Request{Method: req.Method}
 	for range maxResponsesPerRequest {
+		c.head.remaining = maxHeadBytes
 		res, err = http.ReadResponse(c.reader, httpRequest)
 		if err != nil {
 			return nil, err
 		}
+		c.head.remaining = math.MaxInt
 		if res.StatusCode/100 == 1 {
 			continue
 		}
@@ -236,11 +241,33 @@
 	return nil, ErrNoMatchingResponse
 }
 
+// errHeadTooLong reports a response whose status line and header exceed maxHeadBytes.
+var errHeadTooLong = errors.New("response head exceeds the size limit")
+
+// headReader limits the bytes that are read of the head of a response, which net/http
+// does not do.
+type headReader struct {
+	io.Reader
+	remaining int
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (n int, err error) {
+	if r.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err = r.Reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// reader buffers what head reads from the connection.
+	reader *bufio.Reader
+	head   *headReader
 	// uses counts the requests sent on the connection, including the current one.
 	uses int
 	// expires is when an idle connection may no longer be used.
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -226,6 +226,43 @@
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 
+	// A faulty endpoint sends without end; a node that reads on runs out of memory.
+	DescribeTable("stops reading bytes without end that are no response",
+		func(start, repeated string) {
+			// The kernel's buffers of both ends hold some megabytes.
+			const maxAccepted = 16 << 20
+			var accepted atomic.Int64
+			closed := make(chan struct{})
+			address := scriptedEndpoint(func(conn net.Conn, r *bufio.Reader) {
+				defer close(closed)
+				_, _, _ = readRequest(r)
+				_, _ = io.WriteString(conn, start)
+				block := []byte(strings.Repeat(repeated, 1+(16<<10)/len(repeated)))
+				for accepted.Load() < 4*maxAccepted {
+					n, err := conn.Write(block)
+					accepted.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})
+			_, err := do(&forward.Pool{}, newRequest(address, "a", "x"))
+			Expect(mayHaveBeenReceived(err)).To(BeTrue())
+			Expect(errors.Is(err, context.DeadlineExceeded)).To(BeFalse())
+			Eventually(closed).Should(BeClosed())
+			Expect(accepted.Load()).To(BeNumerically("<", maxAccepted), "bytes that the node and the kernel accepted")
+		},
+		Entry("in a status line", "HTTP/1.1 200 ", "x"),
+		Entry("in a header line", "HTTP/1.1 200 OK\r\nX-A: ", "x"),
+		Entry("as header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"),
+		Entry("as different header lines", "HTTP/1.1 200 OK\r\nX-Id: a\r\n", "X-A: b\r\nX-B: c\r\nX-C: "+strings.Repeat("d", 300)+"\r\n"),
+		Entry("as interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+		Entry("as responses to other requests", "", "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("in the body of a response to another request", "HTTP/1.1 200 OK\r\nX-Id: old\r\n\r\n", "x"),
+		Entry("in the chunked body of a response to another request", "HTTP/1.1 200 OK\r\nX-Id: old\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+		Entry("as bytes that are no response", "", "\x00garbage"),
+	)
+
 	It("does not exceed the connection limit", func() {
 		p := &forward.Pool{}
 		received, release := make(chan struct{}), make(chan struct{})
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -102,7 +102,8 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &conn{Conn: raw, address: req.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	head := &headReader{Reader: raw}
+	return &conn{Conn: raw, address: req.Address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 // Probe opens a connection to an address and keeps it for the next request.
