forward: fail on a skipped response whose body is too long to skip

Callers could get another request's bytes as their response (MIXED): of a late response to another request only the first MiB was skipped, and what followed in its body was read as the next response. Found by the specs on bytes without end. A longer one ends the exchange now. The new spec got a forged response before ("forged") and an error now.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -231,7 +231,7 @@
 		if req.Matches == nil || req.Matches(res.StatusCode, res.Header) {
 			return res, nil
 		}
-		if _, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBodyBytes)); err != nil {
+		if err = skipBody(res.Body); err != nil {
 			return nil, err
 		}
 		if res.Close {
@@ -241,6 +241,19 @@
 	return nil, ErrNoMatchingResponse
 }
 
+// errSkippedTooLong reports a response to another request whose body exceeds
+// maxSkippedBodyBytes.
+var errSkippedTooLong = errors.New("response to another request exceeds the size limit for skipping")
+
+// skipBody reads a body to its end, behind which the next response starts.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
+	if err == nil && n > maxSkippedBodyBytes {
+		err = errSkippedTooLong
+	}
+	return err
+}
+
 // errHeadTooLong reports a response whose status line and header exceed maxHeadBytes.
 var errHeadTooLong = errors.New("response head exceeds the size limit")
 
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -263,6 +263,18 @@
 		Entry("as bytes that are no response", "", "\x00garbage"),
 	)
 
+	// The body of a response that is skipped in part was read as the next response.
+	It("does not take bytes of a skipped body for a response", func() {
+		forged := response("a", "forged")
+		address := scriptedEndpoint(func(conn net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			padding := strings.Repeat("x", 1<<20)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: %d\r\n\r\n%s%s", len(padding)+len(forged), padding, forged)
+		})
+		body, err := do(&forward.Pool{}, newRequest(address, "a", "x"))
+		Expect(err).To(HaveOccurred(), "got %q", body)
+	})
+
 	It("does not exceed the connection limit", func() {
 		p := &forward.Pool{}
 		received, release := make(chan struct{}), make(chan struct{})
