gateway: check that what continues a stream is its continuation

An error by its status never got through here, but four of eight new specs failed: a text or JSON under status 200, an error's head as the body of a stream, and a response that ends with its connection before the first event. What continues a stream now needs the content type of its start and events with IDs (comments may come without), and an end without length or chunks before the first event counts as a break. The connection of such a response is not reused.

Specs on responses without length or chunks, and on one that ends inside an event, passed before.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -108,8 +108,11 @@
 // Response is the response of an endpoint. Close must be called. Unless the body
 // was read completely, Close resets the connection and so ends the endpoint's work.
 type Response struct {
-	Status         int
-	Header         http.Header
+	Status int
+	Header http.Header
+	// Framed reports whether the body has a length or chunks, so that its end is known.
+	// Any other body ends with the connection.
+	Framed         bool
 	body           io.Reader
 	conn           *conn
 	pool           *Pool
@@ -177,7 +180,8 @@
 	}
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, body: res.Body,
-		conn: c, pool: p,
+		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
+		conn:   c, pool: p,
 		keepAlive:      !res.Close,
 		requestWritten: written, stopReset: stopReset,
 	}, nil
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -26,6 +26,16 @@
 	hasID bool
 }
 
+// isComment reports whether the event consists of comments.
+func (e *sseEvent) isComment() bool {
+	for line := range bytes.Lines(e.data) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // sseReader splits a stream into complete events. A partial event is never
 // relayed, so a stream that fails inside an event can resume at another endpoint.
 type sseReader struct{ reader *bufio.Reader }
--- a/pkg/gateway/faulty_endpoint_test.go
+++ b/pkg/gateway/faulty_endpoint_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -72,3 +73,106 @@
 		Expect(ran.Load()).To(BeEquivalentTo(1))
 	})
 })
+
+// events returns the encoded events from first to last.
+func events(first, last int) (text string) {
+	for n := first; n <= last; n++ {
+		text += fmt.Sprintf("id: %d\ndata: part %d\n\n", n, n)
+	}
+	return text
+}
+
+const (
+	eventStream = "Content-Type: text/event-stream\r\n"
+	chunked     = "Transfer-Encoding: chunked\r\n"
+)
+
+// chunk returns a chunk of a chunked body.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// brokenStream writes the first two of four events and a part of the third one.
+func brokenStream(w io.Writer, r *http.Request) {
+	write(w, sealedHead(r, "200 OK")+eventStream+chunked+"\r\n"+chunk(events(1, 2))+chunk("id: 3\nda"))
+}
+
+// The next worker's error, at times with its head, stood in the middle of a stream that
+// had begun and broke off, or the stream ended as if it were complete.
+var _ = ginkgo.DescribeTable("A stream that broke off, when the next endpoint",
+	func(second func(*http.Request) string) {
+		e := &rawEndpoint{}
+		e.respond = func(w io.Writer, r *http.Request, request, _ int64) bool {
+			switch request {
+			case 1:
+				brokenStream(w, r)
+			case 2:
+				write(w, second(r))
+			default:
+				write(w, sealedHead(r, "200 OK")+eventStream+chunked+"\r\n"+chunk(events(3, 4))+"0\r\n\r\n")
+			}
+			return false
+		}
+		address := e.start()
+		Expect(call(startNode(newHandler(address, address, address), nil), "/tale/1", "r1")).To(Equal(reply{status: http.StatusOK, body: events(1, 4)}),
+			"the third endpoint has the rest")
+		e.requests.Store(0)
+		got := call(startNode(newHandler(address, address), nil), "/tale/1", "r2")
+		Expect(got.err).To(HaveOccurred(), "there is no third endpoint, so the stream must not look complete")
+		Expect(events(1, 2)).To(HavePrefix(got.body))
+	},
+	ginkgo.Entry("fails with a text", func(r *http.Request) string {
+		return sealedHead(r, "500 Internal Server Error") + "Content-Length: 6\r\n\r\noops\n\n"
+	}),
+	ginkgo.Entry("fails with events", func(r *http.Request) string {
+		return sealedHead(r, "500 Internal Server Error") + eventStream + "\r\n" + events(3, 4)
+	}),
+	ginkgo.Entry("refuses without a mark", func(r *http.Request) string {
+		return sealedHead(r, "503 Service Unavailable") + "Content-Length: 6\r\n\r\nbusy\n\n"
+	}),
+	ginkgo.Entry("responds with a text instead of events", func(r *http.Request) string {
+		return sealedHead(r, "200 OK") + "Content-Type: text/plain\r\nContent-Length: 7\r\n\r\nerror\n\n"
+	}),
+	ginkgo.Entry("responds with JSON instead of events", func(r *http.Request) string {
+		return sealedHead(r, "200 OK") + "Content-Type: application/json\r\nContent-Length: 14\r\n\r\n{\"error\":1}\n\n\n"
+	}),
+	ginkgo.Entry("sends an error with its head as the body of a stream", func(r *http.Request) string {
+		text := "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops\n\n"
+		return sealedHead(r, "200 OK") + eventStream + chunked + "\r\n" + chunk(text) + "0\r\n\r\n"
+	}),
+	ginkgo.Entry("ends its connection before the first event", func(r *http.Request) string {
+		return sealedHead(r, "200 OK") + eventStream + "\r\n"
+	}),
+	ginkgo.Entry("breaks off inside an event", func(r *http.Request) string {
+		return sealedHead(r, "200 OK") + eventStream + "\r\nid: 3\nda"
+	}),
+)
+
+var _ = ginkgo.Describe("A response that ends with its connection", func() {
+	ginkgo.DescribeTable("is complete",
+		func(path, head, body string) {
+			e := &rawEndpoint{}
+			e.respond = func(w io.Writer, r *http.Request, _, _ int64) bool {
+				write(w, sealedHead(r, "200 OK")+head+"\r\n"+body)
+				return false
+			}
+			node := startNode(newHandler(e.start()), nil)
+			Expect(call(node, path, "r1")).To(Equal(reply{status: http.StatusOK, body: body}))
+		},
+		ginkgo.Entry("of a plain service", "/look/1", "", "done"),
+		ginkgo.Entry("a stream", "/tale/1", eventStream, events(1, 4)),
+	)
+
+	ginkgo.It("is resumed when it ends inside an event", func() {
+		e := &rawEndpoint{}
+		e.respond = func(w io.Writer, r *http.Request, request, _ int64) bool {
+			if request == 1 {
+				write(w, sealedHead(r, "200 OK")+eventStream+"\r\n"+events(1, 2)+"id: 3\nda")
+				return false
+			}
+			write(w, sealedHead(r, "200 OK")+eventStream+"\r\n"+events(3, 4))
+			return false
+		}
+		address := e.start()
+		node := startNode(newHandler(address, address), nil)
+		Expect(call(node, "/tale/1", "r1")).To(Equal(reply{status: http.StatusOK, body: events(1, 4)}))
+	})
+})
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -39,6 +39,10 @@
 	eventBufferBytes = 4 << 10
 )
 
+// errNoEventID reports an event without an ID in a response that continues a stream. It
+// may be the text of an error.
+var errNoEventID = errors.New("an event of a resumed stream has no ID")
+
 // errStalled cancels an attempt that sent no event in time.
 var errStalled = errors.New("stream stalled: no event in time")
 
@@ -48,6 +52,8 @@
 	*proxyRequest
 	// headerSent reports whether the response header was sent to the caller.
 	headerSent bool
+	// contentType is the content type of the response to the caller, once headerSent.
+	contentType string
 	// lastEvent is the ID of the last event that the caller has, if hasLastEvent.
 	lastEvent    serving.EventID
 	hasLastEvent bool
@@ -129,7 +135,8 @@
 		return s.handleNotRun(a)
 	case a.response.Status != http.StatusOK && !s.headerSent:
 		return s.handleErrorResponse(a, metadata)
-	case a.response.Status != http.StatusOK || !metadata.Sealed:
+	case a.response.Status != http.StatusOK || !metadata.Sealed,
+		s.headerSent && a.response.Header.Get("Content-Type") != s.contentType:
 		s.handler.Tracker.RecordOutcome(c.Endpoint.ID, false)
 		return outcomeLost, ReasonInvalidResponse
 	}
@@ -182,8 +189,16 @@
 func (s *streamRequest) relayEvents(ctx context.Context, a *attempt, watchdog *time.Timer) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
 	id := a.choice.Endpoint.ID
+	continues := s.headerSent
 	for {
 		e, err := events.next()
+		if err == nil && continues && !e.hasID && !e.isComment() {
+			err = errNoEventID
+		}
+		if errors.Is(err, io.EOF) && continues && !a.started.Load() && !a.response.Framed {
+			// The endpoint may have ended before the first event.
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
 			s.handler.Tracker.RecordOutcome(id, true)
 			a.recordServed()
@@ -200,6 +215,8 @@
 				s.handler.Tracker.RecordOutcome(id, false)
 				a.recordFailure(err)
 			}
+			// The body may have been read to its end by now.
+			a.response.DoNotReuse()
 			s.logEndpointFailure(a, err, zap.Int64("last", int64(s.lastEvent)))
 			return outcomeLost, reason
 		}
@@ -238,7 +255,7 @@
 		platform.CopyResponseHeader(s.writer.Header(), a.response.Header)
 		s.writer.Header().Del("Content-Length")
 		s.writer.WriteHeader(a.response.Status)
-		s.headerSent = true
+		s.headerSent, s.contentType = true, a.response.Header.Get("Content-Type")
 	}
 	if _, err := s.writer.Write(e.data); err != nil {
 		return err
