gateway: end a stream that sends no new events

Bodies without a line break, and events without end, had limits; blank lines, events without IDs and one event again and again were read, and partly passed on, until the route's timeout. 256 KiB without a new event ID end the exchange now. The checks of a response's events stand together in eventChecker.

--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -11,12 +11,26 @@
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
-// maxEventBytes is the size limit of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the size limit of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxStaleBytes is the number of bytes that a response may send without an event with
+	// a new ID, as comments or as events that the caller already has. An event counts as
+	// minEventBytes at least.
+	maxStaleBytes, minEventBytes = 256 << 10, 64
+)
 
 // errEventTooLong reports an event that exceeds maxEventBytes.
 var errEventTooLong = errors.New("event exceeds the size limit")
 
+// errNoEventID reports an event without an ID in a response that continues a stream. It
+// may be the text of an error.
+var errNoEventID = errors.New("an event of a resumed stream has no ID")
+
+// errNoNewEvents reports a response that sent maxStaleBytes without an event with a new
+// ID.
+var errNoNewEvents = errors.New("stream sends no new events")
+
 // sseEvent is one complete event of a text/event-stream, including its
 // terminating blank line.
 type sseEvent struct {
@@ -36,6 +50,38 @@
 	return true
 }
 
+// eventChecker finds bytes in a response that are no part of its stream.
+type eventChecker struct {
+	// continues reports whether the response continues a stream that has begun, framed
+	// whether its end is known without the end of the connection.
+	continues, framed bool
+	// begun reports whether the response had an event.
+	begun      bool
+	staleBytes int
+}
+
+// check returns the error of an event, or of its reader if that is not nil. isNew reports
+// whether the event has a new ID.
+func (c *eventChecker) check(e sseEvent, isNew bool, err error) error {
+	if errors.Is(err, io.EOF) && c.continues && !c.begun && !c.framed {
+		// The endpoint may have ended before the first event.
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	c.begun = true
+	if c.continues && !e.hasID && !e.isComment() {
+		return errNoEventID
+	}
+	if isNew {
+		c.staleBytes = 0
+	} else if c.staleBytes += max(len(e.data), minEventBytes); c.staleBytes > maxStaleBytes {
+		return errNoNewEvents
+	}
+	return nil
+}
+
 // sseReader splits a stream into complete events. A partial event is never
 // relayed, so a stream that fails inside an event can resume at another endpoint.
 type sseReader struct{ reader *bufio.Reader }
--- a/pkg/gateway/faulty_endpoint_test.go
+++ b/pkg/gateway/faulty_endpoint_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -176,3 +177,37 @@
 		Expect(call(node, "/tale/1", "r1")).To(Equal(reply{status: http.StatusOK, body: events(1, 4)}))
 	})
 })
+
+// A faulty endpoint sends without end until the node closes the connection.
+var _ = ginkgo.DescribeTable("An endpoint whose body never ends is cut off",
+	func(path, head, repeated string) {
+		// The kernel's buffers of both connections hold some megabytes.
+		const maxAccepted = 24 << 20
+		e := &rawEndpoint{}
+		var accepted atomic.Int64
+		e.respond = func(w io.Writer, r *http.Request, _, _ int64) bool {
+			write(w, sealedHead(r, "200 OK")+head+"\r\n")
+			block := strings.Repeat(repeated, 1+(16<<10)/len(repeated))
+			for accepted.Load() < 2*maxAccepted {
+				n, err := io.WriteString(w, block)
+				accepted.Add(int64(n))
+				if err != nil {
+					break
+				}
+			}
+			return false
+		}
+		h := newHandler(e.start())
+		started := time.Now()
+		got := call(startNode(h, nil), path, "r1")
+		Expect(got.err != nil || got.status >= http.StatusInternalServerError).To(BeTrue(), "the response must not look complete")
+		Expect(accepted.Load()).To(BeNumerically("<", maxAccepted), "bytes that the node and the kernel accepted")
+		Expect(time.Since(started)).To(BeNumerically("<", 1900*time.Millisecond), "the route's timeout must not be what ends it")
+	},
+	ginkgo.Entry("of a plain service", "/look/1", "", "x"),
+	ginkgo.Entry("of a stream, without a line break", "/tale/1", eventStream, "x"),
+	ginkgo.Entry("of a stream, in one event", "/tale/1", eventStream, "data: x\n"),
+	ginkgo.Entry("of a stream, as blank lines", "/tale/1", eventStream, "\n"),
+	ginkgo.Entry("of a stream, as events without IDs", "/tale/1", eventStream, "data: x\n\n"),
+	ginkgo.Entry("of a stream, as the same event again", "/tale/1", eventStream, "id: 1\ndata: x\n\n"),
+)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -39,10 +39,6 @@
 	eventBufferBytes = 4 << 10
 )
 
-// errNoEventID reports an event without an ID in a response that continues a stream. It
-// may be the text of an error.
-var errNoEventID = errors.New("an event of a resumed stream has no ID")
-
 // errStalled cancels an attempt that sent no event in time.
 var errStalled = errors.New("stream stalled: no event in time")
 
@@ -189,16 +185,11 @@
 func (s *streamRequest) relayEvents(ctx context.Context, a *attempt, watchdog *time.Timer) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
 	id := a.choice.Endpoint.ID
-	continues := s.headerSent
+	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
 		e, err := events.next()
-		if err == nil && continues && !e.hasID && !e.isComment() {
-			err = errNoEventID
-		}
-		if errors.Is(err, io.EOF) && continues && !a.started.Load() && !a.response.Framed {
-			// The endpoint may have ended before the first event.
-			err = io.ErrUnexpectedEOF
-		}
+		isNew := e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
+		err = checker.check(e, isNew, err)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
 			s.handler.Tracker.RecordOutcome(id, true)
 			a.recordServed()
@@ -227,7 +218,7 @@
 			a.recordServed()
 		}
 		a.recordFirstEvent()
-		if e.hasID && s.hasLastEvent && e.id <= s.lastEvent {
+		if e.hasID && !isNew {
 			continue
 		}
 		if err := s.writeEvent(a, e); err != nil {
