--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -19,14 +19,18 @@
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
-// maxUnsentAttempts is the limit of attempts per request in which the endpoint
-// received nothing.
-const maxUnsentAttempts = 4
-
-// connectionHeadroom is the factor by which the connection limit of an endpoint
-// exceeds the sum of the nodes' shares. It leaves room for the connections of
-// nodes that are being replaced.
-const connectionHeadroom = 1.25
+const (
+	// maxUnsentAttempts is the limit of attempts per request in which the endpoint
+	// received nothing.
+	maxUnsentAttempts = 4
+	// connectionHeadroom is the factor by which the connection limit of an endpoint
+	// exceeds the sum of the nodes' shares. It leaves room for the connections of
+	// nodes that are being replaced.
+	connectionHeadroom = 1.25
+	// closeCheckInterval is the pause between checks whether the caller of an attempt
+	// has left. It stays well below half a second.
+	closeCheckInterval = 200 * time.Millisecond
+)
 
 // attempt is one exchange of a request with one endpoint.
 type attempt struct {
@@ -171,7 +175,7 @@
 		}
 	} else {
 		p.handler.Tracker.RecordOutcome(id, false)
-		a.recordFailure(err)
+		a.recordBrokenOff(err)
 	}
 	p.logEndpointFailure(a, err)
 }
@@ -190,9 +194,9 @@
 	p.handler.Logs.Emit(event.EndpointFailed, append(fields, extra...)...)
 }
 
-// recordFailure records that the endpoint broke off, if it did before the attempt
-// counts as served.
-func (a *attempt) recordFailure(err error) {
+// recordBrokenOff records that the endpoint broke off the exchange, unless err has another
+// cause or the attempt counts as served already.
+func (a *attempt) recordBrokenOff(err error) {
 	if forward.BrokeOff(err) && !a.servedRecorded {
 		a.proxy.handler.RecordBroken(a.choice.Endpoint, a.proxy.subjects, clock.Now())
 	}
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -111,7 +111,7 @@
 	body, err := readBounded(a.response)
 	if err != nil || !metadata.Sealed || a.response.Header.Get("Content-Encoding") != "" {
 		p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
-		a.recordFailure(err)
+		a.recordBrokenOff(err)
 		p.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,9 +69,6 @@
 	// retryJitter is the share of a Retry-After time that is added at most as
 	// jitter, so that callers do not retry together.
 	retryJitter = 0.5
-	// closeCheckInterval is the pause between checks whether the caller of an attempt
-	// has left. It stays well below half a second.
-	closeCheckInterval = 200 * time.Millisecond
 	// defaultMaxBodyBytes is the size limit of a request body if the configuration
 	// sets none.
 	defaultMaxBodyBytes = 4 << 20
@@ -446,9 +443,7 @@
 	}
 }
 
-// attemptContext returns the context of one attempt. It is cancelled when the caller
-// leaves, also if the caller has sent more than its request: net/http does not notice
-// a close behind unread bytes.
+// attemptContext returns the context of one attempt.
 func (p *proxyRequest) attemptContext(timeout time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(p.httpRequest.Context(), timeout)
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -145,7 +145,7 @@
 	body, err := readBounded(a.response)
 	s.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
 	if err != nil || !metadata.Sealed {
-		a.recordFailure(err)
+		a.recordBrokenOff(err)
 		return outcomeLost, ReasonInvalidResponse
 	}
 	a.recordServed()
@@ -204,7 +204,7 @@
 			reason := s.failureReason(ctx)
 			if reason != ReasonTimeout {
 				s.handler.Tracker.RecordOutcome(id, false)
-				a.recordFailure(err)
+				a.recordBrokenOff(err)
 			}
 			// The body may have been read to its end by now.
 			a.response.DoNotReuse()
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -1,9 +1,11 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -193,3 +195,25 @@
 		Expect(remote.Count(now)).To(BeZero())
 	})
 })
+
+var _ = Describe("A report", func() {
+	// A digest that does not fit into a datagram is not sent at all.
+	It("leaves room in a datagram when it is as long as it gets", func() {
+		const maxBytes = 40 << 10
+		var t quarantine.Tracker
+		now := clock.Instant(time.Hour)
+		for i := range 600 {
+			blocks := make([]string, 20)
+			for b := range blocks {
+				blocks[b] = fmt.Sprint("block", i, ".", b)
+			}
+			request := subjects(uint64(i), blocks...)
+			t.RecordCrash(fleet.InstanceID(fmt.Sprintf("i-%010d", i)), request, now)
+			t.RecordServed(request, now.Add(time.Millisecond))
+		}
+		data, err := cbor.Marshal(t.Report(now.Add(time.Second)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(data)).To(BeNumerically("<", maxBytes))
+		GinkgoWriter.Println("longest report:", len(data), "bytes")
+	})
+})
