front: keep quarantines in the store, for nodes that start after all others were lost

The nodes that find one write it to the store, after a random pause; a node reads them once at its start.

The new spec timed out before (no record) and passes now.

--- a/pkg/event/serve.go
+++ b/pkg/event/serve.go
@@ -33,6 +33,7 @@
 	PlanChanged
 	AnnounceFailed
 	EndpointCrashed
+	QuarantineNotStored
 )
 
 var serveEvents = []Definition{
@@ -64,5 +65,6 @@
 	{PlanChanged, SubsystemCapacity, zapcore.InfoLevel, "endpoint plan changed", "The planned number of endpoints changed with the demand or the market.", "None."},
 	{AnnounceFailed, SubsystemPeer, zapcore.WarnLevel, "node not announced", "The store did not accept the node's address; the announcement is retried, and other nodes do not find this one meanwhile.", "If this continues, check the store."},
 	{EndpointCrashed, SubsystemSuspect, zapcore.WarnLevel, "endpoint crashed", "An endpoint broke off a request and refuses connections; the field subjects names the request's prefix blocks and its content, which may have caused this.", "None, unless a subject recurs."},
+	{QuarantineNotStored, SubsystemSuspect, zapcore.WarnLevel, "quarantine not stored or read", "The store did not accept a quarantine, or could not be read for those of earlier nodes; the call is repeated.", "If this continues, check the store."},
 	{ContentRefused, SubsystemSuspect, zapcore.WarnLevel, "content refused", "A content, or a prefix block of prompts, crashed several endpoints and is refused.", "Find the callers by the subject in events 2229, and ask them for the content."},
 }
--- a/pkg/front/deadly_block_test.go
+++ b/pkg/front/deadly_block_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/skylarkloom/skylarkloom/platform"
 	"github.com/skylarkloom/skylarkloom/platform/standin"
 )
 
@@ -136,3 +138,48 @@
 	Entry("in the middle stop reaching engines", 1),
 	Entry("as the last shared block stop reaching engines", 2),
 )
+
+// All nodes were killed at once; what they had learned was lost with them, and engines
+// crashed anew.
+var _ = Describe("A prefix block that crashed engines before all nodes were replaced", func() {
+	It("is refused by the new nodes", func() {
+		d := newDeployment()
+		engines := &crashingEngines{deadly: "dead"}
+		for i := range 20 {
+			engines.start(d, fmt.Sprintf("e%d", i))
+		}
+		d.publish("k1", "k2")
+		send := func(n *node, id int) response {
+			prefix := fmt.Sprintf("shared:100,dead:100,%d:50", id)
+			return n.call("/tale/1", fmt.Sprint("r", id), "k1", map[string]string{"Skylarkloom-Prompt-Prefix": prefix, "Skylarkloom-Token-Counts": "1,0"})
+		}
+		first := d.startNode()
+		Eventually(first.ready, eventuallyTimeout).Should(BeTrue())
+		ids := 0
+		Eventually(func() int {
+			ids++
+			return send(first, ids).status
+		}, eventuallyTimeout, "300ms").Should(Equal(http.StatusServiceUnavailable))
+		Eventually(func() []platform.Record {
+			batch, err := platform.NewStore(d.storeAddress).Newest(context.Background(), "keyed.quarantine")
+			Expect(err).NotTo(HaveOccurred())
+			return batch.Records
+		}, eventuallyTimeout).Should(HaveLen(1))
+		// The nodes do not find each other, as if the first one were gone.
+		isolated := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Get("topic") == "keyed.nodes" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			d.store.ServeHTTP(w, r)
+		}))
+		second := d.startNodeAt(isolated, "b")
+		Eventually(second.ready, eventuallyTimeout).Should(BeTrue())
+		arrivals := len(engines.arrivals)
+		for range 5 {
+			ids++
+			Expect(send(second, ids).status).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(engines.arrivals).To(HaveLen(arrivals))
+	})
+})
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -158,7 +158,7 @@
 	f.tracker.DataCentreSilent = func(name fleet.DataCentreName) bool { return f.peers.DataCentreSilent(name, clock.Now()) }
 	f.directory.OnChange = f.logEndpointChange
 	f.peers.OnLivenessChange = f.logPeerLiveness
-	f.quarantine.OnQuarantined = f.logQuarantined
+	f.quarantine.OnQuarantined = func(q quarantine.Quarantine, found bool) { f.handleQuarantined(ctx, q, found) }
 	f.crashes.Probe, f.crashes.OnCrash = f.connections.Probe, f.recordCrash
 	f.crashes.Go = func(fn func()) {
 		f.group.Go(func() error {
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -20,8 +19,6 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
-	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
-	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/usage"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -72,6 +69,7 @@
 			f.goWithDone(func() { f.exchange.Run(ctx) }),
 			f.goWithDone(func() { f.announce(ctx) }),
 			f.goWithDone(func() { f.followNodes(ctx) }),
+			f.goWithDone(func() { f.loadQuarantines(ctx) }),
 		}
 		f.group.Go(func() error {
 			defer close(done)
@@ -205,26 +203,6 @@
 	}
 }
 
-// recordCrash records that an endpoint crashed while it had a request with the given
-// subjects.
-func (f *Front) recordCrash(e serving.Endpoint, subjects []quarantine.Subject, at clock.Instant) {
-	f.tracker.RecordUnreachable(e.ID, clock.Now())
-	f.quarantine.RecordCrash(e.ID, subjects, at)
-	f.Logs.Emit(event.EndpointCrashed, zap.String("endpoint", string(e.ID)), zap.Strings("subjects", formatSubjects(subjects)))
-}
-
-func (f *Front) logQuarantined(s quarantine.Subject) {
-	f.Logs.Emit(event.ContentRefused, zap.Strings("subjects", formatSubjects([]quarantine.Subject{s})))
-}
-
-func formatSubjects(subjects []quarantine.Subject) []string {
-	texts := make([]string, len(subjects))
-	for i, s := range subjects {
-		texts[i] = fmt.Sprintf("%016x", uint64(s))
-	}
-	return texts
-}
-
 // expireGossipState removes expired crashes and usage counts and updates the demand.
 func (f *Front) expireGossipState() {
 	f.quarantine.Expire(clock.Now())
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -123,8 +123,9 @@
 // Tracker records crashes and successes and quarantines subjects. The zero value is
 // ready to use.
 type Tracker struct {
-	// OnQuarantined, if set, is called when a subject becomes quarantined.
-	OnQuarantined func(Subject)
+	// OnQuarantined, if set, is called when a subject becomes quarantined. found reports
+	// whether this node found the subject; another one reported it otherwise.
+	OnQuarantined func(q Quarantine, found bool)
 
 	mu sync.Mutex
 	// suspicions are the known suspicions, oldest first.
@@ -248,18 +249,18 @@
 	for _, s := range evidence.Culprits() {
 		q := quarantine{count: t.quarantined[s].count + 1}
 		q.until = now.Add(q.length())
-		t.setQuarantine(s, q)
+		t.setQuarantine(s, q, true, now)
 	}
 }
 
 // setQuarantine quarantines a subject. The caller holds the lock.
-func (t *Tracker) setQuarantine(s Subject, q quarantine) {
+func (t *Tracker) setQuarantine(s Subject, q quarantine, found bool, now clock.Instant) {
 	if t.quarantined == nil {
 		t.quarantined = make(map[Subject]quarantine)
 	}
 	t.quarantined[s] = q
 	if t.OnQuarantined != nil {
-		t.OnQuarantined(s)
+		t.OnQuarantined(Quarantine{Subject: s, Remaining: q.until.Sub(now), Count: q.count}, found)
 	}
 }
 
@@ -306,7 +307,7 @@
 	for _, q := range r.Quarantines {
 		// A report that is under way for a moment extends a quarantine by that moment.
 		if known := t.quarantined[q.Subject]; q.Count > known.count || q.Count == known.count && now.Add(q.Remaining) > known.until.Add(sameCrashTime) {
-			t.setQuarantine(q.Subject, quarantine{until: now.Add(q.Remaining), count: q.Count})
+			t.setQuarantine(q.Subject, quarantine{until: now.Add(q.Remaining), count: q.Count}, false, now)
 		}
 	}
 	for _, s := range r.Suspicions {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -41,7 +41,7 @@
 	It("quarantines a content that crashed three endpoints, whichever node recorded the crashes", func() {
 		var local, remote quarantine.Tracker
 		notified := 0
-		local.OnQuarantined = func(quarantine.Subject) { notified++ }
+		local.OnQuarantined = func(quarantine.Quarantine, bool) { notified++ }
 		crash(&remote, "a", subjects(7), 0)
 		crash(&remote, "b", subjects(7), time.Second)
 		crash(&local, "c", subjects(7), 2*time.Second)
