quarantine: suspect all blocks of a long prompt

A request has up to 64 subjects now, and a report is bounded by their sum instead.

The new spec (a deadly first block of 31) fails before.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -28,14 +28,16 @@
 	probationFactor = 4
 	// reportTime is how long a crash or a success is reported to the other nodes.
 	reportTime = 10 * time.Second
-	// maxSuspicions is the maximum number of suspicions that are kept, maxReported the
-	// maximum number in one report, which has to fit into a datagram.
-	maxSuspicions, maxReported = 512, 96
+	// maxSuspicions is the maximum number of suspicions that are kept.
+	maxSuspicions = 512
+	// maxReported is the maximum number of suspicions in one report and
+	// maxReportedSubjects that of their subjects. A report has to fit into a datagram.
+	maxReported, maxReportedSubjects = 96, 1150
 	// evaluationPause is the minimum time between two evaluations of the crashes.
 	evaluationPause = 100 * time.Millisecond
 	// maxSubjects is the maximum number of subjects of a request. Of a longer prompt the
 	// first prefix blocks are left out.
-	maxSubjects = 12
+	maxSubjects = 64
 	// maxServed is the number of subjects for which the last success is kept.
 	maxServed = 8192
 	// sameCrashTime is the maximum time between two reports of one crash.
@@ -270,6 +272,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	served := make(map[Subject]bool)
+	subjects := 0
 	// In a small fleet the nodes learn all from the first pass. The second one matters
 	// for relays.
 	for _, local := range []bool{true, false} {
@@ -277,9 +280,10 @@
 			if now.Sub(s.at) > reportTime || len(r.Suspicions) == maxReported {
 				break
 			}
-			if s.local != local {
+			if s.local != local || subjects+len(s.subjects) > maxReportedSubjects {
 				continue
 			}
+			subjects += len(s.subjects)
 			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at)})
 			for _, subject := range s.subjects {
 				if at := t.lastServed(subject); at > s.at && !served[subject] {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -70,6 +70,18 @@
 		Expect(t.Count(now)).To(Equal(1))
 	})
 
+	It("quarantines the first block of a long prompt", func() {
+		var t quarantine.Tracker
+		for i, id := range instances[:3] {
+			blocks := []string{"deadly"}
+			for b := range 30 {
+				blocks = append(blocks, fmt.Sprint("block", i, ".", b))
+			}
+			crash(&t, id, subjects(uint64(i), blocks...), time.Duration(i)*time.Second)
+		}
+		Expect(t.Quarantined(subjects(9, "deadly"), at(3*time.Second))).To(BeTrue())
+	})
+
 	It("quarantines a block before it as well when that one alone goes on crashing endpoints", func() {
 		var t quarantine.Tracker
 		for i, id := range instances[:3] {
@@ -198,12 +210,12 @@
 
 var _ = Describe("A report", func() {
 	// A digest that does not fit into a datagram is not sent at all.
-	It("leaves room in a datagram when it is as long as it gets", func() {
+	DescribeTable("leaves room in a datagram when it is as long as it gets", func(blockCount int) {
 		const maxBytes = 40 << 10
 		var t quarantine.Tracker
 		now := clock.Instant(time.Hour)
 		for i := range 600 {
-			blocks := make([]string, 20)
+			blocks := make([]string, blockCount)
 			for b := range blocks {
 				blocks[b] = fmt.Sprint("block", i, ".", b)
 			}
@@ -215,5 +227,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(data)).To(BeNumerically("<", maxBytes))
 		GinkgoWriter.Println("longest report:", len(data), "bytes")
-	})
+	},
+		Entry("with short prompts", 3),
+		Entry("with prompts of some blocks", 11),
+		Entry("with prompts of many blocks", 100),
+	)
 })
