front: one loop that repeats a call to the store

The announcement of a node and the two calls for quarantines had the same loop three times, the latter with the former's timeout. retryStoreCall serves all; behaviour is meant to be the same.

go test ./pkg/front and the linter pass.

--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -30,10 +30,10 @@
 	// nodes of a fleet announce themselves at the same time, and a node that is added
 	// later queries the others.
 	nodesPause = 3 * time.Second
-	// announceTimeout limits one attempt to announce this node.
-	announceTimeout = time.Second
-	// announceRetryDelay is the pause before a failed announcement is retried.
-	announceRetryDelay = 500 * time.Millisecond
+	// storeCallTimeout limits one call of retryStoreCall.
+	storeCallTimeout = time.Second
+	// storeRetryDelay is the pause before a failed call to the store is repeated.
+	storeRetryDelay = 500 * time.Millisecond
 	// reportedWindows is the number of past usage windows in a digest.
 	reportedWindows = 4
 )
@@ -99,16 +99,25 @@
 		f.Logs.Emit(event.AnnounceFailed, zap.Error(err))
 		return
 	}
+	retryStoreCall(ctx, func(ctx context.Context) error {
+		_, err := f.store.Append(ctx, platform.TopicNodes, platform.Record{Key: string(f.self.Name), Value: value})
+		return err
+	}, func(err error) { f.Logs.Emit(event.AnnounceFailed, zap.Error(err)) })
+}
+
+// retryStoreCall repeats a call to the store until it succeeds or the context is done,
+// and passes each error to onError.
+func retryStoreCall(ctx context.Context, call func(context.Context) error, onError func(error)) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := f.store.Append(call, platform.TopicNodes, platform.Record{Key: string(f.self.Name), Value: value})
+		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		err := call(callCtx)
 		cancel()
 		if err == nil {
 			return
 		}
-		f.Logs.Emit(event.AnnounceFailed, zap.Error(err))
+		onError(err)
 		select {
-		case <-time.After(announceRetryDelay):
+		case <-time.After(storeRetryDelay):
 		case <-ctx.Done():
 		}
 	}
--- a/pkg/front/quarantine.go
+++ b/pkg/front/quarantine.go
@@ -17,13 +17,9 @@
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
-const (
-	// quarantineRetryDelay is the pause before a failed call to the store is retried.
-	quarantineRetryDelay = 500 * time.Millisecond
-	// maxQuarantineDelay bounds the random pause before a quarantine is written. All nodes
-	// find it at almost the same time, and the store limits their calls.
-	maxQuarantineDelay = 2 * time.Second
-)
+// maxQuarantineDelay bounds the random pause before a quarantine is written. All nodes
+// find it at almost the same time, and the store limits their calls.
+const maxQuarantineDelay = 2 * time.Second
 
 // quarantineRecord is the record of a quarantined subject in the store. It outlives the
 // nodes; its key is the subject.
@@ -68,41 +64,31 @@
 		f.Logs.Emit(event.QuarantineNotStored, zap.Error(err))
 		return
 	}
-	delay := rand.N(maxQuarantineDelay)
-	for f.correctedTime().Before(until) {
-		select {
-		case <-time.After(delay):
-		case <-ctx.Done():
-			return
-		}
-		call, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := f.store.Append(call, platform.TopicQuarantine, platform.Record{Key: formatSubject(q.Subject), Value: value})
-		cancel()
-		if err == nil {
-			return
-		}
-		f.Logs.Emit(event.QuarantineNotStored, zap.String("subject", formatSubject(q.Subject)), zap.Error(err))
-		delay = quarantineRetryDelay
+	select {
+	case <-time.After(rand.N(maxQuarantineDelay)):
+	case <-ctx.Done():
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(f.correctedTime()))
+	defer cancel()
+	retryStoreCall(ctx, func(ctx context.Context) error {
+		_, err := f.store.Append(ctx, platform.TopicQuarantine, platform.Record{Key: formatSubject(q.Subject), Value: value})
+		return err
+	}, func(err error) {
+		f.Logs.Emit(event.QuarantineNotStored, zap.String("subject", formatSubject(q.Subject)), zap.Error(err))
+	})
 }
 
 // loadQuarantines applies the quarantines in the store, which include those that nodes
 // found which are gone. Later ones are in the digests of the nodes.
 func (f *Front) loadQuarantines(ctx context.Context) {
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, announceTimeout)
-		batch, err := f.store.Newest(call, platform.TopicQuarantine)
-		cancel()
+	retryStoreCall(ctx, func(ctx context.Context) error {
+		batch, err := f.store.Newest(ctx, platform.TopicQuarantine)
 		if err == nil {
 			f.applyQuarantines(batch.Records)
-			return
 		}
-		f.Logs.Emit(event.QuarantineNotStored, zap.Error(err))
-		select {
-		case <-time.After(quarantineRetryDelay):
-		case <-ctx.Done():
-		}
-	}
+		return err
+	}, func(err error) { f.Logs.Emit(event.QuarantineNotStored, zap.Error(err)) })
 }
 
 func (f *Front) applyQuarantines(records []platform.Record) {
