--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -86,15 +86,17 @@
 	done chan struct{}
 	// applyMu is held while an entry is applied, so that a saved state matches its
 	// offset.
-	applyMu      sync.Mutex
-	mu           sync.Mutex
-	next         fleet.Offset
-	caughtUp     bool
-	stopped      bool
-	advanced     chan struct{}
-	pending      map[record.ID]*Submission
-	queue        []*Submission
-	unconfirmed  bool
+	applyMu     sync.Mutex
+	mu          sync.Mutex
+	next        fleet.Offset
+	caughtUp    bool
+	stopped     bool
+	advanced    chan struct{}
+	pending     map[record.ID]*Submission
+	queue       []*Submission
+	unconfirmed bool
+	// appending is set while an append is in flight.
+	appending    bool
 	wake         chan struct{}
 	breaker      *gobreaker.TwoStepCircuitBreaker[struct{}]
 	lastSnapshot time.Time
@@ -234,9 +236,10 @@
 	return s.waitUntil(ctx, func() bool { return s.next >= next })
 }
 
-// Flush blocks until no submitted record is pending.
+// Flush blocks until no submitted record is pending and no append is in flight, so
+// that Stats then includes all of them.
 func (s *Stream) Flush(ctx context.Context) error {
-	return s.waitUntil(ctx, func() bool { return len(s.pending) == 0 })
+	return s.waitUntil(ctx, func() bool { return len(s.pending) == 0 && !s.appending })
 }
 
 func (s *Stream) waitUntil(ctx context.Context, reached func() bool) error {
@@ -256,9 +259,14 @@
 	}
 }
 
-// advance sets the next offset and wakes its waiters. The caller holds the lock.
+// advance sets the next offset and wakes the waiters. The caller holds the lock.
 func (s *Stream) advance(next fleet.Offset) {
 	s.next = next
+	s.wakeWaiters()
+}
+
+// wakeWaiters makes waitUntil check its condition again. The caller holds the lock.
+func (s *Stream) wakeWaiters() {
 	close(s.advanced)
 	s.advanced = make(chan struct{})
 }
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -110,6 +110,22 @@
 		Expect(s.Stats().Records).To(Equal(100))
 	}))
 
+	It("flushes until the append that wrote the last record has returned", inVirtualTime(func(h *harness) {
+		s := h.newStream(&recordCounter{})
+		appendNow := s.Log.AppendFunc
+		s.Log.AppendFunc = func(ctx context.Context, name platform.StreamName, data []byte) (fleet.Offset, error) {
+			offset, err := appendNow(ctx, name, data)
+			// The record can be read before the response arrives.
+			time.Sleep(20 * time.Millisecond)
+			return offset, err
+		}
+		h.start(s)
+		_, err := s.Submit(newRecord())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Flush(h.ctx)).To(Succeed())
+		Expect(s.Stats().Records).To(Equal(1))
+	}))
+
 	It("never appends a record that was withdrawn", inVirtualTime(func(h *harness) {
 		s := h.newStream(&recordCounter{})
 		h.start(s)
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -212,12 +212,22 @@
 		sb.inFlight = true
 		group = append(group, sb)
 	}
+	s.appending = len(group) > 0
 	return group
 }
 
+// endAppend records that no append is in flight.
+func (s *Stream) endAppend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appending = false
+	s.wakeWaiters()
+}
+
 // appendGroup appends one group. It reports false if the group has to be retried
 // after a delay.
 func (s *Stream) appendGroup(ctx context.Context, group []*Submission) bool {
+	defer s.endAppend()
 	reportResult, err := s.breaker.Allow()
 	if err != nil {
 		s.recordAttempt(group, false)
