peer: pull from the live peers in turn

Cause: each pull chose one of the live peers at random. Change: the live peers are pulled from in turn, in an order drawn anew for each turn, so a report is pulled from its origin within four pulls of 0.625 s.

--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -70,26 +71,40 @@
 	}
 }
 
-// pullTarget chooses a random peer of the same data centre, usually a live one.
+// pullTarget chooses a peer of the same data centre, usually a live one. It chooses the
+// live peers in turn, in an order that is drawn anew for each turn, so that a report is
+// pulled from its origin within as many pulls as there are live peers.
 func (s *Service) pullTarget() (p Peer, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var live, dead []Peer
+	live := make(map[fleet.NodeName]Peer)
+	var dead []Peer
 	for _, p := range s.dataCentrePeers() {
 		if s.isAlive[p.Name] {
-			live = append(live, p)
+			live[p.Name] = p
 		} else {
 			dead = append(dead, p)
 		}
 	}
-	candidates := live
 	if len(dead) > 0 && (len(live) == 0 || s.random.Float64() < deadPeerShare) {
-		candidates = dead
+		return dead[s.random.IntN(len(dead))], true
 	}
-	if len(candidates) == 0 {
+	if len(live) == 0 {
 		return p, false
 	}
-	return candidates[s.random.IntN(len(candidates))], true
+	for {
+		if len(s.pullOrder) == 0 {
+			s.pullOrder = slices.Sorted(maps.Keys(live))
+			s.random.Shuffle(len(s.pullOrder), func(i, j int) {
+				s.pullOrder[i], s.pullOrder[j] = s.pullOrder[j], s.pullOrder[i]
+			})
+		}
+		name := s.pullOrder[0]
+		s.pullOrder = s.pullOrder[1:]
+		if p, ok := live[name]; ok {
+			return p, true
+		}
+	}
 }
 
 // dataCentrePeers returns the other nodes of this data centre: those listed in
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -168,6 +171,35 @@
 		})
 	})
 
+	It("pull from each live peer of the data centre within two turns", func() {
+		runNetwork(5, 1, 0, func(g Gomega, w *network) {
+			n := w.list[0]
+			var mu sync.Mutex
+			var pulled []fleet.NodeName
+			exchange := n.Exchange
+			time.Sleep(12 * time.Second)
+			synctest.Wait()
+			n.Exchange = func(ctx context.Context, p peer.Peer, r *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+				if r.GetDigest() != nil {
+					mu.Lock()
+					pulled = append(pulled, p.Name)
+					mu.Unlock()
+				}
+				return exchange(ctx, p, r)
+			}
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			const livePeers = 4
+			g.Expect(len(pulled)).To(BeNumerically(">", 60))
+			for i := range len(pulled) - 2*livePeers {
+				window := slices.Compact(slices.Sorted(slices.Values(pulled[i : i+2*livePeers-1])))
+				g.Expect(window).To(HaveLen(livePeers), "pulls %d to %d", i, i+2*livePeers-2)
+			}
+		})
+	})
+
 	It("keep the bytes sent by each node within its budget under many reports", func() {
 		runNetwork(20, 1, 0, func(g Gomega, w *network) {
 			for second := range 60 {
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -155,7 +155,9 @@
 	liveNodes       []fleet.NodeName
 	dataCentreNodes []fleet.NodeName
 	isAlive         map[fleet.NodeName]bool
-	ahead           aheadPeer
+	// pullOrder holds the live peers that pullTarget has still to choose in this turn.
+	pullOrder []fleet.NodeName
+	ahead     aheadPeer
 	// deadTimeout is DeadTimeout or more, depending on the size of the data centre.
 	deadTimeout time.Duration
 	// pushedRevision is the highest revision that was pushed to peers.
