order: a spec for the dispatch of another call

Change: a spec that builds the state: a delayed dispatch of the same node takes effect before the worker's own. Measured: with the mutation the spec fails (one run where none is allowed); without it, it passes.

--- a/pkg/order/executor_test.go
+++ b/pkg/order/executor_test.go
@@ -88,6 +88,25 @@
 		Expect(o.Status).To(Equal(order.StatusAccepted))
 	}))
 
+	// The fuzz does not always reach this state: an append of the node that was delayed
+	// takes effect just before its next one.
+	It("does not send in the background on a dispatch of another call", onOneNode(func(c *cluster, n *node) {
+		r := newAccept(n, "k", asyncTimeout)
+		o, err := n.executor.Enqueue(context.Background(), r)
+		Expect(err).NotTo(HaveOccurred())
+		// The worker's dispatch waits here while the delayed one is appended.
+		n.pause()
+		time.Sleep(150 * time.Millisecond)
+		e, err := record.New(record.KindDispatch, time.Now(), record.Dispatch{Ref: r.Ref, Accept: o.Accept, Term: o.Term, Owner: n.ref})
+		Expect(err).NotTo(HaveOccurred())
+		data, err := record.EncodeGroup([]record.Envelope{e})
+		Expect(err).NotTo(HaveOccurred())
+		c.appendEntry(platform.OrderStream(0), data)
+		n.resume()
+		time.Sleep(callTimeout)
+		Expect(c.runs).To(BeEmpty())
+	}))
+
 	It("reports an order as unknown if the deadline passes first, and records its final outcome", onOneNode(func(c *cluster, n *node) {
 		c.endpoint = endpointSlow
 		r := newAccept(n, "k", time.Second)
