platform: move the plain HTTP call out of the adapter

Change: Call and NewTransport are in pkg/platform, beside the other client, and share transportError with it.

--- /dev/null
+++ b/pkg/platform/call.go
@@ -0,0 +1,87 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxCallBytes is the limit of a response that Call reads. The store sends at most
+	// one mebibyte of records in a response, plus their framing.
+	maxCallBytes = 8 << 20
+	// maxIdleConnections is the limit of idle connections to a service. A node runs
+	// two long polls, one read at a fixed interval and one write at a time.
+	maxIdleConnections = 4
+	// dialTimeout bounds the set-up of a connection, which takes milliseconds on the
+	// platform's network.
+	dialTimeout = time.Second
+)
+
+// NewTransport returns a transport that resets the connection of an abandoned
+// call. Without the reset, a call delayed by a network partition could arrive
+// after the partition ends, when another node may have replaced the sender.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				if err := tcp.SetLinger(0); err != nil {
+					return nil, errors.CombineErrors(err, conn.Close())
+				}
+			}
+			return conn, nil
+		},
+		MaxIdleConnsPerHost: maxIdleConnections,
+		DisableCompression:  true,
+	}
+}
+
+// readOnce hides all methods of a reader but Read, so that net/http cannot rewind the
+// body to retry a request.
+type readOnce struct{ io.Reader }
+
+// Call makes one call to a service and reads the response. The call is never repeated.
+func Call(ctx context.Context, client *http.Client, service, method, target string, body []byte, header http.Header) (status int, data []byte, err error) {
+	var reader io.Reader
+	if body != nil {
+		reader = readOnce{bytes.NewReader(body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, reader)
+	if err != nil {
+		return 0, nil, &NotExecutedError{Service: service, Cause: err}
+	}
+	req.ContentLength = int64(len(body))
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, nil, transportError(service, err)
+	}
+	data, err = io.ReadAll(io.LimitReader(res.Body, maxCallBytes))
+	err = errors.CombineErrors(err, res.Body.Close())
+	if err != nil {
+		return 0, nil, &UnknownOutcomeError{Service: service, Cause: err}
+	}
+	return res.StatusCode, data, nil
+}
+
+// transportError returns the error of a call without a response. A call whose connection
+// could not be opened had no effect.
+func transportError(service string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &NotExecutedError{Service: service, Cause: err}
+	}
+	return &UnknownOutcomeError{Service: service, Cause: err}
+}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -54,7 +53,7 @@
 	req.Header.Set("Authorization", "Bearer "+c.token)
 	res, err := c.client.Do(req)
 	if err != nil {
-		return c.transportError(err)
+		return transportError(c.service, err)
 	}
 	defer func() {
 		err = errors.CombineErrors(err, res.Body.Close())
@@ -72,14 +71,6 @@
 	return nil
 }
 
-func (c *jsonClient) transportError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return &NotExecutedError{Service: c.service, Cause: err}
-	}
-	return &UnknownOutcomeError{Service: c.service, Cause: err}
-}
-
 func (c *jsonClient) statusError(res *http.Response, data []byte) error {
 	code := res.StatusCode
 	status := &StatusError{}
