platform, gossip: skip entries that no endpoint can have

Cause, from the reports of other operators: an entry of another writer was taken for an endpoint if its port or its numbers were out of range or its address was a host name, whose look-up blocks. An ID that is not UTF-8 was passed on, and every node that got the packet refused all of it; an entry with a long name made the relay's replies too large to send. In both cases the nodes that a relay reads for stopped following until they read by themselves. Deep nesting was rejected before. Change: names, addresses, slots and times are checked; a key that no endpoint can have results in an empty change, which is not passed on; a reply that does not fit into a datagram is sent without its delta.

--- a/pkg/directory/history.go
+++ b/pkg/directory/history.go
@@ -15,7 +15,7 @@
 
 // History keeps the latest changes of entries with their offsets in the topic, so
 // that a node can serve them to other nodes. It omits renewals that change
-// nothing. It decides this from the topic alone and not from the Directory, which
+// nothing, and changes without an ID. It decides this from the topic alone and not from the Directory, which
 // may hold state fetched from other nodes. The zero value is empty.
 type History struct {
 	mu sync.Mutex
@@ -68,6 +68,9 @@
 		if onePerRecord {
 			at = from + fleet.Offset(i) + 1
 		}
+		if c.ID == "" {
+			continue
+		}
 		if c.Endpoint == nil {
 			delete(h.last, c.ID)
 		} else if last, ok := h.last[c.ID]; ok && last == *c.Endpoint {
--- a/pkg/front/follow.go
+++ b/pkg/front/follow.go
@@ -165,12 +165,13 @@
 		zap.String("datacentre", string(e.DataCentre)), zap.String("state", string(e.State)), zap.Bool("gone", gone))
 }
 
-// parseChanges decodes directory records. A record that cannot be decoded removes
-// the endpoint, since its former entry is no longer reliable either.
+// parseChanges decodes directory records, one change for each. A record that cannot be
+// decoded removes the endpoint, since its former entry is no longer reliable either. A
+// key that no endpoint can have results in an empty change.
 func (f *Front) parseChanges(records []platform.Record) []directory.Change {
 	changes := make([]directory.Change, 0, len(records))
 	for _, r := range records {
-		c := directory.Change{ID: fleet.InstanceID(r.Key)}
+		c := directory.Change{ID: platform.EndpointID(r.Key)}
 		if r.Value != nil {
 			e, err := platform.ParseEndpoint(r.Key, r.Value)
 			if err != nil {
--- a/pkg/front/front_test.go
+++ b/pkg/front/front_test.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"regexp"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +28,10 @@
 	}
 }
 
+// knowsOneNode matches the metrics of a node that exchanges digests with one other node.
+// A node that never read the list of nodes cannot be reached when the store is away.
+const knowsOneNode = `skylarkloom_front_nodes 2\n(.*\n)*skylarkloom_front_nodes_silent 0\n`
+
 var _ = Describe("A node on the platform", func() {
 	var (
 		d        *deployment
@@ -250,6 +254,7 @@
 		address := startServer(store)
 		second := d.startNodeAt(address, "b")
 		Eventually(second.ready, eventuallyTimeout).Should(BeTrue())
+		Eventually(second.metrics, eventuallyTimeout).Should(MatchRegexp(knowsOneNode))
 		silence()
 		d.startEndpoint("desk", &standin.Endpoint{ID: "d3"})
 		registeredAt := time.Now()
@@ -265,6 +270,7 @@
 		address := startServer(store)
 		second := d.startNodeAt(address, "a")
 		Eventually(second.ready, eventuallyTimeout).Should(BeTrue())
+		Eventually(second.metrics, eventuallyTimeout).Should(MatchRegexp(knowsOneNode))
 		silence()
 		d.register("desk", "d1", "127.0.0.1:1", "draining")
 		registeredAt := time.Now()
@@ -276,19 +282,44 @@
 		Expect(second.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK))
 	})
 
+	It("follows the directory, also for another node, beside entries that no endpoint can have", func() {
+		store, silence := d.silenceableStore()
+		second := d.startNodeAt(startServer(store), "a")
+		Eventually(second.ready, eventuallyTimeout).Should(BeTrue())
+		Eventually(second.metrics, eventuallyTimeout).Should(MatchRegexp(knowsOneNode))
+		silence()
+		for _, odd := range []struct{ id, value string }{
+			{"deep", strings.Repeat(`{"service":`, 20_000)},
+			{"large", `{"service":"desk","address":"127.0.0.1:1","zone":"a","state":"ready","slots":1e99}`},
+			{"port", `{"service":"desk","address":"127.0.0.1:70000","zone":"a","state":"ready","slots":4}`},
+			{"name", `{"service":"` + strings.Repeat("x", 200_000) + `","address":"127.0.0.1:1","zone":"a","state":"ready"}`},
+			{"\xff\xfe", `{"service":"desk","address":"127.0.0.1:1","zone":"a","state":"ready","slots":4}`},
+			{"empty", "null"},
+		} {
+			d.store.Put("keyed.servers", odd.id, []byte(odd.value))
+		}
+		d.register("desk", "d1", "127.0.0.1:1", "draining")
+		registeredAt := time.Now()
+		for _, follower := range []*node{n, second} {
+			Eventually(func(g Gomega) {
+				endpoints, digest := follower.front.ReadyEndpoints("desk"), follower.front.Describe()
+				g.Expect(endpoints).To(HaveLen(1))
+				g.Expect(endpoints[0].ID).To(BeEquivalentTo("d2"))
+				g.Expect(digest.DirectoryAge).To(BeNumerically("<", time.Since(registeredAt)), "offset %d", digest.DirectoryOffset)
+			}, eventuallyTimeout).Should(Succeed())
+			Expect(follower.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK))
+		}
+	})
+
 	It("serves metrics that the operations page documents", func() {
 		Expect(n.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK))
-		res, err := http.Get("http://" + n.metricsAddress + "/metrics")
-		Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = res.Body.Close() }()
-		metrics, err := io.ReadAll(res.Body)
-		Expect(err).NotTo(HaveOccurred())
+		metrics := n.metrics()
 		page, err := os.ReadFile("../../docs/OPERATIONS.md")
 		Expect(err).NotTo(HaveOccurred())
-		for _, m := range regexp.MustCompile(`(?m)^# TYPE skylarkloom_front(\S+) `).FindAllSubmatch(metrics, -1) {
-			Expect(string(page)).To(ContainSubstring(string(m[1]) + "`"))
+		for _, m := range regexp.MustCompile(`(?m)^# TYPE skylarkloom_front(\S+) `).FindAllStringSubmatch(metrics, -1) {
+			Expect(string(page)).To(ContainSubstring(m[1] + "`"))
 		}
-		Expect(string(metrics)).To(ContainSubstring(`skylarkloom_front_requests_total{kind="safe",reason="",status="200"} 1`))
+		Expect(metrics).To(ContainSubstring(`skylarkloom_front_requests_total{kind="safe",reason="",status="200"} 1`))
 	})
 
 	It("reports each usage window once, whichever node reports it", func() {
--- a/pkg/front/suite_test.go
+++ b/pkg/front/suite_test.go
@@ -145,6 +145,16 @@
 	metricsAddress string
 }
 
+// metrics returns the node's metrics as text.
+func (n *node) metrics() string {
+	res, err := http.Get("http://" + n.metricsAddress + "/metrics")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 // startNode starts a node in data centre "a".
 func (d *deployment) startNode() *node { return d.startNodeAt(d.storeAddress, "a") }
 
--- a/pkg/gossip/exchange.go
+++ b/pkg/gossip/exchange.go
@@ -214,8 +214,14 @@
 	x.send(packet{SentAt: x.now(), Scope: t.Scope, Digest: d}, to)
 }
 
+// send sends a packet, without its delta if that does not fit: the recipient then reads
+// the directory itself.
 func (x *Exchange) send(p packet, to netip.AddrPort) {
 	data, err := encoding.Marshal(p)
+	if err == nil && len(data) > maxPacketBytes && p.Delta != nil {
+		p.Delta = nil
+		data, err = encoding.Marshal(p)
+	}
 	if err != nil || len(data) > maxPacketBytes {
 		x.Logs.Emit(event.PacketFailed, zap.Int("bytes", len(data)), zap.Error(err))
 		return
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/directory"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -122,6 +124,50 @@
 }
 
 var _ = Describe("The gossip exchange", func() {
+	It("replies without a delta that does not fit into a datagram", func() {
+		var replies int
+		replyTo := freeAddress()
+		var group errgroup.Group
+		tables := []*gossip.Table{{}, {}}
+		nodes := make([]*gossip.Exchange, len(tables))
+		done := make(chan struct{})
+		for i, address := range []string{freeAddress(), replyTo} {
+			name := fleet.NodeName(fmt.Sprint("n", i))
+			nodes[i] = &gossip.Exchange{
+				ListenAddress: address,
+				Describe: func() gossip.Digest {
+					return gossip.Digest{Node: fleet.NodeRef{Name: name, Incarnation: 1}, Address: address, Clock: time.Now()}
+				},
+				OnDigest: func(gossip.Digest) {},
+				DeltaSince: func(fleet.Offset) *gossip.Delta {
+					return &gossip.Delta{To: 1, Changes: []directory.Change{{ID: fleet.InstanceID(strings.Repeat("i", 70<<10))}}}
+				},
+				OnReply: func(_ gossip.Digest, delta *gossip.Delta, _ clock.Instant) {
+					if replies++; replies == 1 {
+						Expect(delta).To(BeNil())
+						close(done)
+					}
+				},
+				WallClock: time.Now, Table: tables[i],
+			}
+			Expect(nodes[i].Listen()).To(Succeed())
+			group.Go(func() error {
+				defer GinkgoRecover()
+				nodes[i].Receive()
+				return nil
+			})
+		}
+		DeferCleanup(func() {
+			for _, n := range nodes {
+				Expect(n.Close()).To(Succeed())
+			}
+			Expect(group.Wait()).To(Succeed())
+		})
+		tables[0].AddAnnounced("n1", gossip.Announcement{Address: replyTo, Incarnation: 1}, clock.Now())
+		nodes[0].QueryPeers()
+		Eventually(done).Should(BeClosed())
+	})
+
 	It("passes digests between nodes and bounds the age of replies", func() {
 		var group errgroup.Group
 		nodes := make([]*gossip.Exchange, 3)
