gateway: specs for a response that breaks off in its head

From the reports of other operators: clients got a 200 with an empty or short body, framed as whole. The specs break a response off after each byte of its head, under a length, chunks or neither, and in the announced body: a request that may be repeated gets the whole answer of the next endpoint, any other a 502.

--- a/pkg/gateway/faulty_endpoint_test.go
+++ b/pkg/gateway/faulty_endpoint_test.go
@@ -211,3 +211,38 @@
 	ginkgo.Entry("of a stream, as events without IDs", "/tale/1", eventStream, "data: x\n\n"),
 	ginkgo.Entry("of a stream, as the same event again", "/tale/1", eventStream, "id: 1\ndata: x\n\n"),
 )
+
+// A worker stopped in the middle of its answer's head and closed, and clients got a 200
+// with an empty or short body, framed as whole.
+var _ = ginkgo.DescribeTable("A response that breaks off in its head, or before the end that its head announces",
+	func(path, head, body string, want reply) {
+		cut := 0
+		e := &rawEndpoint{}
+		e.respond = func(w io.Writer, r *http.Request, request, _ int64) bool {
+			text := sealedHead(r, "200 OK") + head + "\r\n" + body
+			if request == 1 {
+				text = text[:min(cut, len(text)-1)]
+			}
+			write(w, text)
+			return false
+		}
+		address := e.start()
+		complete := len(sealedHead(&http.Request{Header: http.Header{"Skylarkloom-Attempt-Id": {"r1"}}}, "200 OK")+head+"\r\n") + len(body)
+		if head == "" || head == eventStream {
+			// The end of the connection ends the body, so any body is whole.
+			complete -= len(body)
+		}
+		for cut = range complete {
+			e.requests.Store(0)
+			got := call(startNode(newHandler(address, address), nil), path, "r1")
+			Expect(got).To(Equal(want), "the first response broke off after %d bytes", cut)
+		}
+	},
+	ginkgo.Entry("with a length, of a request that may be repeated", "/look/1", "Content-Length: 14\r\n", "answer of 14 b", reply{status: http.StatusOK, body: "answer of 14 b"}),
+	ginkgo.Entry("in chunks", "/look/1", chunked, chunk("answer")+"0\r\n\r\n", reply{status: http.StatusOK, body: "answer"}),
+	ginkgo.Entry("that ends with its connection", "/look/1", "", "answer", reply{status: http.StatusOK, body: "answer"}),
+	ginkgo.Entry("with a length, of a request that runs at most once", "/book/1", "Content-Length: 14\r\n", "answer of 14 b", reply{status: http.StatusBadGateway}),
+	ginkgo.Entry("in chunks, of a request that runs at most once", "/book/1", chunked, chunk("answer")+"0\r\n\r\n", reply{status: http.StatusBadGateway}),
+	ginkgo.Entry("that ends with its connection, of a request that runs at most once", "/book/1", "", "answer", reply{status: http.StatusBadGateway}),
+	ginkgo.Entry("of a stream that ends with its connection", "/tale/1", eventStream, events(1, 2), reply{status: http.StatusOK, body: events(1, 2)}),
+)
