gateway, directory, placement: endpoints that announce that they leave or want a pause

Cause: no line read Server-Leaving, nor the Retry-After of a refusal. The directory holds the incarnations that announced their departure, beside the entries and for longer than these, and lists them as draining; digests pass on those that the entries do not show. The tracker holds the pauses, which concern this node only; paused endpoints are no candidates, and if there are no others, the caller is refused at once with the end of the first pause. Both are checked again directly before the first byte, since a busy node may be seconds behind its choice. A pause counts neither as a failure of the endpoint nor against the content.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -38,12 +38,27 @@
 	restored   bool
 	// byPool holds the endpoints of each pool, sorted by ID.
 	byPool map[fleet.PoolName][]serving.Endpoint
+	// leaving holds the incarnations that announced in a response that they leave. It
+	// outlives the entries, which may lapse and return.
+	leaving map[fleet.InstanceID]departure
 }
 
+// departure is an incarnation that leaves, and when this became known.
+type departure struct {
+	born int64
+	at   clock.Instant
+}
+
+// departureRetention is how long a departure is kept after the endpoint's entry is
+// gone. No endpoint needs that long to leave.
+const departureRetention = 10 * time.Minute
+
 type entry struct {
 	endpoint serving.Endpoint
 	// lapsed is set if the entry was missing within RenewalGrace of an outage.
 	lapsed bool
+	// announced is set if the endpoint drains although its entry says that it is ready.
+	announced bool
 }
 
 // MarkStoreRestored records that the store responds again after an outage.
@@ -83,12 +98,18 @@
 		d.entries = make(map[fleet.InstanceID]*entry)
 	}
 	for _, c := range changes {
+		announced := c.Endpoint != nil && c.Endpoint.State == serving.StateReady && d.isLeaving(c.Endpoint)
+		if announced {
+			draining := *c.Endpoint
+			draining.State = serving.StateDraining
+			c.Endpoint = &draining
+		}
 		switch e := d.entries[c.ID]; {
 		case c.Endpoint != nil:
 			if e == nil || e.endpoint.State != c.Endpoint.State || e.endpoint.Born != c.Endpoint.Born {
 				d.notify(*c.Endpoint, false)
 			}
-			d.entries[c.ID] = &entry{endpoint: *c.Endpoint}
+			d.entries[c.ID] = &entry{endpoint: *c.Endpoint, announced: announced}
 		case e == nil:
 		case d.inRenewalGrace(now) && e.endpoint.State == serving.StateReady:
 			e.lapsed = true
@@ -99,6 +120,59 @@
 	}
 }
 
+// isLeaving reports whether the incarnation announced that it leaves.
+func (d *Directory) isLeaving(e *serving.Endpoint) bool {
+	known, ok := d.leaving[e.ID]
+	return ok && known.born == e.Born
+}
+
+// MarkLeaving records that an incarnation of an endpoint announced that it leaves. It is
+// draining from then on, whatever its entry says. It reports whether this was not known.
+func (d *Directory) MarkLeaving(id fleet.InstanceID, born int64, now clock.Instant) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known, ok := d.leaving[id]; ok && known.born >= born {
+		return false
+	}
+	if d.leaving == nil {
+		d.leaving = make(map[fleet.InstanceID]departure)
+	}
+	d.leaving[id] = departure{born: born, at: now}
+	e := d.entries[id]
+	if e == nil || e.endpoint.Born != born || e.endpoint.State == serving.StateDraining {
+		return false
+	}
+	e.endpoint.State, e.announced = serving.StateDraining, true
+	d.notify(e.endpoint, false)
+	d.indexByPool()
+	return true
+}
+
+// maxAnnounced bounds the result of Announced, which has to fit into a datagram.
+const maxAnnounced = 64
+
+// Announced returns the incarnations that are known to leave only from their
+// responses, not from their entries, by ID.
+func (d *Directory) Announced() map[fleet.InstanceID]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	announced := make(map[fleet.InstanceID]int64)
+	for id := range d.leaving {
+		if e := d.entries[id]; e != nil && e.announced && len(announced) < maxAnnounced {
+			announced[id] = e.endpoint.Born
+		}
+	}
+	return announced
+}
+
+// Accepts reports whether requests may be sent to an incarnation of an endpoint now.
+func (d *Directory) Accepts(id fleet.InstanceID, born int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	return e != nil && e.endpoint.Born == born && e.endpoint.State == serving.StateReady
+}
+
 func (d *Directory) notify(e serving.Endpoint, gone bool) {
 	if d.OnChange != nil {
 		d.OnChange(e, gone)
@@ -119,6 +193,11 @@
 	if d.inRenewalGrace(now) {
 		return
 	}
+	for id, known := range d.leaving {
+		if d.entries[id] == nil && now.Sub(known.at) > departureRetention {
+			delete(d.leaving, id)
+		}
+	}
 	for id, e := range d.entries {
 		if e.lapsed {
 			d.notify(e.endpoint, true)
@@ -162,15 +241,21 @@
 	return d.byPool[pool]
 }
 
-// Listed returns the endpoints that have an entry. It omits lapsed endpoints.
+// Listed returns the endpoints that have an entry, in the state that the entry says. It
+// omits lapsed endpoints.
 func (d *Directory) Listed() []serving.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make([]serving.Endpoint, 0, len(d.entries))
 	for _, e := range d.entries {
-		if !e.lapsed {
-			listed = append(listed, e.endpoint)
+		if e.lapsed {
+			continue
+		}
+		endpoint := e.endpoint
+		if e.announced {
+			endpoint.State = serving.StateReady
 		}
+		listed = append(listed, endpoint)
 	}
 	return listed
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
@@ -80,4 +81,58 @@
 		d.Replace(nil, now)
 		Expect(ids(&d)).To(BeEmpty())
 	})
+
+	It("never accepts requests for an incarnation that announced that it leaves", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var d directory.Directory
+			at := now
+			// left holds the latest incarnation of each endpoint that announced it.
+			left := make(map[fleet.InstanceID]int64)
+			entry := func() directory.Change {
+				c := put(rapid.SampledFrom([]fleet.InstanceID{"a", "b", "c"}).Draw(t, "id"), rapid.SampledFrom([]serving.EndpointState{serving.StateReady, serving.StateDraining}).Draw(t, "state"))
+				c.Endpoint.Born = rapid.Int64Range(1, 3).Draw(t, "born")
+				return c
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				at = at.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "milliseconds")) * time.Millisecond)
+				c := entry()
+				switch rapid.IntRange(0, 5).Draw(t, "step") {
+				case 0:
+					d.MarkLeaving(c.ID, c.Endpoint.Born, at)
+					left[c.ID] = max(left[c.ID], c.Endpoint.Born)
+				case 1:
+					d.Apply([]directory.Change{{ID: c.ID}}, at)
+				case 2:
+					d.Replace([]directory.Change{c}, at)
+				case 3:
+					d.MarkStoreRestored(at)
+				case 4:
+					d.Expire(at)
+				default:
+					d.Apply([]directory.Change{c}, at)
+				}
+				for _, e := range d.Endpoints("p") {
+					if e.Born == left[e.ID] && e.State == serving.StateReady {
+						t.Fatalf("incarnation %d of %s is ready although it leaves", e.Born, e.ID)
+					}
+				}
+				for id, born := range left {
+					if d.Accepts(id, born) {
+						t.Fatalf("incarnation %d of %s accepts requests although it leaves", born, id)
+					}
+				}
+			}
+		})
+	})
+
+	It("passes on a departure that the entry does not show, and the entry as it is", func() {
+		var d directory.Directory
+		d.Apply([]directory.Change{put("a", serving.StateReady), put("b", serving.StateReady)}, now)
+		Expect(d.MarkLeaving("a", 0, now)).To(BeTrue())
+		Expect(d.MarkLeaving("a", 0, now)).To(BeFalse(), "it is known")
+		Expect(d.Announced()).To(Equal(map[fleet.InstanceID]int64{"a": 0}))
+		Expect(d.Listed()).To(ConsistOf(HaveField("State", serving.StateReady), HaveField("State", serving.StateReady)))
+		d.Apply([]directory.Change{put("a", serving.StateDraining)}, now)
+		Expect(d.Announced()).To(BeEmpty())
+	})
 })
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -290,24 +290,27 @@
 			}
 			return gateway.Config{}
 		},
-		Endpoints:     f.directory.Endpoints,
-		Nodes:         f.nodes,
-		IsQuarantined: func(subjects []quarantine.Subject) bool { return f.quarantine.Quarantined(subjects, clock.Now()) },
-		RecordBroken:  f.crashes.RecordBroken,
-		RecordServed:  f.quarantine.RecordServed,
-		RecordStart:   f.recordStart,
-		RecordDemand:  f.demand.Add,
-		OnFinish:      f.metrics.observe,
-		OnCallerLeft:  f.metrics.countCallerLeft,
-		Tracker:       &f.tracker,
-		Quotas:        &f.quotas,
-		Retries:       &f.retries,
-		Pool:          &f.connections,
-		Logs:          f.Logs,
-		DataCentre:    f.Settings.DataCentre,
-		MaxKeyAge:     f.maxKeyAge(),
-		Random:        rand.Float64,
-		Draining:      f.draining.Load,
+		Endpoints:      f.directory.Endpoints,
+		Accepts:        func(e serving.Endpoint) bool { return f.directory.Accepts(e.ID, e.Born) },
+		MarkLeaving:    func(e serving.Endpoint) bool { return f.directory.MarkLeaving(e.ID, e.Born, clock.Now()) },
+		Nodes:          f.nodes,
+		IsQuarantined:  func(subjects []quarantine.Subject) bool { return f.quarantine.Quarantined(subjects, clock.Now()) },
+		RecordBroken:   f.crashes.RecordBroken,
+		RecordServed:   f.quarantine.RecordServed,
+		RecordStart:    f.recordStart,
+		RecordDemand:   f.demand.Add,
+		OnFinish:       f.metrics.observe,
+		OnCallerLeft:   f.metrics.countCallerLeft,
+		OnAnnouncement: f.metrics.countAnnouncement,
+		Tracker:        &f.tracker,
+		Quotas:         &f.quotas,
+		Retries:        &f.retries,
+		Pool:           &f.connections,
+		Logs:           f.Logs,
+		DataCentre:     f.Settings.DataCentre,
+		MaxKeyAge:      f.maxKeyAge(),
+		Random:         rand.Float64,
+		Draining:       f.draining.Load,
 	}
 }
 
@@ -329,7 +332,7 @@
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
 		return ok
-	})
+	}, clock.Now())
 }
 
 func (f *Front) logPeerLiveness(peer fleet.NodeName, live bool) {
--- a/pkg/front/front_test.go
+++ b/pkg/front/front_test.go
@@ -226,6 +226,31 @@
 		Expect(len(services[1].Runs())).To(BeNumerically(">=", 10))
 	})
 
+	It("sends no requests to an endpoint that said in a response that it leaves, on any node", func() {
+		second := d.startNode()
+		Eventually(second.ready, eventuallyTimeout).Should(BeTrue())
+		Eventually(second.metrics, eventuallyTimeout).Should(MatchRegexp(knowsOneNode))
+		leaving := &standin.Endpoint{ID: "d1"}
+		d.register("desk", "d1", startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Server-Leaving", "1")
+			leaving.ServeHTTP(w, r)
+		})), "ready")
+		Eventually(func() []standin.Run {
+			Expect(n.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK))
+			return leaving.Runs()
+		}, eventuallyTimeout).ShouldNot(BeEmpty())
+		before := len(leaving.Runs())
+		for range 10 {
+			Expect(n.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK))
+		}
+		Eventually(func() int { return len(second.front.ReadyEndpoints("desk")) }, eventuallyTimeout).Should(Equal(1))
+		for range 10 {
+			Expect(second.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK))
+		}
+		Expect(leaving.Runs()).To(HaveLen(before))
+		Expect(n.metrics()).To(ContainSubstring(`skylarkloom_front_announcements_total{pool="desk",what="leaving"} 1`))
+	})
+
 	It("applies a new configuration and refuses a key that it no longer contains", func() {
 		d.publish("k2")
 		Eventually(func() int { return n.call("/look/1", "r", "k1", nil).status }, eventuallyTimeout).Should(Equal(http.StatusUnauthorized))
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 )
@@ -23,13 +24,15 @@
 )
 
 // requestMetrics are the metrics of requests and connections. Their labels have few
-// values: route kinds, statuses and reasons, but no names chosen by operators.
+// values: route kinds, statuses and reasons, and of the names chosen by operators only
+// those of pools.
 type requestMetrics struct {
 	requests          *prometheus.CounterVec
 	timeToFirst       *prometheus.HistogramVec
 	duration          *prometheus.HistogramVec
 	connectionsOpened prometheus.Counter
 	callersLeft       *prometheus.CounterVec
+	announcements     *prometheus.CounterVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -49,6 +52,9 @@
 		callersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_front_callers_left_total", Help: "Requests whose callers left, by stage (before or after they were sent to an endpoint).",
 		}, []string{"stage"}),
+		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_front_announcements_total", Help: "Responses in which an endpoint newly said that it leaves, or asked for a pause, by pool.",
+		}, []string{"pool", "what"}),
 	}
 }
 
@@ -67,6 +73,11 @@
 	m.callersLeft.WithLabelValues(string(stage)).Inc()
 }
 
+// countAnnouncement counts what an endpoint of a pool announced of itself.
+func (m *requestMetrics) countAnnouncement(pool fleet.PoolName, what gateway.Announcement) {
+	m.announcements.WithLabelValues(string(pool), string(what)).Inc()
+}
+
 // gauges returns the metrics whose values are read when they are collected.
 func (f *Front) gauges() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -109,7 +120,7 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements)
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -168,6 +168,7 @@
 		Consumed:   f.quotas.LocalTotals(),
 		Quarantine: f.quarantine.Report(clock.Now()),
 		Demand:     f.demand.ByPool(),
+		Leaving:    f.directory.Announced(),
 		Clock:      f.wallClock(),
 	}
 	if f.holdsDuties.Load() {
@@ -189,6 +190,9 @@
 func (f *Front) applyDigest(d gossip.Digest) {
 	f.usageCounter.Merge(d.Node, d.Usage)
 	f.quarantine.Merge(d.Quarantine, clock.Now())
+	for id, born := range d.Leaving {
+		f.directory.MarkLeaving(id, born, clock.Now())
+	}
 	f.tracker.SetPeerWork(f.peers.Work())
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -50,8 +50,9 @@
 	finished bool
 }
 
-// chooseEndpoint picks an endpoint that was not tried and is not in unreachable.
-// Service endpoints must be ready; ChooseEngine judges the state of engines.
+// chooseEndpoint picks an endpoint that was not tried, is not in unreachable and has not
+// asked for a pause. Service endpoints must be ready; ChooseEngine judges the state of
+// engines.
 func (p *proxyRequest) chooseEndpoint(now clock.Instant, unreachable []fleet.InstanceID) (c placement.Choice, ok bool) {
 	endpoints := p.handler.Endpoints(p.pool.Name)
 	candidates := make([]serving.Endpoint, 0, len(endpoints))
@@ -60,12 +61,42 @@
 			candidates = append(candidates, e)
 		}
 	}
+	candidates, pauseEnd := p.handler.Tracker.Available(candidates, now)
 	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
 	if p.pool.Engine == nil {
-		return placement.ChooseService(loads)
+		c, ok = placement.ChooseService(loads)
+	} else {
+		query := placement.Query{PromptTokens: p.request.PromptTokens, SharedTokens: placement.SharedTokens(p.request.PrefixBlocks), FetchesKV: p.pool.Engine.FetchesKV}
+		c, ok = placement.ChooseEngine(query, loads)
+	}
+	if p.paused = !ok && pauseEnd > 0; p.paused {
+		p.retryAfter = pauseEnd.Sub(now)
+	}
+	return c, ok
+}
+
+// recordAnnouncements records what the endpoint of an attempt announces of itself in the
+// header of its response.
+func (a *attempt) recordAnnouncements(metadata platform.Response) {
+	h, e := a.proxy.handler, a.choice.Endpoint
+	endpoint := zap.String("endpoint", string(e.ID))
+	announce := func(what Announcement) {
+		if h.OnAnnouncement != nil {
+			h.OnAnnouncement(e.Pool, what)
+		}
+	}
+	if metadata.Leaving && h.MarkLeaving(e) {
+		announce(AnnounceLeaving)
+		h.Logs.Emit(event.EndpointLeaving, endpoint, zap.String("request", string(a.proxy.request.ID)))
+	}
+	if metadata.Pause > 0 {
+		h.Tracker.RecordPause(e, a.begunAt.Add(metadata.Pause))
+		announce(AnnouncePause)
+		h.Logs.Emit(event.EndpointPaused, endpoint, zap.Duration("pause", metadata.Pause), zap.String("request", string(a.proxy.request.ID)))
+	}
+	if metadata.InvalidPause != "" {
+		h.Logs.Emit(event.PauseInvalid, endpoint, zap.String("pause", metadata.InvalidPause))
 	}
-	query := placement.Query{PromptTokens: p.request.PromptTokens, SharedTokens: placement.SharedTokens(p.request.PrefixBlocks), FetchesKV: p.pool.Engine.FetchesKV}
-	return placement.ChooseEngine(query, loads)
 }
 
 // send sends the request to an endpoint and waits for the response header.
@@ -95,25 +126,28 @@
 		Body:           p.body,
 		MaxConnections: p.connectionLimit(),
 		Matches:        p.responseMatches,
-		Abandoned:      p.abandonUnsent,
+		Abandoned:      func() bool { return p.abandonUnsent(c.Endpoint) },
 	})
 	if err != nil {
 		p.recordSendFailure(a, err)
 		a.finish()
 		return nil, err
 	}
-	if isAmbiguousIfRepeated(a.response.Status, platform.ReadResponse(a.response.Status, a.response.Header)) {
+	metadata := platform.ReadResponse(a.response.Status, a.response.Header)
+	if isAmbiguousIfRepeated(a.response.Status, metadata) {
 		a.response.DoNotReuse()
 	}
 	a.begunAt = clock.Now()
+	a.recordAnnouncements(metadata)
 	p.handler.Tracker.RecordResponse(c.Endpoint, a.begunAt)
 	return a, nil
 }
 
 // abandonUnsent reports whether the caller left before the request was sent in this
-// attempt.
-func (p *proxyRequest) abandonUnsent() bool {
-	if p.callerGone() {
+// attempt, or the endpoint leaves or wants a pause by now. On a busy node there may be
+// seconds between the choice and the first byte.
+func (p *proxyRequest) abandonUnsent(e serving.Endpoint) bool {
+	if p.callerGone() || !p.handler.Accepts(e) || p.handler.Tracker.Paused(e, clock.Now()) {
 		return true
 	}
 	p.sent = true
@@ -168,6 +202,9 @@
 		return
 	}
 	var unsent *forward.UnsentError
+	if errors.Is(err, forward.ErrAbandoned) {
+		return
+	}
 	if errors.As(err, &unsent) {
 		var limitErr *forward.ConnectionLimitError
 		if !errors.As(err, &limitErr) {
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -60,6 +60,9 @@
 	reason = ReasonNoEndpoint
 	for p.takeAttempt() && len(unreachable) < maxUnsentAttempts {
 		c, ok := p.chooseEndpoint(clock.Now(), unreachable)
+		if !ok && p.paused {
+			return ReasonEndpointsPaused, false
+		}
 		if !ok {
 			return reason, false
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -40,6 +40,7 @@
 	ReasonNoEndpoint          Reason = "no endpoint"
 	ReasonOverload            Reason = "cannot be served in time"
 	ReasonEndpointsFull       Reason = "endpoints are full"
+	ReasonEndpointsPaused     Reason = "endpoints ask for a pause"
 	ReasonEndpointUnreachable Reason = "endpoint unreachable"
 	ReasonQuarantined         Reason = "content breaks endpoints"
 	ReasonTimeout             Reason = "timeout"
@@ -60,6 +61,17 @@
 	LeaveSent LeaveStage = "sent"
 )
 
+// Announcement is what an endpoint may announce of itself in a response.
+type Announcement string
+
+// The announcements. Their values are labels of metrics.
+const (
+	// AnnounceLeaving means that the endpoint is about to leave.
+	AnnounceLeaving Announcement = "leaving"
+	// AnnouncePause means that the endpoint wants no requests for some time.
+	AnnouncePause Announcement = "pause"
+)
+
 const (
 	// retryAfterTransient is the Retry-After time for a transient failure.
 	retryAfterTransient = 100 * time.Millisecond
@@ -81,14 +93,19 @@
 	Confirmed clock.Instant
 }
 
-// Handler serves the requests of callers. All functions except OnFinish and
-// OnCallerLeft must be set.
+// Handler serves the requests of callers. All functions except OnFinish, OnCallerLeft
+// and OnAnnouncement must be set.
 type Handler struct {
 	// Config returns the configuration in force. Its embedded pointer is nil until
 	// the first configuration is known.
 	Config func() Config
 	// Endpoints returns the endpoints of a pool.
 	Endpoints func(fleet.PoolName) []serving.Endpoint
+	// Accepts reports whether requests may be sent to an endpoint now.
+	Accepts func(serving.Endpoint) bool
+	// MarkLeaving records that an endpoint announced in a response that it leaves. It
+	// reports whether this was not known.
+	MarkLeaving func(serving.Endpoint) bool
 	// Nodes returns how many nodes share the limits.
 	Nodes func() allotment.Nodes
 	// IsQuarantined reports whether requests with any of the subjects must not be sent to
@@ -108,6 +125,9 @@
 	OnFinish func(Result)
 	// OnCallerLeft is called at the end of each request whose caller left, if set.
 	OnCallerLeft func(LeaveStage)
+	// OnAnnouncement is called when an endpoint of a pool announces something new of itself
+	// in a response, if set.
+	OnAnnouncement func(fleet.PoolName, Announcement)
 
 	Tracker *placement.Tracker
 	Quotas  *allotment.QuotaLimiter
@@ -166,9 +186,12 @@
 	startRecorded bool
 	timeToFirst   time.Duration
 	// retryAfter is by how much the predicted time to the first event exceeds the
-	// limit. A refusal sends it as Retry-After time.
+	// limit, or how long all endpoints want a pause. A refusal sends it as Retry-After
+	// time.
 	retryAfter time.Duration
-	reason     Reason
+	// paused reports whether the last choice found only endpoints that want a pause.
+	paused bool
+	reason Reason
 }
 
 // ServeHTTP implements http.Handler.
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -48,6 +48,8 @@
 	return &Handler{
 		Config:        func() Config { return Config{Config: config, Confirmed: clock.Now()} },
 		Endpoints:     func(fleet.PoolName) []serving.Endpoint { return endpoints },
+		Accepts:       func(serving.Endpoint) bool { return true },
+		MarkLeaving:   func(serving.Endpoint) bool { return false },
 		Nodes:         func() allotment.Nodes { return allotment.Nodes{Total: 1} },
 		IsQuarantined: func([]quarantine.Subject) bool { return false },
 		RecordBroken:  func(serving.Endpoint, []quarantine.Subject, clock.Instant) {},
@@ -86,6 +88,8 @@
 	status int
 	body   string
 	err    error
+	// retryAfter is the Retry-After header, in seconds.
+	retryAfter string
 }
 
 // call sends a request on a new connection.
@@ -101,7 +105,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	return reply{status: res.StatusCode, body: string(body), err: err}
+	return reply{status: res.StatusCode, body: string(body), err: err, retryAfter: res.Header.Get("Retry-After")}
 }
 
 // rawEndpoint is an endpoint that writes whatever a spec wants.
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -92,6 +92,9 @@
 	// Quarantine is what the sender knows of requests that crash endpoints. Earlier
 	// versions sent less under the number 9.
 	Quarantine quarantine.Report `cbor:"20,keyasint"`
+	// Leaving holds the incarnations of endpoints that are known to leave only from their
+	// responses, by the time of their start.
+	Leaving map[fleet.InstanceID]int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -240,10 +240,10 @@
 	It("removes endpoints that are no longer known once they have no requests in flight", func() {
 		var t placement.Tracker
 		prefill := t.Begin("a", 5, now)
-		t.Prune(func(fleet.InstanceID) bool { return false })
+		t.Prune(func(fleet.InstanceID) bool { return false }, clock.Instant(time.Hour))
 		Expect(t.LocalWork()).To(HaveKey(fleet.InstanceID("a")))
 		t.End(prefill)
-		t.Prune(func(fleet.InstanceID) bool { return false })
+		t.Prune(func(fleet.InstanceID) bool { return false }, clock.Instant(time.Hour))
 		Expect(t.LocalWork()).To(BeEmpty())
 	})
 })
--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -99,7 +99,10 @@
 	failureRate         float64
 	consecutiveFailures int
 	avoidUntil          clock.Instant
-	measuredRate        float64
+	// pausedUntil is until when the incarnation born at pausedBorn wants no requests.
+	pausedUntil  clock.Instant
+	pausedBorn   int64
+	measuredRate float64
 	// prefills are the requests without a first event, oldest first.
 	prefills     []*Prefill
 	cachedBlocks *lru.Cache[serving.PrefixBlockID, clock.Instant]
@@ -337,6 +340,48 @@
 	s.avoidUntil = max(s.avoidUntil, now.Add(fullAvoidTime))
 }
 
+// RecordPause records that an incarnation of an endpoint wants no requests of this node
+// until an instant. A shorter pause does not end a longer one.
+func (t *Tracker) RecordPause(e serving.Endpoint, until clock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(e.ID)
+	if s.pausedBorn == e.Born {
+		until = max(until, s.pausedUntil)
+	}
+	s.pausedUntil, s.pausedBorn = until, e.Born
+}
+
+// Paused reports whether an incarnation of an endpoint wants no requests now.
+func (t *Tracker) Paused(e serving.Endpoint, now clock.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.endpoints[e.ID]
+	return s != nil && s.wantsPause(e, now)
+}
+
+// wantsPause reports whether the incarnation of the endpoint wants no requests now.
+func (s *endpointState) wantsPause(e serving.Endpoint, now clock.Instant) bool {
+	return s.pausedBorn == e.Born && now < s.pausedUntil
+}
+
+// Available returns the endpoints without a pause, and when the first pause of the
+// others that are ready ends; 0 if there is none. It reuses the slice.
+func (t *Tracker) Available(endpoints []serving.Endpoint, now clock.Instant) (available []serving.Endpoint, firstEnd clock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	available = endpoints[:0]
+	for _, e := range endpoints {
+		s := t.endpoints[e.ID]
+		if s == nil || !s.wantsPause(e, now) {
+			available = append(available, e)
+		} else if e.State == serving.StateReady && (firstEnd == 0 || s.pausedUntil < firstEnd) {
+			firstEnd = s.pausedUntil
+		}
+	}
+	return available, firstEnd
+}
+
 // SetPeerWork replaces the load from the other nodes.
 func (t *Tracker) SetPeerWork(work map[fleet.InstanceID]Work) {
 	t.mu.Lock()
@@ -362,13 +407,13 @@
 	return work
 }
 
-// Prune removes the state of endpoints that are no longer known and have no
-// requests in flight.
-func (t *Tracker) Prune(known func(fleet.InstanceID) bool) {
+// Prune removes the state of endpoints that are no longer known, have no requests in
+// flight and are not paused.
+func (t *Tracker) Prune(known func(fleet.InstanceID) bool, now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.endpoints {
-		if s.localWork.Running == 0 && !known(id) {
+		if s.localWork.Running == 0 && s.pausedUntil <= now && !known(id) {
 			delete(t.endpoints, id)
 		}
 	}
