soak: endpoints that announce that they leave, or ask for a pause

What endpoints receive is checked against both bounds; only a pause or a kill of the node excuses it.

--- a/pkg/soak/caller_test.go
+++ b/pkg/soak/caller_test.go
@@ -26,7 +26,9 @@
 	tainted    bool
 	status     int
 	seal, body string
-	err        error
+	// servedBy is the endpoint that signed the response.
+	servedBy string
+	err      error
 }
 
 // reportsNotRun reports whether the response says that the request did not run.
@@ -136,6 +138,8 @@
 		return
 	}
 	c.status, c.seal = res.StatusCode, res.Header.Get("Skylarkloom-Response-Seal")
+	// A seal is "seal-ENDPOINT-REQUEST".
+	c.servedBy = strings.TrimSuffix(strings.TrimPrefix(c.seal, "seal-"), "-"+id)
 	data, err := io.ReadAll(res.Body)
 	c.body, c.err = string(data), err
 	// The body has been read as far as possible; an error on close adds nothing.
--- a/pkg/soak/check_test.go
+++ b/pkg/soak/check_test.go
@@ -60,6 +60,7 @@
 	cl.checkDuties(report)
 	cl.checkRecovery(report)
 	cl.checkArrivals(report)
+	cl.checkAnnouncements(report)
 	for _, p := range cl.nodes {
 		violations = append(violations, p.unexpectedExits...)
 	}
--- a/pkg/soak/cluster_test.go
+++ b/pkg/soak/cluster_test.go
@@ -47,12 +47,15 @@
 	// tainting counts the steps that let callers send prompts with deadlyBlock.
 	tainting int
 	arrivals []arrival
+	// announcements are the responses in which endpoints announced something.
+	announcements []announcement
 }
 
 // arrival is a request that reached an endpoint.
 type arrival struct {
-	id string
-	at time.Time
+	endpoint *endpoint
+	id       string
+	at       time.Time
 	// crashed reports whether the endpoint crashed because of the request.
 	crashed bool
 }
@@ -73,6 +76,11 @@
 	link  *link
 	fault standin.Fault
 	mu    sync.Mutex
+	// leaving and pause are what the endpoint announces in its responses.
+	leaving bool
+	pause   time.Duration
+	// linkFaults are the times in which its link was disturbed.
+	linkFaults timeSpans
 	// drainingSince is when the store received the entry with state draining.
 	drainingSince time.Time
 }
@@ -144,7 +152,7 @@
 		defer e.mu.Unlock()
 		return e.fault
 	}
-	k, err := newLink(cl.serve(&e.Endpoint))
+	k, err := newLink(cl.serve(cl.serveAnnouncing(e)))
 	if err != nil {
 		return err
 	}
@@ -161,7 +169,7 @@
 // recordArrival records a request at an endpoint. It crashes the endpoint and returns
 // true if the prompt has the deadly block.
 func (cl *cluster) recordArrival(e *endpoint, r *http.Request) (crash bool) {
-	a := arrival{id: r.Header.Get("Skylarkloom-Attempt-Id"), at: time.Now()}
+	a := arrival{endpoint: e, id: r.Header.Get("Skylarkloom-Attempt-Id"), at: time.Now()}
 	a.crashed = strings.Contains(r.Header.Get("Skylarkloom-Prompt-Prefix"), deadlyBlock+":")
 	cl.mu.Lock()
 	cl.arrivals = append(cl.arrivals, a)
@@ -264,7 +272,7 @@
 		time.Sleep(s.duration)
 		cl.setTainting(-1)
 		time.Sleep(crashTime)
-	case actEndpoint, actFail, actReplace:
+	case actEndpoint, actFail, actReplace, actLeave, actAsk:
 		cl.mu.Lock()
 		e := cl.endpoints[s.target]
 		cl.mu.Unlock()
@@ -293,6 +301,9 @@
 	} else {
 		defer p.faults.begin()()
 	}
+	if s.action == actPause || s.action == actKill {
+		defer p.halts.begin()()
+	}
 	switch s.action {
 	case actPause:
 		p.signal(syscall.SIGSTOP)
@@ -332,7 +343,10 @@
 func (cl *cluster) disturbEndpoint(s step, e *endpoint) error {
 	defer cl.endpointFaults.begin()()
 	switch s.action {
+	case actAsk:
+		e.announce(s)
 	case actEndpoint:
+		defer e.linkFaults.begin()()
 		e.link.setCondition(s.condition)
 		time.Sleep(s.duration)
 		e.link.setCondition(linkHealthy)
@@ -340,7 +354,10 @@
 		e.setFault(s.fault)
 		time.Sleep(s.duration)
 		e.setFault(standin.FaultNone)
-	case actReplace:
+	case actLeave, actReplace:
+		if s.action == actLeave {
+			e.announce(s)
+		}
 		cl.mu.Lock()
 		if cl.endpoints[s.target] != e || !e.drainingSince.IsZero() {
 			cl.mu.Unlock()
--- a/pkg/soak/node_test.go
+++ b/pkg/soak/node_test.go
@@ -36,6 +36,8 @@
 	// those in which it was shut down and restarted.
 	faults    timeSpans
 	shutdowns timeSpans
+	// halts are the times in which it was paused or killed.
+	halts timeSpans
 }
 
 const settingsTemplate = `
--- a/pkg/soak/plan_test.go
+++ b/pkg/soak/plan_test.go
@@ -27,6 +27,10 @@
 	actRevoke   action = "revoke"
 	// actTaint lets callers send prompts with a prefix block that crashes engines.
 	actTaint action = "taint"
+	// actLeave lets an endpoint announce that it leaves before its entry says so, and then
+	// replaces it. actAsk lets one refuse all requests and ask for a pause.
+	actLeave action = "leave"
+	actAsk   action = "ask for a pause"
 )
 
 // step is a fault or change, with its start and duration in the run.
@@ -38,6 +42,8 @@
 	condition condition
 	fault     standin.Fault
 	mode      standin.Mode
+	// pause is what an endpoint asks for.
+	pause time.Duration
 }
 
 func (s step) String() string {
@@ -49,6 +55,8 @@
 		detail = string(s.fault)
 	case actMode:
 		detail = string(s.mode)
+	case actAsk:
+		detail = s.pause.String()
 	default:
 	}
 	return fmt.Sprintf("%6.2fs for %.2fs %s of %d: %s", s.start.Seconds(), s.duration.Seconds(), s.action, s.target, detail)
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -65,7 +65,7 @@
 		t.Fatal("nodes did not become ready in time")
 	}
 	cl.startedAt = time.Now()
-	steps := plan(seed)
+	steps := append(plan(seed), planAnnouncements(seed)...)
 	var faults errgroup.Group
 	for _, s := range steps {
 		faults.Go(func() error {
