front: a stop does not wait for calls that outlast it

Cause: Front.Stop waits for all goroutines of the node. A stop whose streams last to the end of the grace time left 0.3 s for them, and the process was killed instead of ending. Change: both calls end with the node's context. Stop waits 0.1 s at most for goroutines beyond the time of the services, and 0.5 s of the grace time are kept for the end of the process instead of 0.3 s.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -80,7 +80,10 @@
 	// probe fails. The load balancer probes once a second; this covers two failed probes.
 	defaultShutdownDelay = 2600 * time.Millisecond
 	// shutdownMargin is the part of the grace period reserved for the exit of the process.
-	shutdownMargin = 300 * time.Millisecond
+	// A node with a fifth of a core needs most of it to close its connections.
+	shutdownMargin = 500 * time.Millisecond
+	// exitDelay is how long of that Stop waits for goroutines that have not returned.
+	exitDelay = 100 * time.Millisecond
 )
 
 // Front is a node that serves callers. Settings must be set.
@@ -160,9 +163,9 @@
 	f.peers.OnLivenessChange = f.logPeerLiveness
 	f.quarantine.OnQuarantined = func(q quarantine.Quarantine, found bool) { f.handleQuarantined(ctx, q, found) }
 	f.crashes.Probe, f.crashes.OnCrash = f.connections.Probe, f.recordCrash
-	f.crashes.Go = func(fn func()) {
+	f.crashes.Go = func(fn func(context.Context)) {
 		f.group.Go(func() error {
-			fn()
+			fn(ctx)
 			return nil
 		})
 	}
@@ -209,11 +212,33 @@
 	err = errors.CombineErrors(err, f.kernel.Drain(ctx))
 	f.cancel()
 	err = errors.CombineErrors(err, f.kernel.Stop(ctx))
-	err = errors.CombineErrors(err, f.group.Wait())
+	err = errors.CombineErrors(err, f.waitForGroup(ctx))
 	f.Logs.Emit(event.NodeStopped)
 	return err
 }
 
+// waitForGroup waits until all goroutines of the node have returned, or until exitDelay
+// after the end of the context.
+func (f *Front) waitForGroup(ctx context.Context) error {
+	returned := make(chan struct{})
+	var waiting errgroup.Group
+	waiting.Go(func() error {
+		defer close(returned)
+		return f.group.Wait()
+	})
+	select {
+	case <-returned:
+		return waiting.Wait()
+	case <-ctx.Done():
+	}
+	select {
+	case <-returned:
+		return waiting.Wait()
+	case <-time.After(exitDelay):
+		return errors.New("goroutines were still running at the end of the grace period")
+	}
+}
+
 // goWithDone runs fn in a goroutine and returns a channel that is closed when fn
 // returns.
 func (f *Front) goWithDone(fn func()) <-chan struct{} {
--- a/pkg/front/front_test.go
+++ b/pkg/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,7 +13,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/gossip"
 	"github.com/skylarkloom/skylarkloom/platform/standin"
 )
 
@@ -336,6 +341,40 @@
 		}
 	})
 
+	It("does not wait for another node's snapshot when it stops", func() {
+		requested, release := make(chan struct{}, 16), make(chan struct{})
+		hanging := startServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			requested <- struct{}{}
+			<-release
+		}))
+		DeferCleanup(func() { close(release) })
+		ahead := gossip.Digest{Node: fleet.NodeRef{Name: "ahead", Incarnation: 1}, DataCentre: "a", Address: hanging, ConfigVersion: 1 << 40, Clock: time.Now()}
+		exchange := &gossip.Exchange{
+			ListenAddress: hanging, Describe: func() gossip.Digest { return ahead }, OnDigest: func(gossip.Digest) {},
+			OnReply:    func(gossip.Digest, *gossip.Delta, clock.Instant) {},
+			DeltaSince: func(fleet.Offset) *gossip.Delta { return nil }, WallClock: time.Now, Table: &gossip.Table{Self: "ahead", DataCentre: "a"},
+		}
+		Expect(exchange.Listen()).To(Succeed())
+		var group errgroup.Group
+		group.Go(func() error {
+			exchange.Receive()
+			return nil
+		})
+		DeferCleanup(func() {
+			Expect(exchange.Close()).To(Succeed())
+			Expect(group.Wait()).To(Succeed())
+		})
+		announcement, err := json.Marshal(gossip.Announcement{Address: hanging, DataCentre: "a", Incarnation: 1})
+		Expect(err).NotTo(HaveOccurred())
+		d.store.Put("keyed.nodes", "ahead", announcement)
+		second := d.startNode()
+		Eventually(second.ready, eventuallyTimeout).Should(BeTrue())
+		Eventually(requested, eventuallyTimeout).Should(Receive())
+		began := time.Now()
+		Expect(second.front.Stop(context.Background())).To(Succeed())
+		Expect(time.Since(began)).To(BeNumerically("<", 700*time.Millisecond), "a snapshot may take a second")
+	})
+
 	It("serves metrics that the operations page documents", func() {
 		Expect(n.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK))
 		metrics := n.metrics()
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -50,7 +50,10 @@
 	s := kernel.Service{Name: ServiceGossip, Done: done}
 	s.Start = func(ctx context.Context) error {
 		f.exchange = gossip.Exchange{
-			ListenAddress: f.internalAddress(), Describe: f.Describe, OnDigest: f.applyDigest, OnReply: f.applyReply, DeltaSince: f.deltaSince,
+			ListenAddress: f.internalAddress(), Describe: f.Describe, OnDigest: f.applyDigest, DeltaSince: f.deltaSince,
+			OnReply: func(d gossip.Digest, delta *gossip.Delta, sentAt clock.Instant) {
+				f.applyReply(ctx, d, delta, sentAt)
+			},
 			WallClock: f.wallClock, Table: &f.peers, Logs: f.Logs,
 		}
 		if err := f.exchange.Listen(); err != nil {
--- a/pkg/front/view.go
+++ b/pkg/front/view.go
@@ -46,7 +46,7 @@
 // state in it is at most as old as the request plus the age that the peer reports.
 // If the peer has a newer configuration or this node's directory is stale, a
 // snapshot is fetched from the peer.
-func (f *Front) applyReply(d gossip.Digest, delta *gossip.Delta, sentAt clock.Instant) {
+func (f *Front) applyReply(ctx context.Context, d gossip.Digest, delta *gossip.Delta, sentAt clock.Instant) {
 	current := f.config.Load()
 	if current != nil && d.ConfigVersion == current.Version {
 		f.confirmConfig(current.Version, sentAt.Add(-d.ConfigAge))
@@ -68,7 +68,7 @@
 	if (behind || f.directoryStale()) && f.fetchingSnapshot.CompareAndSwap(false, true) {
 		f.group.Go(func() error {
 			defer f.fetchingSnapshot.Store(false)
-			if err := f.fetchSnapshot(d.Address, f.directoryStale()); err != nil {
+			if err := f.fetchSnapshot(ctx, d.Address, f.directoryStale()); err != nil {
 				f.Logs.Emit(event.SnapshotUnavailable, zap.String("from", string(d.Node.Name)), zap.Error(err))
 			}
 			return nil
@@ -128,9 +128,9 @@
 
 // fetchSnapshot fetches and applies a peer's configuration, and its endpoints if
 // withEndpoints is set.
-func (f *Front) fetchSnapshot(address string, withEndpoints bool) (err error) {
+func (f *Front) fetchSnapshot(ctx context.Context, address string, withEndpoints bool) (err error) {
 	defer func() { err = errors.Wrapf(err, "fetch snapshot from %s", address) }()
-	ctx, cancel := context.WithTimeout(context.Background(), snapshotTimeout)
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	sentAt := clock.Now()
 	path := pathConfig
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -22,8 +22,8 @@
 type Detector struct {
 	// Probe opens a connection to an address.
 	Probe func(ctx context.Context, address string) error
-	// Go runs a function in the background.
-	Go func(func())
+	// Go runs a function in the background, with a context that ends with the node.
+	Go func(func(context.Context))
 	// OnCrash is called for each request that was in flight at an endpoint which crashed.
 	OnCrash func(e serving.Endpoint, subjects []Subject, at clock.Instant)
 
@@ -49,13 +49,13 @@
 	probing := len(d.broken[e.ID]) > 0
 	d.broken[e.ID] = append(d.broken[e.ID], brokenExchange{subjects: subjects, at: at})
 	if !probing {
-		d.Go(func() { d.probe(e) })
+		d.Go(func(ctx context.Context) { d.probe(ctx, e) })
 	}
 }
 
 // probe finds out whether an endpoint crashed.
-func (d *Detector) probe(e serving.Endpoint) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+func (d *Detector) probe(ctx context.Context, e serving.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := d.Probe(ctx, e.Address)
 	d.mu.Lock()
--- a/pkg/quarantine/detector_test.go
+++ b/pkg/quarantine/detector_test.go
@@ -29,9 +29,9 @@
 					<-probing
 					return result
 				},
-				Go: func(fn func()) {
+				Go: func(fn func(context.Context)) {
 					group.Go(func() error {
-						fn()
+						fn(context.Background())
 						return nil
 					})
 				},
@@ -55,17 +55,17 @@
 
 	It("probes an endpoint again after the last probe", func() {
 		probes := 0
-		var started []func()
+		var started []func(context.Context)
 		d := &quarantine.Detector{
 			Probe: func(context.Context, string) error {
 				probes++
 				return nil
 			},
-			Go: func(fn func()) { started = append(started, fn) },
+			Go: func(fn func(context.Context)) { started = append(started, fn) },
 		}
 		for n := range 2 {
 			d.RecordBroken(serving.Endpoint{ID: "e1"}, subjects(1), clock.Instant(time.Second))
-			started[n]()
+			started[n](context.Background())
 		}
 		Expect(probes).To(Equal(2))
 	})
