duty, quarantine, gossip: records of another writer in the system's own topics

Cause, looked for after the reports on odd entries: a lease record that cannot be read made every later read fail, so no node held the duties again; a stored quarantine with a count below 1 would end the process (negative shift), one with a long time was never lifted; an announcement with a large number of cores became the relay of its data centre, and a name that is not UTF-8 made packets unreadable. Change: an unreadable lease counts as held by an unknown node until its time is over; windows up to then are not reported, since a second report must not differ. Quarantines are bounded where they are merged, announcements where they are read. A fuzz target for packets.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 FUZZ_TIME ?= 30s
 PARSERS := entry/parsing:FuzzModelBody entry/parsing:FuzzServicePath entry/parsing:FuzzRequestKey \
 	api/edge:FuzzContent api/edge:FuzzUnsupported endpoint:FuzzEvents endpoint:FuzzEventText \
-	api/record:FuzzGroup settings:FuzzSettings fleet:FuzzDocument ../platform:FuzzEndpoint ../platform:FuzzConfig
+	api/record:FuzzGroup settings:FuzzSettings fleet:FuzzDocument gossip:FuzzPacket ../platform:FuzzEndpoint ../platform:FuzzConfig
 
 fuzz-parsers:
 	for p in $(PARSERS); do \
--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -51,8 +51,15 @@
 	Unreported usage.Counts `json:"open,omitempty"`
 	// Released is set when the holder has given up the duties.
 	Released bool `json:"released,omitempty"`
+	// CountsUnknown is set when an unreadable record was replaced: windows up to now may
+	// have been reported, with counts that are not known any more.
+	CountsUnknown bool `json:"lost,omitempty"`
 }
 
+// unreadableHolder stands for the holder in a record that cannot be read. Its lease has
+// to expire like that of any other.
+const unreadableHolder fleet.NodeName = "?"
+
 // Store reads and appends records of the topic of the duties.
 type Store struct {
 	Newest   func(ctx context.Context, topic platform.Topic) (platform.Batch, error)
@@ -107,8 +114,8 @@
 		if r.Key != recordKey {
 			continue
 		}
-		if err := json.Unmarshal(r.Value, &record); err != nil {
-			return errors.Wrap(err, "decode the lease record of the duties")
+		if err := json.Unmarshal(r.Value, &record); err != nil || record.Holder == "" {
+			record = LeaseRecord{Holder: unreadableHolder, CountsUnknown: true}
 		}
 	}
 	if !l.loaded || b.End != l.endOffset {
--- a/pkg/duty/duty_test.go
+++ b/pkg/duty/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +125,21 @@
 		Expect(b.MayAcquire(clock.Now().Add(leaseTTL + time.Second))).To(BeTrue())
 	})
 
+	DescribeTable("is acquired after its time if the record cannot be read", func(value string) {
+		store := &topicStub{records: []platform.Record{{Key: "duties", Value: []byte(value)}}}
+		a := newLease(store, "a", longAgo)
+		Expect(a.Read(ctx)).To(Succeed())
+		Expect(a.MayAcquire(clock.Now().Add(leaseTTL))).To(BeFalse(), "its holder may still act")
+		Expect(a.MayAcquire(clock.Now().Add(leaseTTL + time.Second))).To(BeTrue())
+		Expect(a.Acquire(ctx)).To(Succeed())
+		Expect(a.Record().CountsUnknown).To(BeTrue())
+	},
+		Entry("nested deeply", strings.Repeat("[", 100_000)),
+		Entry("with a number too large", `{"holder":"b","fence":1e99}`),
+		Entry("without a holder", `{}`),
+		Entry("no JSON", "\xff"),
+	)
+
 	It("is held after an append that took effect but whose answer was lost", func() {
 		store := &topicStub{loseResponse: true}
 		a := newLease(store, "a", longAgo)
--- a/pkg/duty/runner.go
+++ b/pkg/duty/runner.go
@@ -210,6 +210,14 @@
 		return
 	}
 	last := r.lastCompleteWindow(now)
+	if record.CountsUnknown {
+		if last > record.LastFixed {
+			// A second report of a window must not differ from the first, so the windows up
+			// to now are not reported.
+			record.LastFixed, record.CountsUnknown = last, false
+		}
+		return
+	}
 	oldest := usage.WindowAt(now.Add(-r.ReportDeadline), r.Window)
 	unreported := make(usage.Counts)
 	for w, counts := range record.Unreported {
--- a/pkg/duty/runner_test.go
+++ b/pkg/duty/runner_test.go
@@ -125,6 +125,20 @@
 		})
 	})
 
+	It("reports only windows that begin later after it has replaced an unreadable record", func() {
+		cloud := &cloudStub{reports: map[int64][]int64{}}
+		store := lockedStore(&topicStub{records: []platform.Record{{Key: "duties", Value: []byte("[")}}})
+		began := time.Now()
+		stop := start(store, "a", cloud, func(usage.Window) map[fleet.AccountName]int64 { return map[fleet.AccountName]int64{"acc": 7} }, func() int { return 2 })
+		Eventually(func() (n int) { cloud.locked(func() { n = len(cloud.reports) }); return n }, 2*eventuallyTimeout).Should(BeNumerically(">", 1))
+		stop()
+		cloud.locked(func() {
+			for w := range cloud.reports {
+				Expect(usage.Window(w)).To(BeNumerically(">=", usage.WindowAt(began, window)))
+			}
+		})
+	})
+
 	It("sends a scale request once while it is pending, and scales down only after a delay", func() {
 		store, cloud := lockedStore(&topicStub{}), &cloudStub{reports: map[int64][]int64{}}
 		var mu sync.Mutex
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -134,7 +134,11 @@
 			if r.Key == string(f.self.Name) || r.Value == nil {
 				continue
 			}
-			if err := json.Unmarshal(r.Value, &a); err != nil {
+			err := json.Unmarshal(r.Value, &a)
+			if err == nil {
+				err = a.Validate(fleet.NodeName(r.Key))
+			}
+			if err != nil {
 				f.Logs.Emit(event.StoreEntryInvalid, zap.String("key", r.Key), zap.Error(err))
 				continue
 			}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
@@ -18,6 +19,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/usage"
 )
 
 func TestGossip(t *testing.T) {
@@ -123,6 +125,43 @@
 	return l.LocalAddr().String()
 }
 
+var _ = DescribeTable("An announcement from the store that names no node is rejected",
+	func(node fleet.NodeName, a gossip.Announcement) {
+		Expect((&gossip.Announcement{Address: "10.1.1.1:7600", DataCentre: "x", Cores: 0.4}).Validate("n")).To(Succeed())
+		Expect(a.Validate(node)).NotTo(Succeed())
+	},
+	Entry("port 0", fleet.NodeName("n"), gossip.Announcement{Address: "10.1.1.1:0", DataCentre: "x"}),
+	Entry("a port out of range", fleet.NodeName("n"), gossip.Announcement{Address: "10.1.1.1:70000", DataCentre: "x"}),
+	Entry("a node name that is not UTF-8", fleet.NodeName("\xff"), gossip.Announcement{Address: "10.1.1.1:1", DataCentre: "x"}),
+	Entry("a long data centre", fleet.NodeName("n"), gossip.Announcement{Address: "10.1.1.1:1", DataCentre: fleet.DataCentreName(strings.Repeat("x", 70_000))}),
+	Entry("more cores than all relays", fleet.NodeName("n"), gossip.Announcement{Address: "10.1.1.1:1", DataCentre: "x", Cores: 1e300}),
+)
+
+// FuzzPacket checks that no datagram ends the process.
+func FuzzPacket(f *testing.F) {
+	for _, d := range []gossip.Digest{digest("a", 1, 3), {Demand: map[fleet.PoolName]float64{"p": 1}, Usage: usage.Counts{1: nil}}} {
+		data, err := cbor.Marshal(d)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var d gossip.Digest
+		if cbor.Unmarshal(data, &d) != nil {
+			return
+		}
+		now := clock.Instant(time.Hour)
+		t := gossip.Table{Self: "self", DataCentre: "x"}
+		for _, scope := range []gossip.Scope{gossip.ScopeNode, gossip.ScopeRelayGroup, gossip.ScopeFleet} {
+			t.Apply(d, scope, now)
+			t.Targets(now)
+			t.Summarise(gossip.Digest{Clock: time.Now()}, scope, "b", now)
+			t.Expire(now)
+		}
+	})
+}
+
 var _ = Describe("The gossip exchange", func() {
 	It("replies without a delta that does not fit into a datagram", func() {
 		var replies int
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -4,8 +4,12 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
@@ -43,6 +47,29 @@
 	Cores float64 `json:"cores"`
 }
 
+// maxNameBytes and maxCores bound what an announcement may hold.
+const (
+	maxNameBytes = 128
+	maxCores     = 1024
+)
+
+// Validate checks an announcement from the store, to which others may write.
+func (a *Announcement) Validate(node fleet.NodeName) error {
+	address, err := netip.ParseAddrPort(a.Address)
+	if err != nil || address.Port() == 0 {
+		return errors.New("the address is not an IP address with a port")
+	}
+	for _, name := range []string{string(node), string(a.DataCentre)} {
+		if len(name) > maxNameBytes || !utf8.ValidString(name) {
+			return errors.New("a name is too long or not UTF-8")
+		}
+	}
+	if a.Cores < 0 || a.Cores > maxCores {
+		return errors.New("the number of cores is out of range")
+	}
+	return nil
+}
+
 // member is an announced node and the state of the requests sent to it.
 type member struct {
 	Announcement
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -113,6 +113,10 @@
 	local bool
 }
 
+// maxCount bounds Quarantine.Count of a report. The length of a quarantine stops to grow
+// long before.
+const maxCount = 1000
+
 // quarantine is the state of a subject that is or was quarantined.
 type quarantine struct {
 	until clock.Instant
@@ -312,6 +316,8 @@
 		t.addServed(s.Subject, now.Add(-s.Age))
 	}
 	for _, q := range r.Quarantines {
+		// Quarantines also come from the store, to which others may write.
+		q.Count, q.Remaining = min(max(q.Count, 1), maxCount), min(q.Remaining, maxQuarantine)
 		// A report that is under way for a moment extends a quarantine by that moment.
 		if known := t.quarantined[q.Subject]; q.Count > known.count || q.Count == known.count && now.Add(q.Remaining) > known.until.Add(maxReportDelay) {
 			t.setQuarantine(q.Subject, quarantine{until: now.Add(q.Remaining), count: q.Count}, false, now)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -58,6 +58,20 @@
 		Expect(remote.Quarantined(subjects(7), now)).To(BeTrue())
 	})
 
+	It("bounds the quarantines that others report", func() {
+		var t quarantine.Tracker
+		t.Merge(quarantine.Report{Quarantines: []quarantine.Quarantine{
+			{Subject: subjects(7)[0], Remaining: 100 * 365 * 24 * time.Hour, Count: 1 << 62},
+			{Subject: subjects(8)[0], Remaining: time.Second, Count: -5},
+		}}, start)
+		Expect(t.Quarantined(subjects(7), at(24*time.Hour))).To(BeFalse())
+		for i, id := range instances[:3] {
+			crash(&t, id, subjects(8), time.Duration(2+i)*time.Second)
+		}
+		t.Merge(quarantine.Report{}, at(10*time.Second))
+		Expect(t.Quarantined(subjects(8), at(10*time.Second))).To(BeTrue())
+	})
+
 	It("quarantines a prefix block that requests with different contents share, and not the blocks before it", func() {
 		var t quarantine.Tracker
 		for i, id := range instances[:3] {
