provision: speeds of engines are measured, and the demand is forecast

Cause: the engine time of a request followed from constants that fit the first site (35 prompt tokens a ms, 0.04 ms an output token). Change: each node estimates the speeds of a pool from its own streams (medians, a bounded step, adopted from digests by nodes without samples); provisioning, prediction and the bounds on an engine's rate use them. The holder of the duties forecasts a growing demand for the time until an endpoint serves, and adds engines for the variation of the demand.

--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -127,8 +127,12 @@
 			return nil
 		}
 	}
+	if f.trends[p.Name] == nil {
+		f.trends[p.Name] = &provision.Trend{}
+	}
+	forecast := f.trends[p.Name].Forecast(demand, p.Scale.BootTime, now)
 	policy := provision.DefaultPolicy
-	required := policy.RequiredEngines(demand, measured, initial)
+	required := policy.RequiredEngines(forecast, measured, initial)
 	targets := provision.Plan(policy, required, *p.Scale, supplies)
 	desired := make([]duty.DesiredScale, 0, 2*len(targets))
 	for _, t := range targets {
@@ -139,7 +143,7 @@
 			})
 		}
 	}
-	f.logPlan(p.Name, demand, targets)
+	f.logPlan(p.Name, demand, forecast, targets)
 	return desired
 }
 
@@ -162,10 +166,11 @@
 }
 
 // logPlan logs the targets of a pool when they change.
-func (f *Front) logPlan(pool fleet.PoolName, demand float64, targets []provision.Target) {
+func (f *Front) logPlan(pool fleet.PoolName, demand, forecast float64, targets []provision.Target) {
 	if slices.Equal(f.lastPlans[pool], targets) {
 		return
 	}
 	f.lastPlans[pool] = targets
-	f.Logs.Emit(event.PlanChanged, zap.String("pool", string(pool)), zap.Float64("demand", demand), zap.Any("counts", targets))
+	f.Logs.Emit(event.PlanChanged, zap.String("pool", string(pool)), zap.Float64("demand", demand), zap.Float64("forecast", forecast), zap.Any("counts", targets),
+		zap.Any("speeds", f.engines.Speeds(pool)))
 }
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -130,10 +130,12 @@
 	quarantine   quarantine.Tracker
 	crashes      quarantine.Detector
 	demand       provision.DemandMeter
-	// dutyMu guards lastPlans and initialCounts.
+	engines      provision.EngineModel
+	// dutyMu guards lastPlans, initialCounts and trends.
 	dutyMu        sync.Mutex
 	lastPlans     map[fleet.PoolName][]provision.Target
 	initialCounts map[fleet.PoolName]*provision.InitialCount
+	trends        map[fleet.PoolName]*provision.Trend
 
 	metrics      *requestMetrics
 	directory    directory.Directory
@@ -156,9 +158,12 @@
 	f.self = fleet.NodeRef{Name: f.Settings.Node, Incarnation: fleet.Incarnation(f.startTime.UnixNano())}
 	f.lastPlans = make(map[fleet.PoolName][]provision.Target)
 	f.initialCounts = make(map[fleet.PoolName]*provision.InitialCount)
+	f.trends = make(map[fleet.PoolName]*provision.Trend)
 	f.peers.Self, f.peers.DataCentre = f.self.Name, f.Settings.DataCentre
 	f.peers.OnConsumed = f.quotas.AddPeerUsage
 	f.tracker.DataCentreSilent = func(name fleet.DataCentreName) bool { return f.peers.DataCentreSilent(name, clock.Now()) }
+	f.tracker.PoolPrefillRate = func(pool fleet.PoolName) float64 { return f.engines.Speeds(pool).Prefill }
+	f.tracker.OnPrefill = f.engines.AddPrefill
 	f.directory.OnChange = f.logEndpointChange
 	f.peers.OnLivenessChange = f.logPeerLiveness
 	f.quarantine.OnQuarantined = func(q quarantine.Quarantine, found bool) { f.handleQuarantined(ctx, q, found) }
@@ -328,6 +333,7 @@
 		OnCallerLeft:   f.metrics.countCallerLeft,
 		OnAnnouncement: f.metrics.countAnnouncement,
 		Tracker:        &f.tracker,
+		Engines:        &f.engines,
 		Quotas:         &f.quotas,
 		Retries:        &f.retries,
 		Pool:           &f.connections,
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -176,6 +176,7 @@
 		Quarantine: f.quarantine.Report(clock.Now()),
 		Demand:     f.demand.ByPool(),
 		Leaving:    f.directory.Announced(),
+		Speeds:     f.engines.Known(),
 		Clock:      f.wallClock(),
 	}
 	if f.holdsDuties.Load() {
@@ -197,6 +198,9 @@
 func (f *Front) applyDigest(d gossip.Digest) {
 	f.usageCounter.Merge(d.Node, d.Usage)
 	f.quarantine.Merge(d.Quarantine, clock.Now())
+	for pool, speeds := range d.Speeds {
+		f.engines.Adopt(pool, speeds)
+	}
 	for id, born := range d.Leaving {
 		f.directory.MarkLeaving(id, born, clock.Now())
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -130,6 +130,8 @@
 	OnAnnouncement func(fleet.PoolName, Announcement)
 
 	Tracker *placement.Tracker
+	// Engines holds the measured speeds of the engines.
+	Engines *provision.EngineModel
 	Quotas  *allotment.QuotaLimiter
 	Retries *allotment.RetryBudget
 	Pool    *forward.Pool
@@ -330,7 +332,7 @@
 // of prompt tokens that the engine has to process.
 func (p *proxyRequest) recordDemand(uncached fleet.Tokens) {
 	if p.pool.Engine != nil {
-		p.handler.RecordDemand(p.pool.Name, provision.EngineMilliseconds(uncached, p.request.MaxOutputTokens))
+		p.handler.RecordDemand(p.pool.Name, p.handler.Engines.Speeds(p.pool.Name).EngineTime(uncached, p.request.MaxOutputTokens))
 	}
 }
 
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
@@ -57,6 +58,7 @@
 		RecordStart:   func(fleet.AccountName) {},
 		RecordDemand:  func(fleet.PoolName, float64) {},
 		Tracker:       &placement.Tracker{},
+		Engines:       &provision.EngineModel{},
 		Quotas:        &allotment.QuotaLimiter{},
 		Retries:       &allotment.RetryBudget{Ratio: 1, Slack: 50, Window: 10 * time.Second},
 		Pool:          &forward.Pool{},
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -185,6 +185,7 @@
 func (s *streamRequest) relayEvents(ctx context.Context, a *attempt, watchdog *time.Timer) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
 	id := a.choice.Endpoint.ID
+	newEvents, firstAt := 0, time.Time{}
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
 		e, err := events.next()
@@ -193,6 +194,9 @@
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
 			s.handler.Tracker.RecordOutcome(id, true)
 			a.recordServed()
+			if s.pool.Engine != nil {
+				s.handler.Engines.AddStream(s.pool.Name, newEvents, s.pool.Engine.TokensPerEvent, time.Since(firstAt))
+			}
 			s.handler.Logs.Emit(event.RequestServed, s.logFields(zap.Int64("last", int64(s.lastEvent)), zap.Duration("first", s.timeToFirst))...)
 			s.reportResult(a.response.Status)
 			return outcomeResponded, ""
@@ -221,6 +225,9 @@
 		if e.hasID && !isNew {
 			continue
 		}
+		if newEvents++; newEvents == 1 {
+			firstAt = time.Now()
+		}
 		if err := s.writeEvent(a, e); err != nil {
 			return outcomeLost, ReasonCallerGone
 		}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/usage"
 )
@@ -95,6 +96,8 @@
 	// Leaving holds the incarnations of endpoints that are known to leave only from their
 	// responses, by the time of their start.
 	Leaving map[fleet.InstanceID]int64 `cbor:"21,keyasint,omitempty"`
+	// Speeds are the known speeds of engines, by pool, for nodes that have not measured any.
+	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -37,9 +37,9 @@
 	// minRateTokens is the minimum number of queued prompt tokens from which the
 	// prefill rate is estimated.
 	minRateTokens = 1000
-	// minPrefillRate and maxPrefillRate bound the prefill rate, in tokens a
-	// millisecond.
-	minPrefillRate, maxPrefillRate = 3.0, 60.0
+	// minPrefillFactor and maxPrefillFactor bound the prefill rate of an engine relative
+	// to the usual one of its pool.
+	minPrefillFactor, maxPrefillFactor = 0.12, 2.4
 )
 
 // Work is the load that one node puts on an endpoint.
@@ -55,6 +55,12 @@
 	// been seen recently. The data centre is then treated as unreachable, unless one
 	// of its endpoints sent something recently.
 	DataCentreSilent func(fleet.DataCentreName) bool
+	// PoolPrefillRate, if set, returns the usual prefill rate of a pool's engines, which
+	// applies to an engine until its own was observed.
+	PoolPrefillRate func(fleet.PoolName) float64
+	// OnPrefill, if set, is called with the time to the first event of a prompt before
+	// which no other one waited at the engine.
+	OnPrefill func(pool fleet.PoolName, uncached fleet.Tokens, took time.Duration)
 
 	mu        sync.Mutex
 	endpoints map[fleet.InstanceID]*endpointState
@@ -103,6 +109,9 @@
 	pausedUntil  clock.Instant
 	pausedBorn   int64
 	measuredRate float64
+	// pool is the pool of the endpoint and poolRate the usual prefill rate there.
+	pool     fleet.PoolName
+	poolRate float64
 	// prefills are the requests without a first event, oldest first.
 	prefills     []*Prefill
 	cachedBlocks *lru.Cache[serving.PrefixBlockID, clock.Instant]
@@ -128,12 +137,19 @@
 // given prefix blocks, as seen from the local data centre.
 func (t *Tracker) Loads(endpoints []serving.Endpoint, blocks []serving.PrefixBlock, local fleet.DataCentreName, now clock.Instant) []Load {
 	loads := make([]Load, 0, len(endpoints))
+	// The endpoints usually belong to one pool.
+	var pool fleet.PoolName
+	poolRate := 0.0
 	ranked := preferredEndpoints(endpoints, blocks)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	unreachable := t.unreachableDataCentres(endpoints, local, now)
 	for _, e := range endpoints {
 		s := t.state(e.ID)
+		if e.Pool != pool || poolRate == 0 {
+			pool, poolRate = e.Pool, t.poolPrefillRate(e.Pool)
+		}
+		s.pool, s.poolRate = pool, poolRate
 		loads = append(loads, Load{
 			Endpoint:              e,
 			Running:               s.localWork.Running + s.peerWork.Running,
@@ -151,6 +167,14 @@
 	return loads
 }
 
+// poolPrefillRate returns the usual prefill rate of a pool's engines.
+func (t *Tracker) poolPrefillRate(pool fleet.PoolName) float64 {
+	if t.PoolPrefillRate == nil {
+		return defaultPrefillRate
+	}
+	return t.PoolPrefillRate(pool)
+}
+
 // cachedTokens returns the number of leading tokens of a prompt that are recorded
 // as cached.
 func (s *endpointState) cachedTokens(blocks []serving.PrefixBlock, now clock.Instant) (tokens fleet.Tokens) {
@@ -245,9 +269,12 @@
 	for _, b := range blocks {
 		s.cachedBlocks.Add(b.ID, now)
 	}
-	if rate, ok := p.observedRate(now); ok {
+	if t.OnPrefill != nil && p.uncached > 0 && p.queued == p.uncached {
+		t.OnPrefill(s.pool, p.uncached, now.Sub(p.startedAt))
+	}
+	if rate, ok := s.observedRate(p, now); ok {
 		if s.measuredRate == 0 {
-			s.measuredRate = defaultPrefillRate
+			s.measuredRate = s.usualRate()
 		}
 		s.measuredRate += prefillRateWeight * (rate - s.measuredRate)
 	}
@@ -273,15 +300,23 @@
 	return true
 }
 
+// usualRate returns the usual prefill rate of the endpoint's pool.
+func (s *endpointState) usualRate() float64 {
+	if s.poolRate <= 0 {
+		return defaultPrefillRate
+	}
+	return s.poolRate
+}
+
 // observedRate returns the prefill rate that follows from a first event at now. It
 // reports false if too few tokens were queued or too little time has passed.
-func (p *Prefill) observedRate(now clock.Instant) (rate float64, ok bool) {
+func (s *endpointState) observedRate(p *Prefill, now clock.Instant) (rate float64, ok bool) {
 	took := now.Sub(p.startedAt) - idleFirstEventTime
 	if p.queued < minRateTokens || took <= 0 {
 		return 0, false
 	}
 	rate = float64(p.queued) / (float64(took) / float64(time.Millisecond))
-	return min(max(rate, minPrefillRate), maxPrefillRate), true
+	return min(max(rate, minPrefillFactor*s.usualRate()), maxPrefillFactor*s.usualRate()), true
 }
 
 // prefillRate returns the lower of the average rate and the rate that the longest
@@ -290,10 +325,10 @@
 func (s *endpointState) prefillRate(now clock.Instant) float64 {
 	rate := s.measuredRate
 	if rate == 0 {
-		rate = defaultPrefillRate
+		rate = s.usualRate()
 	}
 	if len(s.prefills) > 0 {
-		if bound, ok := s.prefills[0].observedRate(now); ok {
+		if bound, ok := s.observedRate(s.prefills[0], now); ok {
 			rate = min(rate, bound)
 		}
 	}
--- a/pkg/provision/demand.go
+++ b/pkg/provision/demand.go
@@ -9,21 +9,11 @@
 )
 
 const (
-	// prefillMilliseconds and decodeMilliseconds are the engine time for an uncached
-	// prompt token and for an output token, while the engine also runs a batch of
-	// usual size.
-	prefillMilliseconds = 1.0 / 35
-	decodeMilliseconds  = 0.04
 	// averagingTime is the time over which demand is averaged. It is shorter than
 	// the boot of an endpoint and long enough to smooth single large prompts.
 	averagingTime = 4 * time.Second
 )
 
-// EngineMilliseconds returns the engine time that a request takes, in milliseconds.
-func EngineMilliseconds(uncached, output fleet.Tokens) float64 {
-	return prefillMilliseconds*float64(uncached) + decodeMilliseconds*float64(output)
-}
-
 // DemandMeter measures the engine time that the requests of a node take, by pool.
 // The zero value is ready to use.
 type DemandMeter struct {
--- a/pkg/provision/provision.go
+++ b/pkg/provision/provision.go
@@ -17,13 +17,16 @@
 	Utilisation float64
 	// SpareEngines is the number of engines added to those that the demand requires.
 	SpareEngines float64
+	// Variation is the number of engines added for the variation of the demand, which
+	// grows with its square root.
+	Variation float64
 	// MinOnDemand is the number of on-demand engines that each data centre keeps, so
 	// that it continues to serve while it is cut off from the others.
 	MinOnDemand int
 }
 
 // DefaultPolicy is the policy for all pools.
-var DefaultPolicy = Policy{Utilisation: 0.6, SpareEngines: 1.2, MinOnDemand: 1}
+var DefaultPolicy = Policy{Utilisation: 0.6, SpareEngines: 1.2, Variation: 0.5, MinOnDemand: 1}
 
 // Supply is the present supply of a pool's reclaimable endpoints in a data centre.
 type Supply struct {
@@ -49,7 +52,7 @@
 	if !measured {
 		return initial
 	}
-	return int(math.Ceil(demand/p.Utilisation + p.SpareEngines))
+	return int(math.Ceil(demand/p.Utilisation + p.SpareEngines + p.Variation*math.Sqrt(demand)))
 }
 
 // Plan returns the target of each data centre for a number of required engines. It
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -99,11 +99,16 @@
 	// FetchesKV reports whether engines can fetch cached prefix blocks from each
 	// other.
 	FetchesKV bool
+	// TokensPerEvent is the number of output tokens in an event of a stream; 0 if it is not
+	// known.
+	TokensPerEvent int
 }
 
 // Scale bounds the number of endpoints to request in each data centre.
 type Scale struct {
 	Min, Max int
+	// BootTime is the time from a request for an endpoint until it serves.
+	BootTime time.Duration
 	// OnDemandPrice is the price of an on-demand endpoint by data centre.
 	OnDemandPrice map[fleet.DataCentreName]float64
 }
