allotment: accounts whose callers are at a few of many nodes

Callers are hashed to nodes, so of 295 nodes about 13 have the callers of an account; its usual load there is many even shares. Once such a node had refused the account, it kept it to 1.3 even shares, and each refusal prolonged that by 2 s, for as long as callers came. After a restart the wait until the next request was given as up to eight seconds although the limit ends 1.2 s after the start. Change: a refusal makes an account saturated only while more than half of its quota is in use by what nodes have reported; the wait after a restart ends with the limit.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -110,12 +110,16 @@
 	if !b.saturated(n, now) {
 		estimate += b.unreported(a.Quota, n, now)
 	}
-	if available := qs.capacity(a.Quota, n) - estimate; amount > available && estimate > 0 {
-		b.recordRefusal(n, now)
+	capacity := qs.capacity(a.Quota, n)
+	// While most of the quota is free, the account is not saturated: other nodes have no
+	// callers of it, and the even share would refuse what is within the quota.
+	mostlyFree := b.consumed <= maxFreeUse*capacity
+	if available := capacity - estimate; amount > available && estimate > 0 {
+		b.recordRefusal(mostlyFree, n, now)
 		return false, time.Duration((amount - available) / a.Quota.Rate * float64(time.Second))
 	}
 	if !b.hasShare(a.Quota, n, now) {
-		b.recordRefusal(n, now)
+		b.recordRefusal(mostlyFree, n, now)
 		return false, shareRetryWait
 	}
 	b.shareTokens -= amount
@@ -134,10 +138,15 @@
 		return 0
 	}
 	share := resyncShares * q.Rate / float64(max(1, n.Total))
-	refillTime := now.Sub(qs.Started) + minRestartTime
-	return time.Duration((b.localTotal+amount)/share*float64(time.Second)) - refillTime
+	sinceStart := now.Sub(qs.Started)
+	wait := time.Duration((b.localTotal+amount)/share*float64(time.Second)) - sinceStart - minRestartTime
+	return min(wait, resyncTime-sinceStart)
 }
 
+// maxFreeUse is the part of the capacity in use up to which a refusal does not make an
+// account saturated.
+const maxFreeUse = 0.5
+
 const (
 	// resyncTime is how long after a restart peer reports are taken as incomplete;
 	// several exchange rounds.
--- a/pkg/allotment/bucket.go
+++ b/pkg/allotment/bucket.go
@@ -87,9 +87,12 @@
 	return b.shareTokens > 0
 }
 
-// recordRefusal records that the account was refused, and empties the share of an
-// account that was not saturated before.
-func (b *Bucket) recordRefusal(n Nodes, now clock.Instant) {
+// recordRefusal records that the account was refused, unless its quota is mostly free,
+// and empties the share of an account that was not saturated before.
+func (b *Bucket) recordRefusal(mostlyFree bool, n Nodes, now clock.Instant) {
+	if mostlyFree {
+		return
+	}
 	if !b.saturated(n, now) {
 		b.shareTokens, b.shareRefilledAt = 0, now
 	}
--- a/pkg/allotment/relay_test.go
+++ b/pkg/allotment/relay_test.go
@@ -40,6 +40,12 @@
 	relayPhases [][]int
 	// killedAt is when all nodes are killed, 0 if they are not.
 	killedAt time.Duration
+	// callingNodes is the number of nodes that the account's callers are hashed to, 0 for
+	// all.
+	callingNodes int
+	// measuredFrom is the time from which the result of refusedFrom counts.
+	measuredFrom time.Duration
+	refusedFrom  float64
 }
 
 // downTime is how long killed nodes are down.
@@ -137,6 +143,9 @@
 	totalWeight := 0.0
 	for range r.nodes {
 		weight := 0.3 + r.random.ExpFloat64()
+		if r.callingNodes > 0 && len(weights) >= r.callingNodes {
+			weight = 0
+		}
 		weights = append(weights, weight)
 		totalWeight += weight
 	}
@@ -163,6 +172,9 @@
 					stepTotal += amount
 				} else {
 					refused += amount
+					if at >= r.measuredFrom {
+						r.refusedFrom += amount
+					}
 				}
 			}
 		}
@@ -244,6 +256,45 @@
 		Expect(refused).To(BeNumerically("<=", usualLoad*350_000*downTime.Seconds()))
 	})
 
+	// Seen on the large deployment: the callers of an account are hashed to a few of 295
+	// nodes, whose even shares are far below the account's usual load there. Once refused,
+	// such a node refused most of it for as long as callers came.
+	DescribeTable("admits an account again that is back at its usual load at a few of many nodes",
+		func(killedAt time.Duration, load func(second float64) float64) {
+			const rate, seeds = 250_000, 20
+			refused := 0.0
+			for seed := range uint64(seeds) {
+				r := newRelayFleet(rand.New(rand.NewPCG(seed, 14)), 5, 59)
+				r.killedAt, r.callingNodes, r.measuredFrom = killedAt, 13, 20*time.Second
+				peak, _ := r.maxWindowUsage(newAccount(rate), load)
+				allowed := (rate*quotaWindow.Seconds()+rate)*(1+tolerance) + slack
+				Expect(peak).To(BeNumerically("<=", allowed), "seed %d", seed)
+				refused += r.refusedFrom
+			}
+			load20s := usualLoad * rate * (simulationTime - 20*time.Second).Seconds()
+			Expect(refused).To(BeNumerically("<=", seeds*load20s/500), "%.4f of the load from 20 s on was refused", refused/load20s/seeds)
+		},
+		Entry("after three times its quota", time.Duration(0), func(second float64) float64 {
+			if second > 9 && second < 16 {
+				return 3
+			}
+			return usualLoad
+		}),
+		Entry("after six times its quota", time.Duration(0), func(second float64) float64 {
+			if second > 5 && second < 15 {
+				return 6.3
+			}
+			return usualLoad
+		}),
+		Entry("after all nodes were killed under three times its quota", 12*time.Second, func(second float64) float64 {
+			if second > 8 && second < 16 {
+				return 2.8
+			}
+			return usualLoad
+		}),
+		Entry("after all nodes were killed", 15*time.Second, func(float64) float64 { return usualLoad }),
+	)
+
 	It("refuses at most 1 in 500 of the load of an account that stays within the quota", func() {
 		var refused, requested float64
 		for seed := range uint64(20) {
