front: nodes that a relay serves read the list of nodes once a minute

Change: a node that a relay serves skips these reads after the first 6 s, until the list is a minute old or the relay is lost.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -110,6 +110,7 @@
 	// document is the encoded configuration as published by the operator.
 	document                 atomic.Pointer[[]byte]
 	configFeed, endpointFeed feed.Follower
+	nodesFeed                feed.Follower
 	// newestConfigVersion is the newest configuration version known to be in force on
 	// any node.
 	newestConfigVersion atomic.Int64
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -30,6 +30,9 @@
 	// nodes of a fleet announce themselves at the same time, and a node that is added
 	// later queries the others.
 	nodesPause = 3 * time.Second
+	// maxNodesAge is the maximum age of the list of nodes while a relay serves this node. The
+	// list then matters only for the choice of the next relay.
+	maxNodesAge = time.Minute
 	// storeCallTimeout limits one call of retryStoreCall.
 	storeCallTimeout = time.Second
 	// storeRetryDelay is the pause before a failed call to the store is repeated.
@@ -145,15 +148,25 @@
 			f.peers.AddAnnounced(fleet.NodeName(r.Key), a, clock.Now())
 		}
 	}
-	follower := feed.Follower{
+	f.nodesFeed = feed.Follower{
 		Source: f.storeSource(), Topic: platform.TopicNodes, Wait: nodesWait, Pause: nodesPause, Logs: f.Logs,
+		Skip: f.skipNodes,
 		OnFullRead: func(b platform.Batch, _ clock.Instant) {
 			apply(b.Records)
 			f.nodesLoaded.Store(true)
 		},
 		OnNewRecords: func(_ fleet.Offset, records []platform.Record, _ clock.Instant) { apply(records) },
 	}
-	follower.Run(ctx)
+	f.nodesFeed.Run(ctx)
+}
+
+// skipNodes reports whether a read of the list of nodes may be skipped, because a relay
+// serves this node. All nodes announce themselves at the same time, so the first reads
+// are not skipped.
+func (f *Front) skipNodes() bool {
+	_, at := f.nodesFeed.Position()
+	age := clock.Now().Sub(at)
+	return clock.Now().Sub(f.startInstant) > 2*nodesPause && age < maxNodesAge && f.peers.ServedByRelay()
 }
 
 // wallClock returns the time of day. It does not jump when the system clock is set
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -263,8 +263,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.cachedCount = nil
-	relay := t.fleetPeer()
-	relayed := relay != nil && !relay.silent
+	relayed := t.servedByRelay()
 	for name, p := range t.peers {
 		sinceSeen := now.Sub(p.lastSeen)
 		if sinceSeen > silentAfter && !p.silent {
@@ -309,6 +308,20 @@
 	return true
 }
 
+// ServedByRelay reports whether a relay has sent this node an aggregate of the whole
+// fleet recently.
+func (t *Table) ServedByRelay() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.servedByRelay()
+}
+
+// servedByRelay implements ServedByRelay. The caller holds the lock.
+func (t *Table) servedByRelay() bool {
+	relay := t.fleetPeer()
+	return relay != nil && !relay.silent
+}
+
 // Count returns the number of nodes that share the limits, this one included.
 func (t *Table) Count() allotment.Nodes {
 	t.mu.Lock()
--- a/pkg/gossip/relay_test.go
+++ b/pkg/gossip/relay_test.go
@@ -210,6 +210,23 @@
 		}
 	})
 
+	It("tells the nodes that a relay serves from relays and from nodes that lost theirs", func() {
+		f := newFleet(dataCentres, nodesEach)
+		served := func() (count int) {
+			for _, n := range f.nodes {
+				if n.table.ServedByRelay() {
+					count++
+				}
+			}
+			return count
+		}
+		f.run(3 * time.Second)
+		Expect(served()).To(Equal(len(f.nodes) - dataCentres))
+		f.drops = func(*testNode, *testNode) bool { return true }
+		f.run(3 * time.Second)
+		Expect(served()).To(BeZero())
+	})
+
 	It("never counts fewer nodes than are live while relays fail and datagrams are lost", func() {
 		f := newFleet(dataCentres, nodesEach)
 		f.run(3 * time.Second)
