feed, directory: full reads and deltas of thousands of endpoints

A full read of the directory is six pages there; all nodes read them at the same time, the store's bandwidth is shared, none finished within the time for one call, and each began again, without end. Beside it each renewal of a cold endpoint counted as a change, since it holds the exact time left: 2,500 changes a second, where a relay passes on 128 a reply, so that every node went on to read the store by itself. Change: each page has a time of its own, which grows while it fails, and a full read continues after the last page. The history leaves out renewals that change only how long an endpoint is cold or stays.

--- a/pkg/directory/history.go
+++ b/pkg/directory/history.go
@@ -73,7 +73,7 @@
 		}
 		if c.Endpoint == nil {
 			delete(h.last, c.ID)
-		} else if last, ok := h.last[c.ID]; ok && last == *c.Endpoint {
+		} else if last, ok := h.last[c.ID]; ok && passedOn(last) == passedOn(*c.Endpoint) {
 			continue
 		} else {
 			h.last[c.ID] = *c.Endpoint
@@ -88,6 +88,13 @@
 	}
 }
 
+// passedOn returns an entry without what changes with each renewal and matters to no
+// node: the exact times until a cold endpoint is warm and a leaving one is gone.
+func passedOn(e serving.Endpoint) serving.Endpoint {
+	e.Cold, e.Leaves = min(e.Cold, 1), min(e.Leaves, 1)
+	return e
+}
+
 // Since returns at most limit changes after an offset, oldest first, and the
 // offset that a reader reaches by applying them. ok is false if the history does
 // not cover the offset, or if the changes of the next offset exceed limit.
--- a/pkg/directory/history_test.go
+++ b/pkg/directory/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -39,6 +40,21 @@
 		Expect(changes).To(Equal([]directory.Change{entry("b", serving.StateReady)}))
 	})
 
+	It("omits renewals that change only the time until an endpoint is warm or gone", func() {
+		var h directory.History
+		renewal := func(cold, leaves time.Duration) directory.Change {
+			c := entry("a", serving.StateReady)
+			c.Endpoint.Cold, c.Endpoint.Leaves = cold, leaves
+			return c
+		}
+		h.Reset(10, []directory.Change{renewal(3*time.Second, 0)})
+		h.Add(10, 14, []directory.Change{renewal(2*time.Second, 0), renewal(0, 0), renewal(0, 2*time.Second), renewal(0, time.Second)})
+		changes, to, ok := h.Since(10, 100)
+		Expect(ok).To(BeTrue())
+		Expect(to).To(Equal(fleet.Offset(14)))
+		Expect(changes).To(Equal([]directory.Change{renewal(0, 0), renewal(0, 2*time.Second)}))
+	})
+
 	It("refuses offsets before its start, after its end and before a gap", func() {
 		var h directory.History
 		h.Reset(10, nil)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -40,8 +40,10 @@
 
 // Source reads a topic of the store.
 type Source struct {
-	Read   func(ctx context.Context, topic platform.Topic, from fleet.Offset, wait time.Duration) (platform.Batch, error)
-	Newest func(ctx context.Context, topic platform.Topic) (platform.Batch, error)
+	Read func(ctx context.Context, topic platform.Topic, from fleet.Offset, wait time.Duration) (platform.Batch, error)
+	// NewestPage returns the newest records of the keys after the given one, and whether
+	// there are more.
+	NewestPage func(ctx context.Context, topic platform.Topic, after string) (b platform.Batch, more bool, err error)
 }
 
 // Follower reads one topic, starting with the newest record of each key. Its
@@ -73,6 +75,53 @@
 	synced bool
 	// failing is set after a failed read, until a read succeeds.
 	failing bool
+	// pages is a full read in progress. Only Run uses it.
+	pages pagedRead
+}
+
+// pagedRead is the progress of a full read. Nodes that start together share the store's
+// bandwidth, so a page may take long, and a failed one must not cost those before it.
+type pagedRead struct {
+	batch  platform.Batch
+	begun  bool
+	sentAt clock.Instant
+	// failures counts the failed reads of the current page.
+	failures int
+}
+
+// maxPageDoublings bounds by how much the timeout of a page grows when its reads fail.
+const maxPageDoublings = 2
+
+// readPages continues a full read until it is complete or a page fails.
+func (f *Follower) readPages(ctx context.Context) (platform.Batch, clock.Instant, error) {
+	p := &f.pages
+	for {
+		sentAt, after := clock.Now(), ""
+		if n := len(p.batch.Records); n > 0 {
+			after = p.batch.Records[n-1].Key
+		}
+		page, more, err := f.readPage(ctx, after)
+		if err != nil {
+			p.failures++
+			return platform.Batch{}, 0, err
+		}
+		if !p.begun {
+			p.begun, p.sentAt, p.batch.End = true, sentAt, page.End
+		}
+		p.failures = 0
+		p.batch.Records = append(p.batch.Records, page.Records...)
+		if !more {
+			complete := *p
+			f.pages = pagedRead{}
+			return complete.batch, complete.sentAt, nil
+		}
+	}
+}
+
+func (f *Follower) readPage(ctx context.Context, after string) (platform.Batch, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout<<min(f.pages.failures, maxPageDoublings))
+	defer cancel()
+	return f.Source.NewestPage(ctx, f.Topic, after)
 }
 
 // position is the offset up to which a topic was read, and the latest instant at
@@ -170,11 +219,8 @@
 
 // readOnce makes one read and passes its records to the callbacks.
 func (f *Follower) readOnce(ctx context.Context) error {
-	sentAt := clock.Now()
 	if !f.isSynced() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		b, err := f.Source.Newest(ctx, f.Topic)
+		b, sentAt, err := f.readPages(ctx)
 		if err != nil {
 			return err
 		}
@@ -186,6 +232,7 @@
 		f.OnFullRead(b, sentAt)
 		return nil
 	}
+	sentAt := clock.Now()
 	from, _ := f.Position()
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+callTimeout)
 	defer cancel()
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -48,10 +49,10 @@
 func (t *topicStub) source() feed.Source {
 	end := func() fleet.Offset { return t.first + fleet.Offset(len(t.records)) }
 	return feed.Source{
-		Newest: func(context.Context, platform.Topic) (platform.Batch, error) {
+		NewestPage: func(context.Context, platform.Topic, string) (platform.Batch, bool, error) {
 			t.mu.Lock()
 			defer t.mu.Unlock()
-			return platform.Batch{End: end(), Records: append([]platform.Record(nil), t.records...)}, t.readErr
+			return platform.Batch{End: end(), Records: append([]platform.Record(nil), t.records...)}, false, t.readErr
 		},
 		Read: func(_ context.Context, name platform.Topic, from fleet.Offset, _ time.Duration) (platform.Batch, error) {
 			t.mu.Lock()
@@ -151,6 +152,34 @@
 		Consistently(got.list).Should(HaveLen(3))
 	})
 
+	// Found by a sweep to 300 nodes and 3,000 endpoints: all nodes read six pages at the
+	// same time, none finished within the time for one call, and all began again.
+	It("continues a full read after a page that failed, with more time for the next try", func() {
+		const pages = 4
+		var mu sync.Mutex
+		var times []time.Duration
+		var asked []string
+		read := f.Source.Read
+		f.Source = feed.Source{Read: read, NewestPage: func(ctx context.Context, _ platform.Topic, after string) (platform.Batch, bool, error) {
+			deadline, _ := ctx.Deadline()
+			mu.Lock()
+			defer mu.Unlock()
+			times, asked = append(times, time.Until(deadline)), append(asked, after)
+			if len(asked)%2 == 1 {
+				return platform.Batch{}, false, errors.New("too slow")
+			}
+			page := len(asked) / 2
+			return platform.Batch{Records: []platform.Record{{Key: fmt.Sprint(page), Value: fmt.Append(nil, page)}}}, page < pages, nil
+		}}
+		start()
+		Eventually(got.list).Should(Equal([]string{"1", "2", "3", "4"}))
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(asked).To(Equal([]string{"", "", "1", "1", "2", "2", "3", "3"}))
+		Expect(times[1]).To(BeNumerically(">", 1.9*float64(times[0])))
+		Expect(times[2]).To(BeNumerically("~", times[0], 20*time.Millisecond))
+	})
+
 	It("makes a full read when the next records are no longer kept", func() {
 		t.addRecord("a", "1")
 		start()
--- a/pkg/feed/retry_test.go
+++ b/pkg/feed/retry_test.go
@@ -27,7 +27,9 @@
 			OnFullRead:   func(platform.Batch, clock.Instant) {},
 			OnNewRecords: func(fleet.Offset, []platform.Record, clock.Instant) {},
 			Source: feed.Source{
-				Newest: func(context.Context, platform.Topic) (platform.Batch, error) { return platform.Batch{}, nil },
+				NewestPage: func(context.Context, platform.Topic, string) (platform.Batch, bool, error) {
+					return platform.Batch{}, false, nil
+				},
 				Read: func(context.Context, platform.Topic, fleet.Offset, time.Duration) (platform.Batch, error) {
 					reads++
 					return platform.Batch{}, errors.New("store unavailable")
--- a/pkg/front/follow.go
+++ b/pkg/front/follow.go
@@ -20,7 +20,7 @@
 
 // storeSource returns the store as the source of followers.
 func (f *Front) storeSource() feed.Source {
-	return feed.Source{Read: f.store.Read, Newest: f.store.Newest}
+	return feed.Source{Read: f.store.Read, NewestPage: f.store.NewestPage}
 }
 
 // configService follows the operator's configuration in the store.
