--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -164,101 +164,75 @@
 
 var _ = Describe("The gossip exchange", func() {
 	It("replies without a delta that does not fit into a datagram", func() {
-		var replies int
-		replyTo := freeAddress()
-		var group errgroup.Group
-		tables := []*gossip.Table{{}, {}}
-		nodes := make([]*gossip.Exchange, len(tables))
-		done := make(chan struct{})
-		for i, address := range []string{freeAddress(), replyTo} {
-			name := fleet.NodeName(fmt.Sprint("n", i))
-			nodes[i] = &gossip.Exchange{
-				ListenAddress: address,
-				Describe: func() gossip.Digest {
-					return gossip.Digest{Node: fleet.NodeRef{Name: name, Incarnation: 1}, Address: address, Clock: time.Now()}
-				},
-				OnDigest: func(gossip.Digest) {},
-				DeltaSince: func(fleet.Offset) *gossip.Delta {
-					return &gossip.Delta{To: 1, Changes: []directory.Change{{ID: fleet.InstanceID(strings.Repeat("i", 70<<10))}}}
-				},
-				OnReply: func(_ gossip.Digest, delta *gossip.Delta, _ clock.Instant) {
-					if replies++; replies == 1 {
-						Expect(delta).To(BeNil())
-						close(done)
-					}
-				},
-				WallClock: time.Now, Table: tables[i],
-			}
-			Expect(nodes[i].Listen()).To(Succeed())
-			group.Go(func() error {
-				defer GinkgoRecover()
-				nodes[i].Receive()
-				return nil
-			})
-		}
-		DeferCleanup(func() {
-			for _, n := range nodes {
-				Expect(n.Close()).To(Succeed())
+		deltas := make(chan *gossip.Delta, 8)
+		nodes := startExchanges(2, func(x *gossip.Exchange) {
+			x.DeltaSince = func(fleet.Offset) *gossip.Delta {
+				return &gossip.Delta{To: 1, Changes: []directory.Change{{ID: fleet.InstanceID(strings.Repeat("i", 70<<10))}}}
 			}
-			Expect(group.Wait()).To(Succeed())
+			x.OnReply = func(_ gossip.Digest, delta *gossip.Delta, _ clock.Instant) { deltas <- delta }
 		})
-		tables[0].AddAnnounced("n1", gossip.Announcement{Address: replyTo, Incarnation: 1}, clock.Now())
 		nodes[0].QueryPeers()
-		Eventually(done).Should(BeClosed())
+		Eventually(deltas).Should(Receive(BeNil()))
 	})
 
 	It("passes digests between nodes and bounds the age of replies", func() {
-		var group errgroup.Group
-		nodes := make([]*gossip.Exchange, 3)
-		tables := make([]*gossip.Table, len(nodes))
 		var mu sync.Mutex
 		confirmed := map[fleet.NodeName]time.Duration{}
-		addresses := make([]string, len(nodes))
-		for i := range nodes {
-			addresses[i] = freeAddress()
-			tables[i] = &gossip.Table{}
-			name := fleet.NodeName(fmt.Sprint("n", i))
-			nodes[i] = &gossip.Exchange{
-				ListenAddress: addresses[i],
-				Describe: func() gossip.Digest {
-					return gossip.Digest{Node: fleet.NodeRef{Name: name, Incarnation: 1}, Address: addresses[i], Clock: time.Now()}
-				},
-				OnDigest:   func(gossip.Digest) {},
-				DeltaSince: func(fleet.Offset) *gossip.Delta { return nil },
-				OnReply: func(d gossip.Digest, _ *gossip.Delta, sentAt clock.Instant) {
-					mu.Lock()
-					defer mu.Unlock()
-					confirmed[d.Node.Name] = clock.Now().Sub(sentAt)
-				},
-				WallClock: time.Now, Table: tables[i],
+		nodes := startExchanges(3, func(x *gossip.Exchange) {
+			x.OnReply = func(d gossip.Digest, _ *gossip.Delta, sentAt clock.Instant) {
+				mu.Lock()
+				defer mu.Unlock()
+				confirmed[d.Node.Name] = clock.Now().Sub(sentAt)
 			}
-			Expect(nodes[i].Listen()).To(Succeed())
-			group.Go(func() error {
-				nodes[i].Receive()
-				return nil
-			})
-		}
-		DeferCleanup(func() {
-			for _, n := range nodes {
-				Expect(n.Close()).To(Succeed())
-			}
-			Expect(group.Wait()).To(Succeed())
 		})
-		for i := 1; i < len(nodes); i++ {
-			name := fleet.NodeName(fmt.Sprint("n", i))
-			tables[0].AddAnnounced(name, gossip.Announcement{Address: addresses[i], Incarnation: 1}, clock.Now())
-		}
 		Eventually(func() int {
 			nodes[0].QueryPeers()
 			live := 0
-			for _, t := range tables {
-				n := t.Count()
+			for _, x := range nodes {
+				n := x.Table.Count()
 				live += n.Total - n.Silent - 1
 			}
 			return live
 		}).Should(Equal(4), "the sender and the recipients of a request know each other")
 		Eventually(func() int { mu.Lock(); defer mu.Unlock(); return len(confirmed) }).Should(Equal(2))
 		nodes[0].Leave()
-		Eventually(func() int { return tables[1].Count().Total + tables[2].Count().Total }).Should(Equal(2))
+		Eventually(func() int { return nodes[1].Table.Count().Total + nodes[2].Table.Count().Total }).Should(Equal(2))
 	})
 })
+
+// startExchanges starts nodes n0, n1 and so on until the end of the spec. Only n0 knows
+// the others. configure may replace the functions of each.
+func startExchanges(count int, configure func(*gossip.Exchange)) (nodes []*gossip.Exchange) {
+	var group errgroup.Group
+	first := &gossip.Table{}
+	for i := range count {
+		address, name := freeAddress(), fleet.NodeName(fmt.Sprint("n", i))
+		x := &gossip.Exchange{
+			ListenAddress: address,
+			Describe: func() gossip.Digest {
+				return gossip.Digest{Node: fleet.NodeRef{Name: name, Incarnation: 1}, Address: address, Clock: time.Now()}
+			},
+			OnDigest:   func(gossip.Digest) {},
+			DeltaSince: func(fleet.Offset) *gossip.Delta { return nil },
+			WallClock:  time.Now, Table: first,
+		}
+		if i > 0 {
+			x.Table = &gossip.Table{}
+			first.AddAnnounced(name, gossip.Announcement{Address: address, Incarnation: 1}, clock.Now())
+		}
+		configure(x)
+		Expect(x.Listen()).To(Succeed())
+		group.Go(func() error {
+			x.Receive()
+			return nil
+		})
+		nodes = append(nodes, x)
+	}
+	DeferCleanup(func() {
+		for _, x := range nodes {
+			Expect(x.Close()).To(Succeed())
+		}
+		Expect(group.Wait()).To(Succeed())
+	})
+	return nodes
+}
