--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
@@ -263,3 +264,56 @@
 		})
 	}
 }
+
+var _ = Describe("The pauses of endpoints", func() {
+	It("keep each incarnation out of the choice until its longest pause ends", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var tracker placement.Tracker
+			now := clock.Instant(time.Hour)
+			type incarnation struct {
+				id   fleet.InstanceID
+				born int64
+			}
+			// An endpoint that restarts forgets its pauses; only the latest incarnation matters.
+			ends := make(map[incarnation]clock.Instant)
+			born := make(map[fleet.InstanceID]int64)
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "milliseconds")) * time.Millisecond)
+				id := rapid.SampledFrom([]fleet.InstanceID{"a", "b", "c"}).Draw(t, "id")
+				switch rapid.IntRange(0, 4).Draw(t, "step") {
+				case 0:
+					born[id]++
+				case 1:
+					tracker.Prune(func(fleet.InstanceID) bool { return false }, now)
+				case 2:
+					tracker.RecordOutcome(id, true)
+				default:
+					i := incarnation{id, born[id]}
+					until := now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+					tracker.RecordPause(serving.Endpoint{ID: id, Born: i.born}, until)
+					ends[i] = max(ends[i], until)
+				}
+				var all []serving.Endpoint
+				paused, first := 0, clock.Instant(0)
+				for _, id := range []fleet.InstanceID{"a", "b", "c"} {
+					e := serving.Endpoint{ID: id, Born: born[id], State: serving.StateReady}
+					all = append(all, e)
+					end := ends[incarnation{id, e.Born}]
+					if (end > now) != tracker.Paused(e, now) {
+						t.Fatalf("incarnation %d of %s: paused %t until %d at %d", e.Born, id, tracker.Paused(e, now), end, now)
+					}
+					if end > now {
+						paused++
+						if first == 0 || end < first {
+							first = end
+						}
+					}
+				}
+				available, firstEnd := tracker.Available(all, now)
+				if len(available) != len(all)-paused || firstEnd != first {
+					t.Fatalf("%d available and first end %d, want %d and %d", len(available), firstEnd, len(all)-paused, first)
+				}
+			}
+		})
+	})
+})
