feed: nodes that a relay serves leave the store's bandwidth to it

While all read the directory at their start the store's bandwidth is used up; the relays' reads are then older than the 1.3 s up to which others rely on them, so all others go on to read, which keeps it used up. Long polls are not concerned.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -36,6 +36,11 @@
 	// confirmation.
 	minServedPause = 400 * time.Millisecond
 	maxServedPause = 900 * time.Millisecond
+	// slowRead is the time from which a read counts as slow. The store then has more to
+	// send than its bandwidth allows.
+	slowRead = 300 * time.Millisecond
+	// maxSlowPause bounds the pause after slow reads of a node that a peer reads for.
+	maxSlowPause = 8 * time.Second
 )
 
 // Source reads a topic of the store.
@@ -77,6 +82,9 @@
 	failing bool
 	// pages is a full read in progress. Only Run uses it.
 	pages pagedRead
+	// slowPause is the pause after the last slow read, 0 after one that was not slow. Only
+	// Run uses it.
+	slowPause time.Duration
 }
 
 // pagedRead is the progress of a full read. Nodes that start together share the store's
@@ -173,16 +181,33 @@
 			sleep(ctx, skipInterval)
 			continue
 		}
+		begun := time.Now()
 		err := f.readOnce(ctx)
+		pause := f.Pause
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
 			f.recordFailure(err)
-			sleep(ctx, f.retryPause())
-		default:
-			sleep(ctx, f.Pause)
+			pause = f.retryPause()
 		}
+		sleep(ctx, pause)
+		f.pauseAfterSlowRead(ctx, time.Since(begun)-pause)
+	}
+}
+
+// pauseAfterSlowRead makes a node that a peer reads for leave the store's bandwidth to
+// that peer. If a large fleet shared it, the peers' reads would be late, and for that
+// reason all others would go on to read by themselves. Long polls transfer little.
+func (f *Follower) pauseAfterSlowRead(ctx context.Context, took time.Duration) {
+	if took < slowRead || f.Wait > 0 || f.ServedByPeer == nil || !f.isSynced() {
+		f.slowPause = 0
+		return
+	}
+	f.slowPause = min(max(2*f.slowPause, minServedPause), maxSlowPause)
+	until := time.Now().Add(f.slowPause/2 + rand.N(f.slowPause))
+	for time.Now().Before(until) && f.ServedByPeer() && ctx.Err() == nil {
+		sleep(ctx, skipInterval)
 	}
 }
 
