placement: no speed of its own for engines that were not measured

Cause: the prior of the prefill rate stood twice, with two values (25 here, 28 in the model of engines). Change: the one of provision serves both. A node always asks its model, so what it does is the same; only users of the package without a model are concerned. Measured: go test ./pkg/placement ./pkg/replay ./pkg/gateway passes.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -8,14 +8,11 @@
 	"time"
 
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
 const (
-	// defaultPrefillRate is the number of prompt tokens that an engine processes
-	// in a millisecond beside running streams. It applies until a rate has been
-	// observed for the engine.
-	defaultPrefillRate = 25.0
 	// idleFirstEventTime is the time to the first event on an idle engine that has
 	// the whole prompt cached.
 	idleFirstEventTime = 60 * time.Millisecond
@@ -174,7 +171,7 @@
 	if l.PrefillRate > 0 {
 		return l.PrefillRate
 	}
-	return defaultPrefillRate
+	return provision.DefaultSpeeds.Prefill
 }
 
 // recomputeWeight returns the additional weight of shared tokens that an engine
--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
@@ -170,7 +171,7 @@
 // poolPrefillRate returns the usual prefill rate of a pool's engines.
 func (t *Tracker) poolPrefillRate(pool fleet.PoolName) float64 {
 	if t.PoolPrefillRate == nil {
-		return defaultPrefillRate
+		return provision.DefaultSpeeds.Prefill
 	}
 	return t.PoolPrefillRate(pool)
 }
@@ -303,7 +304,7 @@
 // usualRate returns the usual prefill rate of the endpoint's pool.
 func (s *endpointState) usualRate() float64 {
 	if s.poolRate <= 0 {
-		return defaultPrefillRate
+		return provision.DefaultSpeeds.Prefill
 	}
 	return s.poolRate
 }
