soak: the address of a link no longer depends on its listener

The nodes were not at fault. Change: the address is kept apart; the listener is guarded by the lock.

--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -27,11 +27,13 @@
 
 // link is a loopback proxy in front of a server, for one client or several.
 type link struct {
-	server   string
-	listener net.Listener
-	group    errgroup.Group
+	server string
+	// listenAddress stays the same when the server is back after a crash.
+	listenAddress string
+	group         errgroup.Group
 
 	mu        sync.Mutex
+	listener  net.Listener
 	condition condition
 	conns     map[net.Conn]bool
 	// crashed reports whether the server has crashed and is not back, closed whether the
@@ -44,12 +46,12 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{server: server, listener: l, condition: linkHealthy, conns: make(map[net.Conn]bool)}
+	k := &link{server: server, listenAddress: l.Addr().String(), listener: l, condition: linkHealthy, conns: make(map[net.Conn]bool)}
 	k.group.Go(func() error { k.accept(l); return nil })
 	return k, nil
 }
 
-func (k *link) address() string { return k.listener.Addr().String() }
+func (k *link) address() string { return k.listenAddress }
 
 // crashTime is how long an endpoint refuses connections after a crash.
 const crashTime = 500 * time.Millisecond
