gateway, front: count requests that are given up before their response

Change: skylarkloom_front_unread_total, by pool and cause. Measured: go test ./pkg/gateway ./pkg/front.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -333,6 +333,7 @@
 		OnFinish:       f.metrics.observe,
 		OnCallerLeft:   f.metrics.countCallerLeft,
 		OnAnnouncement: f.metrics.countAnnouncement,
+		OnUnread:       f.metrics.countUnread,
 		Tracker:        &f.tracker,
 		Engines:        &f.engines,
 		Quotas:         &f.quotas,
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -33,6 +33,7 @@
 	connectionsOpened prometheus.Counter
 	callersLeft       *prometheus.CounterVec
 	announcements     *prometheus.CounterVec
+	unread            *prometheus.CounterVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -55,6 +56,9 @@
 		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_front_announcements_total", Help: "Responses in which an endpoint newly said that it leaves, or asked for a pause, by pool.",
 		}, []string{"pool", "what"}),
+		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_front_unread_total", Help: "Requests given up before the endpoint responded, by pool and cause (caller left, timeout).",
+		}, []string{"pool", "cause"}),
 	}
 }
 
@@ -78,6 +82,11 @@
 	m.announcements.WithLabelValues(string(pool), string(what)).Inc()
 }
 
+// countUnread counts a request to a pool that was given up before the endpoint responded.
+func (m *requestMetrics) countUnread(pool fleet.PoolName, cause gateway.UnreadCause) {
+	m.unread.WithLabelValues(string(pool), string(cause)).Inc()
+}
+
 // gauges returns the metrics whose values are read when they are collected.
 func (f *Front) gauges() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -120,7 +129,7 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread)
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -198,6 +198,7 @@
 // or the request's timeout.
 func (p *proxyRequest) recordSendFailure(a *attempt, err error) {
 	id := a.choice.Endpoint.ID
+	p.countUnread(err)
 	if p.callerGone() || errors.Is(err, context.DeadlineExceeded) && p.remaining() <= 0 {
 		return
 	}
@@ -217,6 +218,20 @@
 	p.logEndpointFailure(a, err)
 }
 
+// countUnread counts a request that was sent and given up before its response.
+func (p *proxyRequest) countUnread(err error) {
+	var noResponse *forward.NoResponseError
+	if p.handler.OnUnread == nil || !errors.As(err, &noResponse) {
+		return
+	}
+	switch {
+	case p.callerGone():
+		p.handler.OnUnread(p.pool.Name, UnreadCallerLeft)
+	case errors.IsAny(err, context.DeadlineExceeded, errStalled):
+		p.handler.OnUnread(p.pool.Name, UnreadTimeout)
+	}
+}
+
 // logEndpointFailure logs a failed exchange, with what identifies the request's
 // content and whether the endpoint had begun to answer it.
 func (p *proxyRequest) logEndpointFailure(a *attempt, err error, extra ...zap.Field) {
--- a/pkg/gateway/caller_left_test.go
+++ b/pkg/gateway/caller_left_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -234,3 +235,38 @@
 		d.expectArrivals(1)
 	})
 })
+
+// Nothing told requests that were given up before their response from others.
+var _ = ginkgo.DescribeTable("A request that is given up before its response is counted by cause",
+	func(path string, stay time.Duration, expected UnreadCause) {
+		e := &rawEndpoint{respond: func(io.Writer, *http.Request, int64, int64) bool {
+			time.Sleep(1500 * time.Millisecond)
+			return false
+		}}
+		h := newHandler(e.start())
+		for i := range h.Config().Routes {
+			h.Config().Routes[i].Objective = 100 * time.Millisecond
+		}
+		unread := make(chan UnreadCause, 10)
+		h.OnUnread = func(_ fleet.PoolName, cause UnreadCause) { unread <- cause }
+		callFor(stay, startNode(h, nil), path, "r1")
+		Eventually(unread, "2s").Should(Receive(Equal(expected)))
+	},
+	ginkgo.Entry("the caller left", "/book/1", 100*time.Millisecond, UnreadCallerLeft),
+	ginkgo.Entry("the attempt timed out", "/look/1", 1400*time.Millisecond, UnreadTimeout),
+	ginkgo.Entry("the stream stalled", "/tale/1", 1400*time.Millisecond, UnreadTimeout),
+)
+
+// callFor sends a request and leaves after some time.
+func callFor(stay time.Duration, node, path, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), stay)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set("Skylarkloom-Attempt-Id", id)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	if res, err := client.Do(r); err == nil {
+		_ = res.Body.Close()
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -72,6 +72,17 @@
 	AnnouncePause Announcement = "pause"
 )
 
+// UnreadCause is why a request was given up before the endpoint responded.
+type UnreadCause string
+
+// The causes. Their values are labels of metrics.
+const (
+	// UnreadCallerLeft means that the caller left.
+	UnreadCallerLeft UnreadCause = "caller left"
+	// UnreadTimeout means that the attempt timed out or its stream stalled.
+	UnreadTimeout UnreadCause = "timeout"
+)
+
 const (
 	// retryAfterTransient is the Retry-After time for a transient failure.
 	retryAfterTransient = 100 * time.Millisecond
@@ -93,8 +104,8 @@
 	Confirmed clock.Instant
 }
 
-// Handler serves the requests of callers. All functions except OnFinish, OnCallerLeft
-// and OnAnnouncement must be set.
+// Handler serves the requests of callers. All functions whose names start with On are
+// optional, the others must be set.
 type Handler struct {
 	// Config returns the configuration in force. Its embedded pointer is nil until
 	// the first configuration is known.
@@ -128,6 +139,9 @@
 	// OnAnnouncement is called when an endpoint of a pool announces something new of itself
 	// in a response, if set.
 	OnAnnouncement func(fleet.PoolName, Announcement)
+	// OnUnread is called for each request to an endpoint of a pool that was given up before
+	// the head of its response was read, if set.
+	OnUnread func(fleet.PoolName, UnreadCause)
 
 	Tracker *placement.Tracker
 	// Engines holds the measured speeds of the engines.
