forward, gateway: read what endpoints announce in responses to requests that were given up

Cause: a connection was reset as soon as the context of the attempt ended, and the response that came afterwards was never read. Responses to other requests on the connection were skipped with what they announce. Why this works: the write side of the connection is closed instead, which ends the endpoint's work just as well, and the connection is read until half a second after the endpoint's deadline. At most 8 such connections to an address stay, and they give way to new ones. Heads of responses are passed on as they are read, on every path. A body that breaks off and one that is not read were right before (specs added).

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -17,6 +17,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
 )
 
 const (
@@ -51,6 +53,13 @@
 	// Matches reports whether a response belongs to this request. A late response
 	// to an earlier request may precede it on a reused connection.
 	Matches func(status int, h http.Header) bool
+	// OnHead, if set, is called with the head of each final response that arrives on the
+	// connection, also one that Matches rejects, and one that arrives after the context has
+	// ended, until Expires. opened is when the connection was established. It may be called
+	// after Do has returned.
+	OnHead func(status int, h http.Header, opened clock.Instant)
+	// Expires is when the endpoint stops its work on the request, if set.
+	Expires time.Time
 	// Abandoned is called directly before the first byte is sent, if set. If it returns
 	// true, nothing is sent.
 	Abandoned func() bool
@@ -157,27 +166,19 @@
 		return nil, &UnsentError{Address: req.Address, Cause: ErrAbandoned}
 	}
 	stopReset := context.AfterFunc(ctx, c.reset)
-	fail := func(unsent bool, err error) (*Response, error) {
-		stopReset()
-		p.discard(c)
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
-		if unsent {
-			return nil, &UnsentError{Address: req.Address, Cause: err}
-		}
-		return nil, &NoResponseError{Address: req.Address, Reused: c.uses > 1, Cause: err}
-	}
 	written, sent, err := c.send(req)
+	stopReset()
 	if err != nil && sent == 0 {
-		return fail(true, err)
+		p.discard(c)
+		return nil, &UnsentError{Address: req.Address, Cause: cmp.Or(context.Cause(ctx), err)}
 	}
 	// A failed write does not end the exchange: the endpoint may have responded
 	// before it stopped reading.
-	res, err := c.receive(req) //nolint:bodyclose // Response.Close releases the connection under the body.
+	res, err := p.awaitHead(ctx, c, req) //nolint:bodyclose // Response.Close releases the connection under the body.
 	if err != nil {
-		return fail(false, err)
+		return nil, &NoResponseError{Address: req.Address, Reused: c.uses > 1, Cause: cmp.Or(context.Cause(ctx), err)}
 	}
+	stopReset = context.AfterFunc(ctx, c.reset)
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, body: res.Body,
 		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
@@ -232,6 +233,9 @@
 		if res.StatusCode/100 == 1 {
 			continue
 		}
+		if req.OnHead != nil {
+			req.OnHead(res.StatusCode, res.Header, c.opened)
+		}
 		if req.Matches == nil || req.Matches(res.StatusCode, res.Header) {
 			return res, nil
 		}
@@ -278,10 +282,15 @@
 	return n, err
 }
 
-// conn is a connection to an endpoint.
+// conn is a connection to an endpoint. It is closed by Pool.discard.
 type conn struct {
 	net.Conn
 	address string
+	// opened is when the connection was established.
+	opened clock.Instant
+	// released reports whether the connection was removed from its address's count.
+	// Pool.mu guards it.
+	released bool
 	// reader buffers what head reads from the connection.
 	reader *bufio.Reader
 	head   *headReader
--- /dev/null
+++ b/pkg/forward/linger.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// lingerMargin is how long after the endpoint's deadline for a request its response may
+	// still arrive. Endpoints refuse queued requests when the deadline passes.
+	lingerMargin = 500 * time.Millisecond
+	// maxLingering bounds the connections to an address whose requests were given up.
+	maxLingering = 8
+)
+
+// received is the result of conn.receive.
+type received struct {
+	response *http.Response
+	err      error
+}
+
+// awaitHead waits for the head of the response until the context ends. Then it closes the
+// write side of the connection, which ends the endpoint's work, and leaves the
+// connection to a goroutine that reads what the endpoint may still respond.
+func (p *Pool) awaitHead(ctx context.Context, c *conn, req Request) (*http.Response, error) {
+	result, abandoned := make(chan received), make(chan struct{})
+	p.readers.Go(func() error {
+		var r received
+		r.response, r.err = c.receive(req) //nolint:bodyclose // The connection under the body is closed.
+		select {
+		case result <- r:
+		case <-abandoned:
+			p.discard(c)
+		}
+		return nil
+	})
+	select {
+	case r := <-result:
+		if r.err != nil {
+			p.discard(c)
+		}
+		return r.response, r.err
+	case <-ctx.Done():
+		if !p.linger(c, req.Expires) {
+			c.reset()
+		}
+		close(abandoned)
+		return nil, context.Cause(ctx)
+	}
+}
+
+// linger closes the write side of a connection and limits how long it is read. It reports
+// false if there are too many such connections to the address.
+func (p *Pool) linger(c *conn, expires time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.address]
+	if len(h.lingering) >= maxLingering {
+		return false
+	}
+	if err := c.SetReadDeadline(laterOf(expires, time.Now()).Add(lingerMargin)); err != nil {
+		return false
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+		return false
+	}
+	h.lingering = append(h.lingering, c)
+	return true
+}
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/forward/linger_test.go
@@ -0,0 +1,82 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/forward"
+)
+
+var _ = Describe("A request that is given up", func() {
+	var (
+		pool  *forward.Pool
+		heads chan string
+	)
+	BeforeEach(func() { pool, heads = &forward.Pool{}, make(chan string, 20) })
+	// giveUp sends a request whose context ends after stay.
+	giveUp := func(address, id string, stay time.Duration) {
+		ctx, cancel := context.WithTimeout(context.Background(), stay)
+		defer cancel()
+		r := newRequest(address, id, "")
+		r.Expires = time.Now().Add(time.Second)
+		r.OnHead = func(_ int, h http.Header, opened clock.Instant) {
+			if opened > 0 && opened <= clock.Now() {
+				heads <- h.Get("X-Id")
+			}
+		}
+		_, err := pool.Do(ctx, r)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+	}
+
+	It("lets the endpoint see the close at once, and its response is read", func() {
+		closed := make(chan time.Time, 1)
+		address := scriptedEndpoint(func(conn net.Conn, requests *bufio.Reader) {
+			if _, _, err := readRequest(requests); err != nil {
+				return
+			}
+			_, _ = requests.ReadByte()
+			closed <- time.Now()
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(conn, response("r1", "late"))
+		})
+		giveUp(address, "r1", 100*time.Millisecond)
+		gaveUp := time.Now()
+		var at time.Time
+		Eventually(closed).Should(Receive(&at))
+		Expect(at).To(BeTemporally("~", gaveUp, 50*time.Millisecond))
+		Eventually(heads).Should(Receive(Equal("r1")))
+	})
+
+	It("has its connection reset after the endpoint's deadline, and before if another request needs it", func() {
+		var reset atomic.Int64
+		// The head of the endpoint's response never ends.
+		address := scriptedEndpoint(func(conn net.Conn, requests *bufio.Reader) {
+			_, _, err := readRequest(requests)
+			for text := "HTTP/1.1 200 OK\r\nX-Id: "; err == nil; text = "x" {
+				_, err = io.WriteString(conn, text)
+				time.Sleep(20 * time.Millisecond)
+			}
+			reset.Add(1)
+		})
+		for range 20 {
+			giveUp(address, "r", 5*time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		r := newRequest(address, "last", "")
+		r.MaxConnections = 1
+		_, err := pool.Do(ctx, r)
+		Expect(err).To(MatchError(context.DeadlineExceeded), "it took the place of a connection that is only read")
+		Eventually(reset.Load, "3s").Should(BeEquivalentTo(21))
+		Expect(heads).To(BeEmpty())
+	})
+})
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -5,14 +5,17 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 )
 
@@ -43,6 +46,8 @@
 
 	mu    sync.Mutex
 	hosts map[string]*hostConns
+	// readers are the goroutines that read the heads of responses.
+	readers errgroup.Group
 }
 
 // hostConns holds the connections to one address.
@@ -50,6 +55,8 @@
 	idle []*conn
 	// open counts all connections, including those being dialled.
 	open int
+	// lingering holds the connections whose requests were given up, oldest first.
+	lingering []*conn
 }
 
 var dialer = net.Dialer{
@@ -96,6 +103,8 @@
 	}
 	raw, err := dialer.DialContext(ctx, "tcp", req.Address)
 	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.releaseConn(req.Address)
 		return nil, err
 	}
@@ -103,7 +112,7 @@
 		p.OnOpen()
 	}
 	head := &headReader{Reader: raw}
-	return &conn{Conn: raw, address: req.Address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
+	return &conn{Conn: raw, address: req.Address, opened: clock.Now(), reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 // Probe opens a connection to an address and keeps it for the next request.
@@ -130,8 +139,8 @@
 	return c
 }
 
-// reserveConn counts a new connection to the request's address. It fails if the
-// limit is reached.
+// reserveConn counts a new connection to the request's address. If the limit is
+// reached, it resets the oldest lingering connection, and fails if there is none.
 func (p *Pool) reserveConn(req Request) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -144,16 +153,22 @@
 		p.hosts[req.Address] = h
 	}
 	if req.MaxConnections > 0 && h.open >= req.MaxConnections {
-		return &ConnectionLimitError{Limit: req.MaxConnections}
+		if len(h.lingering) == 0 {
+			return &ConnectionLimitError{Limit: req.MaxConnections}
+		}
+		oldest := h.lingering[0]
+		p.release(oldest)
+		oldest.reset()
+		// Releasing the last connection removes the host.
+		p.hosts[req.Address] = h
 	}
 	h.open++
 	return nil
 }
 
-// releaseConn removes a connection to the address from the count.
+// releaseConn removes a connection to the address from the count. The caller holds the
+// lock.
 func (p *Pool) releaseConn(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	h := p.hosts[address]
 	h.open--
 	if h.open == 0 {
@@ -161,6 +176,18 @@
 	}
 }
 
+// release removes a connection from the count of its address, once. The caller holds the
+// lock.
+func (p *Pool) release(c *conn) {
+	if c.released {
+		return
+	}
+	c.released = true
+	h := p.hosts[c.address]
+	h.lingering = slices.DeleteFunc(h.lingering, func(other *conn) bool { return other == c })
+	p.releaseConn(c.address)
+}
+
 // put adds an idle connection to the pool, which may be used until it expires.
 func (p *Pool) put(c *conn, expires time.Time) {
 	c.expires = expires
@@ -173,7 +200,9 @@
 // discard resets a connection and removes it from the count.
 func (p *Pool) discard(c *conn) {
 	c.reset()
-	p.releaseConn(c.address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.release(c)
 }
 
 // CloseExpired closes the idle connections that have expired.
--- /dev/null
+++ b/pkg/gateway/announcement_unread_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
+)
+
+// refusal returns a refusal that asks for a pause, as the response to the request with an ID.
+func refusal(id, pause string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nSkylarkloom-Attempt-Id: " + id + "\r\nSkylarkloom-Not-Executed: 1\r\nContent-Length: 0\r\nRetry-After: " + pause + "\r\n\r\n"
+}
+
+// BUDGET: nodes did not read the refusal of an endpoint whose request they had given up, and
+// sent on requests in the pause that it asked for.
+var _ = ginkgo.Describe("An endpoint that asks for a pause after the node gave up its request", func() {
+	const answerTime = 600 * time.Millisecond
+	ginkgo.DescribeTable("receives no further requests in the pause", func(path string, stay time.Duration) {
+		var arrived, inPause atomic.Int64
+		var pausedFrom atomic.Int64
+		e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, _, _ int64) bool {
+			arrived.Add(1)
+			if from := pausedFrom.Load(); from != 0 && time.Now().UnixNano() > from {
+				inPause.Add(1)
+			}
+			time.Sleep(answerTime)
+			pausedFrom.CompareAndSwap(0, time.Now().Add(500*time.Millisecond).UnixNano())
+			write(w, refusal(r.Header.Get("Skylarkloom-Attempt-Id"), "5"))
+			return true
+		}}
+		node := startNode(newHandler(e.start()), nil)
+		for began, n := time.Now(), 0; time.Since(began) < 2500*time.Millisecond; n++ {
+			callFor(stay, node, path, fmt.Sprint("r", n))
+		}
+		Expect(arrived.Load()).To(BeNumerically(">", 0))
+		Expect(inPause.Load()).To(BeZero(), "of %d requests that reached it", arrived.Load())
+	},
+		ginkgo.Entry("after callers that left", "/look/1", 300*time.Millisecond),
+		ginkgo.Entry("after callers that left, of requests that may not be repeated", "/book/1", 300*time.Millisecond),
+		ginkgo.Entry("after callers of streams that left", "/tale/1", 300*time.Millisecond),
+	)
+
+	ginkgo.It("receives no further requests of the node after an attempt timed out", func() {
+		var inPause atomic.Int64
+		e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, request, _ int64) bool {
+			if request > 1 {
+				inPause.Add(1)
+				write(w, answer(r, "done"))
+				return true
+			}
+			// An attempt of "look" lasts 0.9 s, so that there is time for another one.
+			time.Sleep(1200 * time.Millisecond)
+			write(w, refusal(r.Header.Get("Skylarkloom-Attempt-Id"), "5"))
+			return true
+		}}
+		h := newHandler(e.start())
+		config := h.Config()
+		for i := range config.Routes {
+			config.Routes[i].Objective = 100 * time.Millisecond
+		}
+		node := startNode(h, nil)
+		Expect(call(node, "/look/1", "r1").status).NotTo(Equal(http.StatusOK))
+		time.Sleep(800 * time.Millisecond)
+		Expect(call(node, "/look/2", "r2").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(inPause.Load()).To(BeZero())
+	})
+})
+
+// BUDGET, DRAIN: what an endpoint announced in a response that the node skipped was dropped.
+var _ = ginkgo.DescribeTable("An announcement is read in a response", func(respond func(w io.Writer, r *http.Request), paused, leaving bool) {
+	e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, _, _ int64) bool {
+		respond(w, r)
+		return false
+	}}
+	h := newHandler(e.start())
+	var left atomic.Bool
+	h.MarkLeaving = func(serving.Endpoint) bool { left.Store(true); return true }
+	node := startNode(h, nil)
+	r, err := http.NewRequest(http.MethodPost, "http://"+node+"/book/1", strings.NewReader(strings.Repeat("x", 1<<20)))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set("Skylarkloom-Attempt-Id", "r1")
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	_ = res.Body.Close()
+	Expect(h.Tracker.Paused(h.Endpoints("desk")[0], 1)).To(Equal(paused))
+	Expect(left.Load()).To(Equal(leaving))
+},
+	ginkgo.Entry("to another request", func(w io.Writer, r *http.Request) {
+		write(w, refusal("other", "5")+answer(r, "done"))
+	}, true, false),
+	ginkgo.Entry("to another request, of an endpoint that leaves", func(w io.Writer, r *http.Request) {
+		write(w, strings.Replace(refusal("other", "0"), "\r\n", "\r\nServer-Leaving: 1\r\n", 1)+answer(r, "done"))
+	}, false, true),
+	ginkgo.Entry("whose body breaks off", func(w io.Writer, r *http.Request) {
+		write(w, sealedHead(r, "503 Service Unavailable")+"Server-Leaving: 1\r\nRetry-After: 5\r\nContent-Length: 100\r\n\r\nhalf")
+	}, true, true),
+	ginkgo.Entry("to a request whose body is not read", func(w io.Writer, r *http.Request) {
+		write(w, refusal(r.Header.Get("Skylarkloom-Attempt-Id"), "5"))
+		if c, ok := w.(*net.TCPConn); ok {
+			_ = c.SetLinger(0)
+			_ = c.CloseWrite()
+		}
+	}, true, false),
+)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -46,7 +46,9 @@
 	cancel context.CancelFunc
 	// started reports whether the endpoint has sent the first event or a complete
 	// response.
-	started  atomic.Bool
+	started atomic.Bool
+	// ended reports whether the attempt ended before the head of a response was read.
+	ended    atomic.Bool
 	finished bool
 }
 
@@ -76,10 +78,12 @@
 }
 
 // recordAnnouncements records what the endpoint of an attempt announces of itself in the
-// header of its response.
-func (a *attempt) recordAnnouncements(metadata platform.Response) {
+// header of a response, which may arrive after the end of the attempt.
+func (a *attempt) recordAnnouncements(status int, header http.Header) {
 	h, e := a.proxy.handler, a.choice.Endpoint
+	metadata := platform.ReadResponse(status, header)
 	endpoint := zap.String("endpoint", string(e.ID))
+	read := zap.String("read", string(a.readStage(status, header)))
 	announce := func(what Announcement) {
 		if h.OnAnnouncement != nil {
 			h.OnAnnouncement(e.Pool, what)
@@ -87,21 +91,33 @@
 	}
 	if metadata.Leaving && h.MarkLeaving(e) {
 		announce(AnnounceLeaving)
-		h.Logs.Emit(event.EndpointLeaving, endpoint, zap.String("request", string(a.proxy.request.ID)))
+		h.Logs.Emit(event.EndpointLeaving, endpoint, read, zap.String("request", string(a.proxy.request.ID)))
 	}
 	if metadata.Pause > 0 {
-		h.Tracker.RecordPause(e, a.begunAt.Add(metadata.Pause))
+		h.Tracker.RecordPause(e, clock.Now().Add(metadata.Pause))
 		announce(AnnouncePause)
-		h.Logs.Emit(event.EndpointPaused, endpoint, zap.Duration("pause", metadata.Pause), zap.String("request", string(a.proxy.request.ID)))
+		h.Logs.Emit(event.EndpointPaused, endpoint, read, zap.Duration("pause", metadata.Pause), zap.String("request", string(a.proxy.request.ID)))
 	}
 	if metadata.InvalidPause != "" {
 		h.Logs.Emit(event.PauseInvalid, endpoint, zap.String("pause", metadata.InvalidPause))
 	}
 }
 
+// readStage returns at which stage of the attempt a response is read.
+func (a *attempt) readStage(status int, header http.Header) ReadStage {
+	switch {
+	case a.ended.Load():
+		return ReadAbandoned
+	case !a.proxy.responseMatches(status, header):
+		return ReadSkipped
+	default:
+		return ReadInTime
+	}
+}
+
 // send sends the request to an endpoint and waits for the response header.
-func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (a *attempt, err error) {
-	a = &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
+func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
+	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
@@ -126,9 +142,12 @@
 		Body:           p.body,
 		MaxConnections: p.connectionLimit(),
 		Matches:        p.responseMatches,
+		OnHead:         func(status int, h http.Header, _ clock.Instant) { a.recordAnnouncements(status, h) },
+		Expires:        time.Now().Add(dispatch.Timeout),
 		Abandoned:      func() bool { return p.abandonUnsent(c.Endpoint) },
 	})
 	if err != nil {
+		a.ended.Store(true)
 		p.recordSendFailure(a, err)
 		a.finish()
 		return nil, err
@@ -138,7 +157,6 @@
 		a.response.DoNotReuse()
 	}
 	a.begunAt = clock.Now()
-	a.recordAnnouncements(metadata)
 	p.handler.Tracker.RecordResponse(c.Endpoint, a.begunAt)
 	return a, nil
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -72,6 +72,19 @@
 	AnnouncePause Announcement = "pause"
 )
 
+// ReadStage is when the announcement of an endpoint was read.
+type ReadStage string
+
+// The stages. Their values are logged.
+const (
+	// ReadInTime means in the response to the request.
+	ReadInTime ReadStage = "in time"
+	// ReadSkipped means in a response to another request on the connection.
+	ReadSkipped ReadStage = "skipped"
+	// ReadAbandoned means in a response that came after the request was given up.
+	ReadAbandoned ReadStage = "abandoned"
+)
+
 // UnreadCause is why a request was given up before the endpoint responded.
 type UnreadCause string
 
