forward: read the responses that have arrived before the next request is sent

Callers saw (by a spec): on a node that gets to its sockets late, an endpoint that had asked for a pause got every request that the node had chosen it for meanwhile (BUDGET): 6 of 6 requests reached it while the first refusal waited unread. Cause: the check directly before the first byte looks at what was read, not at what has arrived; the half second that is allowed counts from the answer. Why this works: the node looks into the sockets on which it awaits a head from the same address, and waits for their readers, which can run, before it checks. Connections of requests that were given up are among them. Evidence: the spec fails before (6 arrivals), passes now; -race.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// HasUnread reports whether a connection has unread bytes, also if it is closed.
+func HasUnread(c net.Conn) bool {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	// Control fails only for a connection that this end has closed.
+	_ = raw.Control(func(fd uintptr) {
+		var buffer [1]byte
+		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return unread
+}
+
 // hungUp reports whether the peer closed the connection, also behind unread bytes.
 func hungUp(fd int) bool {
 	const events = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -60,8 +60,8 @@
 	OnHead func(status int, h http.Header, opened clock.Instant)
 	// Expires is when the endpoint stops its work on the request, if set.
 	Expires time.Time
-	// Abandoned is called directly before the first byte is sent, if set. If it returns
-	// true, nothing is sent.
+	// Abandoned is called directly before the first byte is sent, if set, once the responses
+	// that have arrived from the address were read. If it returns true, nothing is sent.
 	Abandoned func() bool
 }
 
@@ -160,6 +160,7 @@
 	if err != nil {
 		return nil, &UnsentError{Address: req.Address, Cause: err}
 	}
+	p.settleUnread(ctx, req.Address)
 	if req.Abandoned != nil && req.Abandoned() {
 		c.uses--
 		p.put(c, cmp.Or(c.expires, time.Now().Add(defaultIdleTimeout)))
--- a/pkg/forward/linger.go
+++ b/pkg/forward/linger.go
@@ -4,7 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 )
 
 const (
@@ -13,6 +16,9 @@
 	lingerMargin = 500 * time.Millisecond
 	// maxLingering bounds the connections to an address whose requests were given up.
 	maxLingering = 8
+	// settleInterval is how often settleUnread looks again while the head of a response
+	// arrives in parts.
+	settleInterval = 10 * time.Millisecond
 )
 
 // received is the result of conn.receive.
@@ -26,9 +32,11 @@
 // connection to a goroutine that reads what the endpoint may still respond.
 func (p *Pool) awaitHead(ctx context.Context, c *conn, req Request) (*http.Response, error) {
 	result, abandoned := make(chan received), make(chan struct{})
+	p.addAwaiting(c)
 	p.readers.Go(func() error {
 		var r received
 		r.response, r.err = c.receive(req) //nolint:bodyclose // The connection under the body is closed.
+		p.removeAwaiting(c)
 		select {
 		case result <- r:
 		case <-abandoned:
@@ -51,6 +59,53 @@
 	}
 }
 
+// addAwaiting records that the head of a response is awaited on a connection.
+func (p *Pool) addAwaiting(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.address]
+	h.awaiting = append(h.awaiting, c)
+}
+
+// removeAwaiting records that the head of a response was read, or that none will be.
+func (p *Pool) removeAwaiting(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.address]
+	if h == nil {
+		return
+	}
+	h.awaiting = slices.DeleteFunc(h.awaiting, func(other *conn) bool { return other == c })
+	if h.headRead != nil {
+		close(h.headRead)
+		h.headRead = nil
+	}
+}
+
+// settleUnread waits while responses from an address have arrived and are unread. On a busy
+// node they may wait for long, and what they announce concerns the next request.
+func (p *Pool) settleUnread(ctx context.Context, address string) {
+	for {
+		p.mu.Lock()
+		h := p.hosts[address]
+		awaiting := slices.Clone(h.awaiting)
+		if len(awaiting) > 0 && h.headRead == nil {
+			h.headRead = make(chan struct{})
+		}
+		headRead := h.headRead
+		p.mu.Unlock()
+		if !slices.ContainsFunc(awaiting, func(c *conn) bool { return connection.HasUnread(c.Conn) }) {
+			return
+		}
+		select {
+		case <-headRead:
+		case <-time.After(settleInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // linger closes the write side of a connection and limits how long it is read. It reports
 // false if there are too many such connections to the address.
 func (p *Pool) linger(c *conn, expires time.Time) bool {
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -43,6 +43,8 @@
 type Pool struct {
 	// OnOpen is called for each new connection, if set.
 	OnOpen func()
+	// Dial replaces how connections are established, if set.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	hosts map[string]*hostConns
@@ -57,6 +59,10 @@
 	open int
 	// lingering holds the connections whose requests were given up, oldest first.
 	lingering []*conn
+	// awaiting holds the connections on which the head of a response is awaited. headRead
+	// is closed when one of them has been read, if set.
+	awaiting []*conn
+	headRead chan struct{}
 }
 
 var dialer = net.Dialer{
@@ -101,7 +107,11 @@
 	if err := p.reserveConn(req); err != nil {
 		return nil, err
 	}
-	raw, err := dialer.DialContext(ctx, "tcp", req.Address)
+	dial := p.Dial
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }
+	}
+	raw, err := dial(ctx, req.Address)
 	if err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/pkg/gateway/announcement_unread_test.go
+++ b/pkg/gateway/announcement_unread_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,7 +12,9 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
@@ -75,6 +78,57 @@
 	})
 })
 
+// slowReader is a connection on a node without processor time: what arrives is read only
+// once the node gets to it.
+type slowReader struct {
+	*net.TCPConn
+	read <-chan struct{}
+}
+
+func (c slowReader) Read(p []byte) (int, error) {
+	<-c.read
+	return c.TCPConn.Read(p)
+}
+
+// BUDGET: a busy node sent further requests while the refusal waited in its socket.
+var _ = ginkgo.It("A request is not sent to an endpoint whose request for a pause waits unread", func() {
+	var arrived atomic.Int64
+	e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, _, _ int64) bool {
+		arrived.Add(1)
+		write(w, refusal(r.Header.Get("Skylarkloom-Attempt-Id"), "5"))
+		return true
+	}}
+	read, conns := make(chan struct{}), make(chan net.Conn, 10)
+	h := newHandler(e.start())
+	h.Pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		conns <- c
+		return slowReader{TCPConn: c.(*net.TCPConn), read: read}, nil
+	}
+	node := startNode(h, nil)
+	var group errgroup.Group
+	send := func(id string) {
+		group.Go(func() error {
+			defer ginkgo.GinkgoRecover()
+			Expect(call(node, "/book/1", id).status).To(Equal(http.StatusServiceUnavailable))
+			return nil
+		})
+	}
+	send("r0")
+	first := <-conns
+	Eventually(func() bool { return connection.HasUnread(first) }).Should(BeTrue())
+	for n := range 5 {
+		send(fmt.Sprint("r", n+1))
+	}
+	Consistently(arrived.Load, "200ms").Should(BeEquivalentTo(1))
+	close(read)
+	Expect(group.Wait()).To(Succeed())
+	Expect(arrived.Load()).To(BeEquivalentTo(1))
+})
+
 // BUDGET, DRAIN: what an endpoint announced in a response that the node skipped was dropped.
 var _ = ginkgo.DescribeTable("An announcement is read in a response", func(respond func(w io.Writer, r *http.Request), paused, leaving bool) {
 	e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, _, _ int64) bool {
