directory, placement: departures and pauses hold for all births up to the endpoint's own

Callers saw (by a spec): a request reached an endpoint that had announced that it leaves, or wanted a pause, after its entry was written anew (DRAIN, BUDGET). Cause: both were tied to the one birth that the entry showed when the request was sent. An entry may be behind (the store was away while the endpoint started again under its ID), so the birth that announced is known only later; or an older entry comes back. Why this works: the endpoint that answers was born before it accepted the connection. What it announces therefore holds for all births up to then, by the time of day that nodes agree on; a later start ends it, as before.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -38,12 +38,13 @@
 	restored   bool
 	// byPool holds the endpoints of each pool, sorted by ID.
 	byPool map[fleet.PoolName][]serving.Endpoint
-	// leaving holds the incarnations that announced in a response that they leave. It
+	// leaving holds the endpoints that announced in a response that they leave. It
 	// outlives the entries, which may lapse and return.
 	leaving map[fleet.InstanceID]departure
 }
 
-// departure is an incarnation that leaves, and when this became known.
+// departure is the departure of all incarnations of an endpoint that were born up to a
+// time, and when it was last known to be of use.
 type departure struct {
 	born int64
 	at   clock.Instant
@@ -120,18 +121,21 @@
 	}
 }
 
-// isLeaving reports whether the incarnation announced that it leaves.
+// isLeaving reports whether the incarnation announced that it leaves, or is older than one
+// that did.
 func (d *Directory) isLeaving(e *serving.Endpoint) bool {
 	known, ok := d.leaving[e.ID]
-	return ok && known.born == e.Born
+	return ok && e.Born <= known.born
 }
 
-// MarkLeaving records that an incarnation of an endpoint announced that it leaves. It is
-// draining from then on, whatever its entry says. It reports whether this was not known.
+// MarkLeaving records that an endpoint announced that it leaves. Its incarnations born up
+// to the given time, in Unix milliseconds, are draining from then on, whatever its entry
+// says. It reports whether this was not known.
 func (d *Directory) MarkLeaving(id fleet.InstanceID, born int64, now clock.Instant) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if known, ok := d.leaving[id]; ok && known.born >= born {
+	known, ok := d.leaving[id]
+	if ok && known.born >= born {
 		return false
 	}
 	if d.leaving == nil {
@@ -139,7 +143,10 @@
 	}
 	d.leaving[id] = departure{born: born, at: now}
 	e := d.entries[id]
-	if e == nil || e.endpoint.Born != born || e.endpoint.State == serving.StateDraining {
+	if e == nil {
+		return !ok
+	}
+	if e.endpoint.Born > born || e.endpoint.State == serving.StateDraining {
 		return false
 	}
 	e.endpoint.State, e.announced = serving.StateDraining, true
@@ -151,7 +158,7 @@
 // maxAnnounced bounds the result of Announced, which has to fit into a datagram.
 const maxAnnounced = 64
 
-// Announced returns the incarnations that are known to leave only from their
+// Announced returns the births of the incarnations that are known to leave only from
 // responses, not from their entries, by ID.
 func (d *Directory) Announced() map[fleet.InstanceID]int64 {
 	d.mu.Lock()
@@ -194,7 +201,10 @@
 		return
 	}
 	for id, known := range d.leaving {
-		if d.entries[id] == nil && now.Sub(known.at) > departureRetention {
+		switch {
+		case d.entries[id] != nil:
+			d.leaving[id] = departure{born: known.born, at: now}
+		case now.Sub(known.at) > departureRetention:
 			delete(d.leaving, id)
 		}
 	}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -112,13 +112,15 @@
 					d.Apply([]directory.Change{c}, at)
 				}
 				for _, e := range d.Endpoints("p") {
-					if e.Born == left[e.ID] && e.State == serving.StateReady {
+					if e.Born <= left[e.ID] && e.State == serving.StateReady {
 						t.Fatalf("incarnation %d of %s is ready although it leaves", e.Born, e.ID)
 					}
 				}
 				for id, born := range left {
-					if d.Accepts(id, born) {
-						t.Fatalf("incarnation %d of %s accepts requests although it leaves", born, id)
+					for older := range born + 1 {
+						if d.Accepts(id, older) {
+							t.Fatalf("incarnation %d of %s accepts requests although %d leaves", older, id, born)
+						}
 					}
 				}
 			}
--- a/pkg/front/front_test.go
+++ b/pkg/front/front_test.go
@@ -256,6 +256,51 @@
 		Expect(n.metrics()).To(ContainSubstring(`skylarkloom_front_announcements_total{pool="desk",what="leaving"} 1`))
 	})
 
+	// DRAIN, BUDGET: what an endpoint had announced was forgotten when its entry changed.
+	DescribeTable("remembers what an endpoint announced when its entry shows another birth",
+		func(name, value string, status int) {
+			var announcing atomic.Bool
+			endpoint := &standin.Endpoint{ID: "d1"}
+			address := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if announcing.Load() {
+					w.Header().Set(name, value)
+				}
+				if announcing.Load() && status != http.StatusOK {
+					w.Header().Set("Skylarkloom-Not-Executed", "1")
+					w.WriteHeader(status)
+					return
+				}
+				endpoint.ServeHTTP(w, r)
+			}))
+			d.store.Put("keyed.servers", "d2", nil)
+			registered := 0
+			registerBorn := func(born time.Time) {
+				d.registerBorn("desk", "d1", address, "ready", born)
+				// The node has read the entry once it knows the next one.
+				registered++
+				d.register("other", fmt.Sprint("o", registered), address, "ready")
+				Eventually(func() int { return len(n.front.ReadyEndpoints("other")) }, eventuallyTimeout).Should(Equal(registered))
+			}
+			born := time.Now().Add(-time.Second)
+			registerBorn(born.Add(-time.Minute))
+			announcing.Store(true)
+			Eventually(func() int { return n.call("/book/1", "r", "k1", nil).status }, eventuallyTimeout).Should(Equal(status))
+			announcing.Store(false)
+			before := len(endpoint.Runs())
+			for _, shown := range []time.Time{born.Add(-2 * time.Minute), born} {
+				registerBorn(shown)
+				for range 5 {
+					Expect(n.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusServiceUnavailable))
+				}
+			}
+			Expect(endpoint.Runs()).To(HaveLen(before))
+			registerBorn(time.Now().Add(time.Second))
+			Expect(n.call("/look/1", "r", "k1", nil).status).To(Equal(http.StatusOK), "it has started anew")
+		},
+		Entry("that it leaves", "Server-Leaving", "1", http.StatusOK),
+		Entry("that it wants a pause", "Retry-After", "60", http.StatusServiceUnavailable),
+	)
+
 	It("applies a new configuration and refuses a key that it no longer contains", func() {
 		d.publish("k2")
 		Eventually(func() int { return n.call("/look/1", "r", "k1", nil).status }, eventuallyTimeout).Should(Equal(http.StatusUnauthorized))
--- a/pkg/front/suite_test.go
+++ b/pkg/front/suite_test.go
@@ -61,7 +61,12 @@
 
 // register writes the directory entry of an endpoint.
 func (d *deployment) register(pool, id, address, state string) {
-	record := map[string]any{"service": pool, "address": address, "zone": "a", "slots": 4, "state": state, "version": "v1", "coldLeftMs": 0, "seqNo": 1}
+	d.registerBorn(pool, id, address, state, time.UnixMilli(0))
+}
+
+// registerBorn writes the directory entry of an endpoint that started at a time.
+func (d *deployment) registerBorn(pool, id, address, state string, born time.Time) {
+	record := map[string]any{"service": pool, "address": address, "zone": "a", "slots": 4, "state": state, "version": "v1", "coldLeftMs": 0, "seqNo": 1, "born": born.UnixMilli()}
 	data, err := json.Marshal(record)
 	Expect(err).NotTo(HaveOccurred())
 	d.store.Put("keyed.servers", id, data)
--- a/pkg/gateway/announcement_unread_test.go
+++ b/pkg/gateway/announcement_unread_test.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
-	"github.com/skylarkloom/skylarkloom/pkg/serving"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
 
 // refusal returns a refusal that asks for a pause, as the response to the request with an ID.
@@ -137,7 +137,7 @@
 	}}
 	h := newHandler(e.start())
 	var left atomic.Bool
-	h.MarkLeaving = func(serving.Endpoint) bool { left.Store(true); return true }
+	h.MarkLeaving = func(fleet.InstanceID, int64) bool { left.Store(true); return true }
 	node := startNode(h, nil)
 	r, err := http.NewRequest(http.MethodPost, "http://"+node+"/book/1", strings.NewReader(strings.Repeat("x", 1<<20)))
 	Expect(err).NotTo(HaveOccurred())
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -78,8 +78,9 @@
 }
 
 // recordAnnouncements records what the endpoint of an attempt announces of itself in the
-// header of a response, which may arrive after the end of the attempt.
-func (a *attempt) recordAnnouncements(status int, header http.Header) {
+// header of a response, which may arrive after the end of the attempt. The endpoint was
+// born before it accepted the connection, possibly later than its entry says.
+func (a *attempt) recordAnnouncements(status int, header http.Header, opened clock.Instant) {
 	h, e := a.proxy.handler, a.choice.Endpoint
 	metadata := platform.ReadResponse(status, header)
 	endpoint := zap.String("endpoint", string(e.ID))
@@ -89,12 +90,13 @@
 			h.OnAnnouncement(e.Pool, what)
 		}
 	}
-	if metadata.Leaving && h.MarkLeaving(e) {
+	newest := max(e.Born, h.UnixTime(opened))
+	if metadata.Leaving && h.MarkLeaving(e.ID, newest) {
 		announce(AnnounceLeaving)
 		h.Logs.Emit(event.EndpointLeaving, endpoint, read, zap.String("request", string(a.proxy.request.ID)))
 	}
 	if metadata.Pause > 0 {
-		h.Tracker.RecordPause(e, clock.Now().Add(metadata.Pause))
+		h.Tracker.RecordPause(e, newest, clock.Now().Add(metadata.Pause))
 		announce(AnnouncePause)
 		h.Logs.Emit(event.EndpointPaused, endpoint, read, zap.Duration("pause", metadata.Pause), zap.String("request", string(a.proxy.request.ID)))
 	}
@@ -142,7 +144,7 @@
 		Body:           p.body,
 		MaxConnections: p.connectionLimit(),
 		Matches:        p.responseMatches,
-		OnHead:         func(status int, h http.Header, _ clock.Instant) { a.recordAnnouncements(status, h) },
+		OnHead:         a.recordAnnouncements,
 		Expires:        time.Now().Add(dispatch.Timeout),
 		Abandoned:      func() bool { return p.abandonUnsent(c.Endpoint) },
 	})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -127,9 +127,11 @@
 	Endpoints func(fleet.PoolName) []serving.Endpoint
 	// Accepts reports whether requests may be sent to an endpoint now.
 	Accepts func(serving.Endpoint) bool
-	// MarkLeaving records that an endpoint announced in a response that it leaves. It
-	// reports whether this was not known.
-	MarkLeaving func(serving.Endpoint) bool
+	// MarkLeaving records that the incarnations of an endpoint that were born up to a time,
+	// in Unix milliseconds, leave. It reports whether this was not known.
+	MarkLeaving func(id fleet.InstanceID, born int64) bool
+	// UnixTime returns the time of day at an instant, in Unix milliseconds.
+	UnixTime func(clock.Instant) int64
 	// Nodes returns how many nodes share the limits.
 	Nodes func() allotment.Nodes
 	// IsQuarantined reports whether requests with any of the subjects must not be sent to
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -290,7 +290,7 @@
 				default:
 					i := incarnation{id, born[id]}
 					until := now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
-					tracker.RecordPause(serving.Endpoint{ID: id, Born: i.born}, until)
+					tracker.RecordPause(serving.Endpoint{ID: id, Born: i.born}, i.born, until)
 					ends[i] = max(ends[i], until)
 				}
 				var all []serving.Endpoint
@@ -299,6 +299,11 @@
 					e := serving.Endpoint{ID: id, Born: born[id], State: serving.StateReady}
 					all = append(all, e)
 					end := ends[incarnation{id, e.Born}]
+					for older := range e.Born {
+						if end > now && !tracker.Paused(serving.Endpoint{ID: id, Born: older}, now) {
+							t.Fatalf("incarnation %d of %s: an older entry ends its pause", e.Born, id)
+						}
+					}
 					if (end > now) != tracker.Paused(e, now) {
 						t.Fatalf("incarnation %d of %s: paused %t until %d at %d", e.Born, id, tracker.Paused(e, now), end, now)
 					}
--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -106,7 +106,7 @@
 	failureRate         float64
 	consecutiveFailures int
 	avoidUntil          clock.Instant
-	// pausedUntil is until when the incarnation born at pausedBorn wants no requests.
+	// pausedUntil is until when the incarnations born up to pausedBorn want no requests.
 	pausedUntil  clock.Instant
 	pausedBorn   int64
 	measuredRate float64
@@ -376,16 +376,17 @@
 	s.avoidUntil = max(s.avoidUntil, now.Add(fullAvoidTime))
 }
 
-// RecordPause records that an incarnation of an endpoint wants no requests of this node
-// until an instant. A shorter pause does not end a longer one.
-func (t *Tracker) RecordPause(e serving.Endpoint, until clock.Instant) {
+// RecordPause records that an endpoint wants no requests of this node until an instant.
+// This holds for its incarnations born up to newest, in Unix milliseconds, which is that
+// of e at least. A shorter pause does not end a longer one, unless e is newer.
+func (t *Tracker) RecordPause(e serving.Endpoint, newest int64, until clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(e.ID)
-	if s.pausedBorn == e.Born {
+	if e.Born <= s.pausedBorn {
 		until = max(until, s.pausedUntil)
 	}
-	s.pausedUntil, s.pausedBorn = until, e.Born
+	s.pausedUntil, s.pausedBorn = until, max(s.pausedBorn, e.Born, newest)
 }
 
 // Paused reports whether an incarnation of an endpoint wants no requests now.
@@ -398,7 +399,7 @@
 
 // wantsPause reports whether the incarnation of the endpoint wants no requests now.
 func (s *endpointState) wantsPause(e serving.Endpoint, now clock.Instant) bool {
-	return s.pausedBorn == e.Born && now < s.pausedUntil
+	return e.Born <= s.pausedBorn && now < s.pausedUntil
 }
 
 // Available returns the endpoints without a pause, and when the first pause of the
