--- a/pkg/event/serve.go
+++ b/pkg/event/serve.go
@@ -71,6 +71,6 @@
 	{QuarantineNotStored, SubsystemSuspect, zapcore.WarnLevel, "quarantine not stored or read", "The store did not accept a quarantine, or could not be read for those of earlier nodes; the call is repeated.", "If this continues, check the store."},
 	{EndpointLeaving, SubsystemRoute, zapcore.InfoLevel, "endpoint announced that it leaves", "A response of the endpoint says that it leaves; it receives no further requests, whatever its entry says.", "None."},
 	{EndpointPaused, SubsystemRoute, zapcore.InfoLevel, "endpoint asked for a pause", "The endpoint refused a request and wants none of this node for the time in the field pause; it receives none meanwhile.", "If all endpoints of a pool do so, request more."},
-	{PauseInvalid, SubsystemRoute, zapcore.WarnLevel, "pause cannot be used", "An endpoint refused a request with a Retry-After that is no number of seconds from 0 to 600; it is ignored.", "Correct the endpoint."},
+	{PauseInvalid, SubsystemRoute, zapcore.WarnLevel, "pause cannot be used", "An endpoint refused a request with a Retry-After that is no number of seconds, or a negative one; it is ignored.", "Correct the endpoint."},
 	{ContentRefused, SubsystemSuspect, zapcore.WarnLevel, "content refused", "A content, or a prefix block of prompts, crashed several endpoints and is refused.", "Find the callers by the subject in events 2229, and ask them for the content."},
 }
