gateway: a request that is given up without a response is not ended as a success

Callers could see (by a spec; not reported): an empty 200 without a seal for a request under way when the node's own context ended, as at the end of a planned stop (MIXED, LOST). Cause: the end of that context was taken for the caller's leaving. The handler returned without a response, and net/http then sends an empty success if the connection is still there; only the close that followed soon usually prevented it. Why this works: the handler aborts the connection instead, as streams do. Evidence: the spec receives status 200 on the code before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -337,7 +337,7 @@
 			p.refundQuota()
 		}
 		p.abandon()
-		p.reportResult(0)
+		p.abort()
 	case !p.mayHaveRun:
 		p.refundQuota()
 		p.refuse(http.StatusServiceUnavailable, reason, max(retryAfterTransient, p.retryAfter))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -232,8 +232,7 @@
 	// them would delay the others.
 	if p.callerGone() {
 		p.abandon()
-		p.reportResult(0)
-		return
+		p.abort()
 	}
 	if h.Draining() {
 		w.Header().Set("Connection", "close")
@@ -497,6 +496,13 @@
 	}
 }
 
+// abort ends the request without a response. If the handler returned instead, net/http
+// would send a caller that is still connected an empty success.
+func (p *proxyRequest) abort() {
+	p.reportResult(0)
+	panic(http.ErrAbortHandler)
+}
+
 // attemptContext returns the context of one attempt.
 func (p *proxyRequest) attemptContext(timeout time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(p.httpRequest.Context(), timeout)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -104,8 +104,7 @@
 		s.reason = reason
 		s.handler.Logs.Emit(event.RequestAborted, s.logFields(last)...)
 	}
-	s.reportResult(0)
-	panic(http.ErrAbortHandler)
+	s.abort()
 }
 
 // attemptStream makes one attempt and relays its events.
