front, gateway: a planned stop gives each request that was read a response

Any request was admitted with its full time until the node closed its listener. Cause: http.Server.Shutdown drops what it reads, and the node's end was known to neither admission nor the requests under way; Close came for all at once. Why this works: the gateway knows the deadline of a stop. It admits what fits into the time left (the request's own limit, or twice its expected duration), refuses the rest as not run, refuses all once the shutdown delay is over, and ends attempts 0.9 s before the end of the grace, so that callers get 502 (503 if it never ran). The node drains its connections itself: the listener and idle ones are closed, the others are answered. A stream that has begun is still aborted: its answer is the endpoint's.

--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -109,7 +109,9 @@
 	}
 	dial := p.Dial
 	if dial == nil {
-		dial = func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
 	}
 	raw, err := dial(ctx, req.Address)
 	if err != nil {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -13,13 +13,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/justinas/alice"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
-	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/feed"
@@ -82,6 +80,9 @@
 	// shutdownMargin is the part of the grace period reserved for the exit of the process.
 	// A node with a fifth of a core needs most of it to close its connections.
 	shutdownMargin = 500 * time.Millisecond
+	// finalResponseTime is the part of the grace period before that in which callers whose
+	// requests are still under way receive their final response.
+	finalResponseTime = 400 * time.Millisecond
 	// exitDelay is how long of that Stop waits for goroutines that have not returned.
 	exitDelay = 100 * time.Millisecond
 )
@@ -138,16 +139,19 @@
 	initialCounts map[fleet.PoolName]*provision.InitialCount
 	trends        map[fleet.PoolName]*provision.Trend
 
-	metrics      *requestMetrics
-	directory    directory.Directory
-	history      directory.History
-	tracker      placement.Tracker
-	quotas       allotment.QuotaLimiter
-	retries      allotment.RetryBudget
-	connections  forward.Pool
-	draining     atomic.Bool
-	callerServer *http.Server
-	probeServer  *http.Server
+	metrics     *requestMetrics
+	directory   directory.Directory
+	history     directory.History
+	tracker     placement.Tracker
+	quotas      allotment.QuotaLimiter
+	retries     allotment.RetryBudget
+	connections forward.Pool
+	// shutdown is the state of a planned stop.
+	shutdown       gateway.Shutdown
+	callerConns    callerConns
+	callerListener net.Listener
+	callerServer   *http.Server
+	probeServer    *http.Server
 }
 
 // Start starts the services, which run within the context.
@@ -203,16 +207,18 @@
 	return nil
 }
 
-// Stop fails the readiness probe, waits for the shutdown delay, lets the requests in
-// flight finish within the grace period and stops the services.
+// Stop fails the readiness probe, waits for the shutdown delay, refuses further requests,
+// lets those in flight finish within the grace period and stops the services.
 func (f *Front) Stop(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "stop node %s", f.Settings.Node) }()
-	ctx, cancel := context.WithTimeout(ctx, f.Settings.Bounds.ShutdownGrace-shutdownMargin)
+	lifetime := f.Settings.Bounds.ShutdownGrace - shutdownMargin
+	ctx, cancel := context.WithTimeout(ctx, lifetime)
 	defer cancel()
-	f.Logs.Emit(event.NodeDraining)
-	f.draining.Store(true)
+	f.Logs.Emit(event.NodeDraining, zap.Duration("lifetime", lifetime))
+	f.shutdown.Begin(time.Now().Add(lifetime - finalResponseTime))
 	select {
 	case <-time.After(cmp.Or(f.ShutdownDelay, defaultShutdownDelay)):
+	case <-f.shutdown.End().Done():
 	case <-ctx.Done():
 	}
 	err = errors.CombineErrors(err, f.kernel.Drain(ctx))
@@ -257,58 +263,41 @@
 	return done
 }
 
-func (f *Front) callersService() kernel.Service {
-	done := make(chan struct{})
-	s := kernel.Service{Name: ServiceCallers, Done: done}
-	s.Start = func(ctx context.Context) error {
-		f.callerServer = &http.Server{
-			Handler:           alice.New().Then(f.handler()),
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			BaseContext:       func(net.Listener) context.Context { return ctx },
-			ConnContext:       connection.NewContext,
-		}
-		return f.serve(ctx, f.callerServer, f.Settings.CallerAddress, done)
-	}
-	s.Drain = func(ctx context.Context) error { return f.callerServer.Shutdown(ctx) }
-	s.Stop = func(context.Context) error { return f.callerServer.Close() }
-	return s
-}
-
 func (f *Front) probeService() kernel.Service {
 	done := make(chan struct{})
 	s := kernel.Service{Name: ServiceProbe, Done: done}
 	s.Start = func(ctx context.Context) error {
 		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: headerTimeout}
-		return f.serve(ctx, f.probeServer, f.Settings.ProbeAddress, done)
+		_, err := f.serve(ctx, f.probeServer, f.Settings.ProbeAddress, done)
+		return err
 	}
 	s.Stop = func(context.Context) error { return f.probeServer.Close() }
 	return s
 }
 
-// serve listens on an address and serves in the background until the server is
-// closed. It closes done afterwards, or if it cannot listen.
-func (f *Front) serve(ctx context.Context, server *http.Server, address string, done chan struct{}) error {
+// serve listens on an address and serves in the background until the server or the
+// listener is closed. It closes done afterwards, or if it cannot listen.
+func (f *Front) serve(ctx context.Context, server *http.Server, address string, done chan struct{}) (listener net.Listener, err error) {
 	var listenConfig net.ListenConfig
-	listener, err := listenConfig.Listen(ctx, "tcp", address)
+	listener, err = listenConfig.Listen(ctx, "tcp", address)
 	if err != nil {
 		close(done)
-		return err
+		return nil, err
 	}
 	f.group.Go(func() error {
 		defer close(done)
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 			return err
 		}
 		return nil
 	})
-	return nil
+	return listener, nil
 }
 
 // serveReadiness handles the load balancer's readiness probe. The node is ready once
 // it has a configuration and has read the endpoint directory, until it drains.
 func (f *Front) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if f.draining.Load() || f.config.Load() == nil || f.directoryReadAt.Load() == 0 {
+	if f.shutdown.Begun() || f.config.Load() == nil || f.directoryReadAt.Load() == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -344,7 +333,7 @@
 		DataCentre:     f.Settings.DataCentre,
 		MaxKeyAge:      f.maxKeyAge(),
 		Random:         rand.Float64,
-		Draining:       f.draining.Load,
+		Shutdown:       &f.shutdown,
 	}
 }
 
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -140,7 +140,8 @@
 		Done: done,
 		Start: func(ctx context.Context) error {
 			address := net.JoinHostPort(f.Settings.IP, strconv.Itoa(f.Settings.InternalPorts[0]+MetricsPortOffset))
-			return f.serve(ctx, server, address, done)
+			_, err := f.serve(ctx, server, address, done)
+			return err
 		},
 		Stop: func(context.Context) error { return server.Close() },
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -219,7 +219,7 @@
 func (p *proxyRequest) recordSendFailure(a *attempt, err error) {
 	id := a.choice.Endpoint.ID
 	p.countUnread(err)
-	if p.callerGone() || errors.Is(err, context.DeadlineExceeded) && p.remaining() <= 0 {
+	if p.callerGone() || errors.IsAny(err, context.DeadlineExceeded, errStopping) && p.remaining() <= 0 {
 		return
 	}
 	var unsent *forward.UnsentError
@@ -331,6 +331,7 @@
 // respondExhausted responds to a request that has no further attempt, unless the
 // caller has disconnected.
 func (p *proxyRequest) respondExhausted(reason Reason) {
+	stopped := p.handler.Shutdown.Ended()
 	switch {
 	case p.callerGone():
 		if !p.mayHaveRun {
@@ -340,7 +341,12 @@
 		p.abort()
 	case !p.mayHaveRun:
 		p.refundQuota()
+		if stopped {
+			reason = ReasonStopping
+		}
 		p.refuse(http.StatusServiceUnavailable, reason, max(retryAfterTransient, p.retryAfter))
+	case stopped:
+		p.fail(http.StatusBadGateway, ReasonStopping)
 	case p.remaining() <= 0:
 		p.fail(http.StatusGatewayTimeout, ReasonTimeout)
 	default:
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -45,6 +45,10 @@
 // serveBuffered serves a request whose response is buffered and relayed once it
 // is complete.
 func (p *proxyRequest) serveBuffered() {
+	if !p.canFinishBeforeStop(p.route.Objective) {
+		p.refuse(http.StatusServiceUnavailable, ReasonStopping, retryAfterTransient)
+		return
+	}
 	if !p.takeQuota() {
 		return
 	}
@@ -134,6 +138,7 @@
 func (p *proxyRequest) writeResponse(a *attempt, body []byte) {
 	h := p.writer.Header()
 	platform.CopyResponseHeader(h, a.response.Header)
+	p.closeIfStopping()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	p.writer.WriteHeader(a.response.Status)
 	if _, err := p.writer.Write(body); err != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -47,6 +47,7 @@
 	ReasonEndpointFailed      Reason = "endpoint broke off"
 	ReasonInvalidResponse     Reason = "answer is not the endpoint's"
 	ReasonCallerGone          Reason = "caller left"
+	ReasonStopping            Reason = "node stops"
 )
 
 // LeaveStage is how far a request had come when its caller left.
@@ -172,8 +173,8 @@
 	MaxKeyAge time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
-	// Draining reports whether the node is about to shut down.
-	Draining func() bool
+	// Shutdown is the state of the node's planned stop.
+	Shutdown *Shutdown
 }
 
 // Result describes how a request ended.
@@ -234,8 +235,9 @@
 		p.abandon()
 		p.abort()
 	}
-	if h.Draining() {
-		w.Header().Set("Connection", "close")
+	if h.Shutdown.Refusing() {
+		p.refuse(http.StatusServiceUnavailable, ReasonStopping, retryAfterTransient)
+		return
 	}
 	if !p.admit() {
 		return
@@ -391,8 +393,10 @@
 	}
 }
 
-// remaining returns the time left until the request times out.
-func (p *proxyRequest) remaining() time.Duration { return p.timeout - time.Since(p.started) }
+// remaining returns the time left until the request times out or the node stops.
+func (p *proxyRequest) remaining() time.Duration {
+	return p.handler.Shutdown.Cap(p.timeout - time.Since(p.started))
+}
 
 // priority returns the account's priority, or the route's if the account has none.
 func (p *proxyRequest) priority() int {
@@ -423,6 +427,7 @@
 
 // respond writes an empty response of the node.
 func (p *proxyRequest) respond(status int) {
+	p.closeIfStopping()
 	platform.SetRequestID(p.writer.Header(), p.request.ID)
 	p.writer.Header().Set("Content-Length", "0")
 	p.writer.WriteHeader(status)
@@ -503,7 +508,22 @@
 	panic(http.ErrAbortHandler)
 }
 
-// attemptContext returns the context of one attempt.
-func (p *proxyRequest) attemptContext(timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(p.httpRequest.Context(), timeout)
+// closeIfStopping makes the response, which must not have begun, close the connection if
+// the node stops.
+func (p *proxyRequest) closeIfStopping() {
+	if p.handler.Shutdown.Begun() {
+		p.writer.Header().Set("Connection", "close")
+	}
+}
+
+// attemptContext returns the context of one attempt, which ends with the node.
+func (p *proxyRequest) attemptContext(timeout time.Duration) (ctx context.Context, cancel context.CancelFunc) {
+	ctx, cancelTimeout := context.WithTimeout(p.httpRequest.Context(), timeout)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	forget := context.AfterFunc(p.handler.Shutdown.End(), func() { cancelCause(errStopping) })
+	return ctx, func() {
+		forget()
+		cancelCause(nil)
+		cancelTimeout()
+	}
 }
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -66,7 +66,7 @@
 		Logs:          &event.Logs{},
 		MaxKeyAge:     time.Minute,
 		Random:        func() float64 { return 0 },
-		Draining:      func() bool { return false },
+		Shutdown:      &Shutdown{},
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -72,6 +72,11 @@
 			p.refuse(http.StatusServiceUnavailable, ReasonOverload, p.retryAfter)
 			return
 		}
+		if !p.canFinishBeforeStop(p.expectedDuration(c)) {
+			p.refundQuota()
+			p.refuse(http.StatusServiceUnavailable, ReasonStopping, retryAfterTransient)
+			return
+		}
 	}
 	if reason, responded := p.tryEndpoints(s.attemptStream); !responded {
 		s.finishExhausted(reason)
@@ -102,6 +107,9 @@
 		s.abandon(last)
 	} else {
 		s.reason = reason
+		if s.handler.Shutdown.Ended() {
+			s.reason = ReasonStopping
+		}
 		s.handler.Logs.Emit(event.RequestAborted, s.logFields(last)...)
 	}
 	s.abort()
@@ -251,6 +259,7 @@
 	if !s.headerSent {
 		platform.CopyResponseHeader(s.writer.Header(), a.response.Header)
 		s.writer.Header().Del("Content-Length")
+		s.closeIfStopping()
 		s.writer.WriteHeader(a.response.Status)
 		s.headerSent, s.contentType = true, a.response.Header.Get("Content-Type")
 	}
--- a/pkg/soak/cluster_test.go
+++ b/pkg/soak/cluster_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -37,6 +38,9 @@
 	// in which an endpoint had one or was replaced.
 	storeFaults, endpointFaults timeSpans
 
+	// routeTimeout is the timeout of the routes; 0 stands for defaultRouteTimeout.
+	routeTimeout time.Duration
+
 	mu        sync.Mutex
 	endpoints []*endpoint
 	removed   []*endpoint
@@ -194,6 +198,8 @@
 	cl.store.Put(topic, key, data)
 }
 
+const defaultRouteTimeout = 1500 * time.Millisecond
+
 // publish writes the next version of the configuration, which adds a route named
 // after the version.
 func (cl *cluster) publish() {
@@ -201,7 +207,7 @@
 	var routes []any
 	route := func(name, kind, pool string, options ...string) {
 		r := map[string]any{
-			"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 300,
+			"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": cmp.Or(cl.routeTimeout, defaultRouteTimeout).Milliseconds(), "targetLatencyMs": 300,
 			"gapAimMs": 150, "service": pool, "attempts": 2,
 		}
 		for _, key := range options {
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -30,10 +30,7 @@
 	if testing.Short() {
 		t.Skip("the soak test runs in real time")
 	}
-	program := filepath.Join(t.TempDir(), "skylarkloomd")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/skylarkloomd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	program := buildProgram(t)
 	allSeeds := regressionSeeds
 	for n := range *seedCount {
 		allSeeds = append(allSeeds, *firstSeed+uint64(n))
@@ -54,6 +51,15 @@
 	}
 }
 
+// buildProgram builds the program under test and returns its path.
+func buildProgram(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "skylarkloomd")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/skylarkloomd").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
 // runSeed runs the plan of one seed and reports the rules that were violated.
 func runSeed(t *testing.T, seed uint64, program string) {
 	cl, err := newCluster(seed, program, t.TempDir())
