entry, daemon: a drain that reaches its limit gives requests in flight a response

Callers could see (by a spec; not reported): on the project's own path (skylarkloomd run) requests in flight ten seconds after the limit of the drain were cut without a response, orders among them; requests on connections that were opened before the stop were read and closed. Cause: the same as for nodes of the platform: the end of the node was a close of all connections, and http.Server.Shutdown drops what it reads. Why this works: at the limit of the drain the contexts of requests end with a cause, and what is waited for is answered: 502 node_stopped with outcome unknown, a stream its error event, an order where its state can be asked for. Listeners let connections without a request send one for a second and close them then; the drain of nodes of the platform uses the same code.

--- /dev/null
+++ b/pkg/connection/drain.go
@@ -0,0 +1,88 @@
+package connection
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// pollInterval is how often a Tracker looks at its connections while it waits.
+	pollInterval = 20 * time.Millisecond
+	// firstRequestWait is how long after the listener was closed the first request on a
+	// connection may arrive.
+	firstRequestWait = time.Second
+)
+
+// Tracker tracks the connections of an http.Server, so that the server can be drained
+// without http.Server.Shutdown, which closes connections without a response if a request
+// arrives on them. The zero value is ready to use.
+type Tracker struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+// SetState records the state of a connection. It can serve as the ConnState of an
+// http.Server.
+func (t *Tracker) SetState(c net.Conn, s http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.states == nil {
+		t.states = make(map[net.Conn]http.ConnState)
+	}
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(t.states, c)
+		return
+	}
+	t.states[c] = s
+}
+
+// in returns the connections in a state.
+func (t *Tracker) in(s http.ConnState) (conns []net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, state := range t.states {
+		if state == s {
+			conns = append(conns, c)
+		}
+	}
+	return conns
+}
+
+// CloseIdle closes the listener of a server and its idle connections. Connections without
+// a request so far have firstRequestWait to send one, which the server answers, and
+// are then closed.
+func (t *Tracker) CloseIdle(ctx context.Context, server *http.Server, l net.Listener) (err error) {
+	if err = l.Close(); errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	server.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(ctx, firstRequestWait)
+	defer cancel()
+	if t.await(ctx, http.StateNew) != nil {
+		for _, c := range t.in(http.StateNew) {
+			// The connection is in no use, so an error has no consequence.
+			_ = c.Close()
+		}
+	}
+	return err
+}
+
+// AwaitRequests waits until no request is in flight.
+func (t *Tracker) AwaitRequests(ctx context.Context) error { return t.await(ctx, http.StateActive) }
+
+// await waits until no connection is in a state.
+func (t *Tracker) await(ctx context.Context, s http.ConnState) error {
+	for len(t.in(s)) > 0 {
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- a/pkg/daemon/listener.go
+++ b/pkg/daemon/listener.go
@@ -11,6 +11,7 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/settings"
 )
@@ -36,6 +37,7 @@
 
 	netListener net.Listener
 	server      *http.Server
+	conns       connection.Tracker
 	group       errgroup.Group
 	done        chan struct{}
 }
@@ -60,6 +62,7 @@
 	l.server = &http.Server{
 		Handler:           l.handler,
 		ConnContext:       l.connContext,
+		ConnState:         l.conns.SetState,
 		Protocols:         l.protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -79,18 +82,20 @@
 	return nil
 }
 
-// stop closes the listener and waits until the requests in progress are finished.
-// When the context ends, it closes their connections.
+// stop closes the listener and waits until the requests in progress are finished. The
+// handler answers requests on connections that were opened before. When the context ends,
+// it closes their connections.
 func (l *listener) stop(ctx context.Context) (err error) {
 	if l.server == nil {
 		close(l.done)
 		return nil
 	}
-	if err := l.server.Shutdown(ctx); err != nil {
-		return errors.CombineErrors(err, l.server.Close())
+	err = l.conns.CloseIdle(ctx, l.server, l.netListener)
+	if shutdownErr := l.server.Shutdown(ctx); shutdownErr != nil {
+		return errors.CombineErrors(shutdownErr, l.server.Close())
 	}
-	if err := l.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	if serveErr := l.group.Wait(); !errors.IsAny(serveErr, http.ErrServerClosed, net.ErrClosed) {
+		return serveErr
 	}
-	return nil
+	return err
 }
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -39,7 +39,7 @@
 		w.Header().Set(edge.RequestIDHeader, string(c.id))
 		err := h.findAccount(r, c)
 		if err == nil {
-			err = next(w, r, c)
+			err = stopError(r.Context(), next(w, r, c))
 		}
 		if err != nil {
 			e := callerError(err)
--- a/pkg/entry/drain.go
+++ b/pkg/entry/drain.go
@@ -7,8 +7,13 @@
 	"time"
 )
 
-// drainPollInterval is how often a drain checks for requests in flight.
-const drainPollInterval = 10 * time.Millisecond
+const (
+	// drainPollInterval is how often a drain checks for requests in flight.
+	drainPollInterval = 10 * time.Millisecond
+	// finalResponseTime is how long after the end of a drain callers whose requests are
+	// still in flight may take to receive their final response.
+	finalResponseTime = time.Second
+)
 
 // acceptTimeKey is the context key of the time at which a connection was accepted.
 type acceptTimeKey struct{}
@@ -29,7 +34,8 @@
 
 // Drain refuses requests on new connections and waits for those in flight. An
 // older connection may send one more request, whose response asks the caller to
-// close it: a caller that has not been asked to close must not be refused.
+// close it: a caller that has not been asked to close must not be refused. When the
+// context ends, the requests in flight fail, so that their callers receive a response.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.mu.Lock()
 	h.closing = true
@@ -41,12 +47,34 @@
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
+			h.failInFlight()
 			return ctx.Err()
 		}
 	}
 	return nil
 }
 
+// failInFlight ends the contexts of the requests in flight and waits until they were
+// answered, at most for finalResponseTime.
+func (h *Handler) failInFlight() {
+	_, endNow := h.ended()
+	endNow()
+	for waitUntil := time.Now().Add(finalResponseTime); h.InFlight() > 0 && time.Now().Before(waitUntil); {
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// ended returns the context that ends with a drain that did not finish in time, and the
+// function that ends it.
+func (h *Handler) ended() (context.Context, context.CancelFunc) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.end == nil {
+		h.end, h.endNow = context.WithCancel(context.Background())
+	}
+	return h.end, h.endNow
+}
+
 // drained reports whether no request has been in flight for the duration of
 // DrainIdleTime.
 func (h *Handler) drained() bool {
@@ -95,6 +123,11 @@
 			return
 		}
 		defer h.endRequest()
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		end, _ := h.ended()
+		defer context.AfterFunc(end, func() { cancel(errStopped) })()
+		r = r.WithContext(ctx)
 		// Clear the write deadline of the previous request on this connection.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -83,6 +83,9 @@
 	drainStart   time.Time
 	inflight     int
 	lastFinished time.Time
+	// end ends with a drain that did not finish in time, endNow ends it.
+	end    context.Context
+	endNow context.CancelFunc
 }
 
 // Report is the outcome, usage and latency of one request.
--- a/pkg/entry/errors.go
+++ b/pkg/entry/errors.go
@@ -61,6 +61,23 @@
 	RetryAfter: time.Second,
 }
 
+// errStopped is the response to requests that are in flight when a drain does not finish in
+// time. Those under an idempotency key may still be completed.
+var errStopped = &Error{
+	Status:  http.StatusBadGateway,
+	Code:    "node_stopped",
+	Message: "this node stopped before the response was complete",
+	Outcome: fleet.OutcomeUnknown,
+}
+
+// stopError returns errStopped in place of an error that is due to the end of a drain.
+func stopError(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errStopped) && errors.Is(err, context.Canceled) {
+		return errStopped
+	}
+	return err
+}
+
 func badRequest(param, message string) *Error {
 	return &Error{
 		Status:  http.StatusBadRequest,
--- a/pkg/entry/keyed.go
+++ b/pkg/entry/keyed.go
@@ -11,6 +11,8 @@
 	"time"
 	"unicode/utf8"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/skylarkloom/skylarkloom/pkg/api/edge"
 	"github.com/skylarkloom/skylarkloom/pkg/api/record"
 	"github.com/skylarkloom/skylarkloom/pkg/endpoint"
@@ -66,7 +68,7 @@
 	if wantsAsync(r) {
 		return h.enqueue(w, r, accept)
 	}
-	o, err := h.Executor.Run(r.Context(), accept)
+	o, err := h.runKeyed(r.Context(), accept)
 	if err != nil {
 		e := *callerError(err)
 		e.StatusPath = statusPath(key)
@@ -76,6 +78,30 @@
 	return write(w, o.Result)
 }
 
+// runKeyed runs an order until its end, or until the node stops. The executor does not
+// interrupt an order then; its state can be asked for.
+func (h *Handler) runKeyed(ctx context.Context, accept record.Accept) (order.Order, error) {
+	type result struct {
+		order order.Order
+		err   error
+	}
+	// The buffer lets the goroutine end after the node stopped waiting.
+	results := make(chan result, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		o, err := h.Executor.Run(ctx, accept)
+		results <- result{o, err}
+		return nil
+	})
+	end, _ := h.ended()
+	select {
+	case r := <-results:
+		return r.order, r.err
+	case <-end.Done():
+		return order.Order{}, errStopped
+	}
+}
+
 // writeStored writes a stored response unchanged.
 func (h *Handler) writeStored(w http.ResponseWriter, s record.Settle) error {
 	h.writeResponse(w, s.Status, s.Type, s.Response, false)
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -29,7 +29,7 @@
 		return err
 	}
 	if err != nil {
-		e := callerError(err)
+		e := callerError(stopError(r.Context(), err))
 		c.report.Status, c.report.Outcome = e.Status, e.Outcome
 		_ = s.writeEvent(openAIError(e))
 		return nil
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -18,6 +18,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/feed"
@@ -148,7 +149,7 @@
 	connections forward.Pool
 	// shutdown is the state of a planned stop.
 	shutdown       gateway.Shutdown
-	callerConns    callerConns
+	callerConns    connection.Tracker
 	callerListener net.Listener
 	callerServer   *http.Server
 	probeServer    *http.Server
--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -166,7 +167,7 @@
 		n, err := from.Read(buffer)
 		if err != nil {
 			tcp, ok := to.(*net.TCPConn)
-			halfClosed = err == io.EOF && toServer && !discarding && ok && tcp.CloseWrite() == nil
+			halfClosed = errors.Is(err, io.EOF) && toServer && !discarding && ok && tcp.CloseWrite() == nil
 			return
 		}
 		c := k.currentCondition()
