forward: reset the connection of a long request that is given up

Cause: closes only the write side of the connection, so what the kernel holds of the request is still delivered. Why this works: a request of up to ten segments is sent at once, so that a reset would not stop it either; a longer one is reset as before.

--- a/pkg/forward/linger.go
+++ b/pkg/forward/linger.go
@@ -14,6 +14,8 @@
 	// lingerMargin is how long after the endpoint's deadline for a request its response may
 	// still arrive. Endpoints refuse queued requests when the deadline passes.
 	lingerMargin = 500 * time.Millisecond
+	// maxLingerRequestBytes is the size of requests that TCP sends at once: ten segments.
+	maxLingerRequestBytes = 10 * 1400
 	// maxLingering bounds the connections to an address whose requests were given up.
 	maxLingering = 8
 	// settleInterval is how often settleUnread looks again while the head of a response
@@ -29,8 +31,9 @@
 
 // awaitHead waits for the head of the response until the context ends. Then it closes the
 // write side of the connection, which ends the endpoint's work, and leaves the
-// connection to a goroutine that reads what the endpoint may still respond.
-func (p *Pool) awaitHead(ctx context.Context, c *conn, req Request) (*http.Response, error) {
+// connection to a goroutine that reads what the endpoint may still respond. It resets the
+// connection of a long request, of which a part may still be on its way.
+func (p *Pool) awaitHead(ctx context.Context, c *conn, req Request, written func() bool) (*http.Response, error) {
 	result, abandoned := make(chan received), make(chan struct{})
 	p.addAwaiting(c)
 	p.readers.Go(func() error {
@@ -51,7 +54,7 @@
 		}
 		return r.response, r.err
 	case <-ctx.Done():
-		if !p.linger(c, req.Expires) {
+		if c.requestBytes > maxLingerRequestBytes || !written() || !p.linger(c, req.Expires) {
 			c.reset()
 		}
 		close(abandoned)
--- a/pkg/forward/linger_test.go
+++ b/pkg/forward/linger_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -79,4 +80,23 @@
 		Eventually(reset.Load, "3s").Should(BeEquivalentTo(21))
 		Expect(heads).To(BeEmpty())
 	})
+
+	// GONE: the rest of a long body arrived after the caller had left.
+	It("does not arrive in full if it is long and a part is still on its way", func() {
+		bodies := make(chan error, 1)
+		address := scriptedEndpoint(func(_ net.Conn, requests *bufio.Reader) {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+			_, err = io.Copy(io.Discard, r.Body)
+			bodies <- err
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := pool.Do(ctx, newRequest(address, "r", strings.Repeat("x", 1<<20)))
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Eventually(bodies).Should(Receive(HaveOccurred()))
+	})
 })
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -27,6 +27,8 @@
 	// An endpoint that had announced that it leaves got requests again once its entry showed
 	// another birth.
 	35,
+	// The rest of a long body reached an endpoint seconds after the caller had left.
+	4043,
 }
 
 func TestSoak(t *testing.T) {
