connection: a drain waits for the server before the server closes its listener again

Cause: CloseIdle closes the listener itself; a server whose Serve has not returned yet closes it once more in Shutdown or Close, and reports that. Why this works: the drain waits until Serve has returned, which forgets the listener.

--- a/pkg/connection/drain.go
+++ b/pkg/connection/drain.go
@@ -53,13 +53,18 @@
 	return conns
 }
 
-// CloseIdle closes the listener of a server and its idle connections. Connections without
-// a request so far have firstRequestWait to send one, which the server answers, and
-// are then closed.
-func (t *Tracker) CloseIdle(ctx context.Context, server *http.Server, l net.Listener) (err error) {
+// CloseIdle closes the listener of a server, waits until its Serve has returned, which
+// closes served, and closes the idle connections. Connections without a request so far have
+// firstRequestWait to send one, which the server answers, and are then closed.
+func (t *Tracker) CloseIdle(ctx context.Context, server *http.Server, l net.Listener, served <-chan struct{}) (err error) {
 	if err = l.Close(); errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
+	// A server that still serves the listener would fail to close it again.
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
 	server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, firstRequestWait)
 	defer cancel()
--- a/pkg/front/callers.go
+++ b/pkg/front/callers.go
@@ -29,15 +29,16 @@
 		f.callerListener, err = f.serve(ctx, f.callerServer, f.Settings.CallerAddress, done)
 		return err
 	}
-	s.Drain = f.drainCallers
+	s.Drain = func(ctx context.Context) error { return f.drainCallers(ctx, done) }
 	s.Stop = func(context.Context) error { return f.callerServer.Close() }
 	return s
 }
 
 // drainCallers refuses further requests as not run, closes the listener and the connections
-// without requests, and waits for the requests in flight.
-func (f *Front) drainCallers(ctx context.Context) error {
+// without requests, and waits for the requests in flight. served is closed when the server
+// does not accept connections any more.
+func (f *Front) drainCallers(ctx context.Context, served <-chan struct{}) error {
 	f.shutdown.Refuse()
-	err := f.callerConns.CloseIdle(ctx, f.callerServer, f.callerListener)
+	err := f.callerConns.CloseIdle(ctx, f.callerServer, f.callerListener, served)
 	return errors.CombineErrors(err, f.callerConns.AwaitRequests(ctx))
 }
