forward: a head that has left the socket but is not parsed yet holds up the next request

Callers saw: nothing; an endpoint that had asked for a pause got further requests (BUDGET).

Cause: settleUnread looked at the socket only. Between the read that takes the refusal from the socket and OnHead, which records the pause, nothing told of it. On a busy node a goroutine may be preempted there for long.

Now the reader waits with a peek, marks that bytes have arrived, and only then takes them. Whoever looks at the socket first and at the mark second sees one of them. A further read clears the mark, so a head that breaks off holds up nobody.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -83,6 +83,21 @@
 	return unread
 }
 
+// AwaitUnread waits until a connection has unread bytes or is closed, or its read deadline
+// passes. It returns at once if c does not support peeking.
+func AwaitUnread(c net.Conn) {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	// The next Read returns the error.
+	_ = raw.Read(func(fd uintptr) bool { return peek(int(fd)) != StateIdle })
+}
+
 // hungUp reports whether the peer closed the connection, also behind unread bytes.
 func hungUp(fd int) bool {
 	const events = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 )
 
 const (
@@ -270,8 +272,10 @@
 // headReader limits the bytes that are read of the head of a response, which net/http
 // does not do.
 type headReader struct {
-	io.Reader
+	net.Conn
 	remaining int
+	// arrived reports whether bytes of a head have arrived that may not have been parsed.
+	arrived atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -279,7 +283,13 @@
 	if r.remaining <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err = r.Reader.Read(p[:min(len(p), r.remaining)])
+	if r.remaining <= maxHeadBytes {
+		r.arrived.Store(false)
+		// Once bytes have left the socket, only arrived tells of them.
+		connection.AwaitUnread(r.Conn)
+		r.arrived.Store(true)
+	}
+	n, err = r.Conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
 	return n, err
 }
@@ -304,6 +314,12 @@
 	expires time.Time
 }
 
+// hasArrived reports whether bytes of an awaited head have arrived that may not have been
+// parsed.
+func (c *conn) hasArrived() bool {
+	return connection.HasUnread(c.Conn) || c.head.arrived.Load()
+}
+
 // reset closes the connection with a TCP reset, so that the endpoint stops its
 // work immediately and bytes delayed by a network partition never reach it.
 func (c *conn) reset() {
--- a/pkg/forward/linger.go
+++ b/pkg/forward/linger.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"slices"
 	"time"
-
-	"github.com/skylarkloom/skylarkloom/pkg/connection"
 )
 
 const (
@@ -64,6 +62,7 @@
 
 // addAwaiting records that the head of a response is awaited on a connection.
 func (p *Pool) addAwaiting(c *conn) {
+	c.head.arrived.Store(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[c.address]
@@ -85,8 +84,9 @@
 	}
 }
 
-// settleUnread waits while responses from an address have arrived and are unread. On a busy
-// node they may wait for long, and what they announce concerns the next request.
+// settleUnread waits while heads of responses from an address have arrived and are not
+// parsed. On a busy node they may wait for long, and what they announce concerns the next
+// request.
 func (p *Pool) settleUnread(ctx context.Context, address string) {
 	for {
 		p.mu.Lock()
@@ -97,7 +97,7 @@
 		}
 		headRead := h.headRead
 		p.mu.Unlock()
-		if !slices.ContainsFunc(awaiting, func(c *conn) bool { return connection.HasUnread(c.Conn) }) {
+		if !slices.ContainsFunc(awaiting, (*conn).hasArrived) {
 			return
 		}
 		select {
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -123,7 +123,7 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	head := &headReader{Reader: raw}
+	head := &headReader{Conn: raw}
 	return &conn{Conn: raw, address: req.Address, opened: clock.Now(), reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
--- a/pkg/gateway/announcement_unread_test.go
+++ b/pkg/gateway/announcement_unread_test.go
@@ -78,20 +78,27 @@
 	})
 })
 
-// slowReader is a connection on a node without processor time: what arrives is read only
-// once the node gets to it.
+// slowReader is a connection on a node without processor time: what arrives waits, either
+// in the socket or with the goroutine that has read it from there.
 type slowReader struct {
 	*net.TCPConn
-	read <-chan struct{}
+	taken bool
+	read  <-chan struct{}
 }
 
-func (c slowReader) Read(p []byte) (int, error) {
-	<-c.read
-	return c.TCPConn.Read(p)
+func (c slowReader) Read(p []byte) (n int, err error) {
+	if !c.taken {
+		<-c.read
+	}
+	n, err = c.TCPConn.Read(p)
+	if c.taken && n > 0 {
+		<-c.read
+	}
+	return n, err
 }
 
-// BUDGET: a busy node sent further requests while the refusal waited in its socket.
-var _ = ginkgo.It("A request is not sent to an endpoint whose request for a pause waits unread", func() {
+// BUDGET: a busy node sent further requests while the refusal waited to be read.
+var _ = ginkgo.DescribeTable("A request is not sent to an endpoint whose request for a pause waits unread", func(taken bool) {
 	var arrived atomic.Int64
 	e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, _, _ int64) bool {
 		arrived.Add(1)
@@ -106,7 +113,7 @@
 			return nil, err
 		}
 		conns <- c
-		return slowReader{TCPConn: c.(*net.TCPConn), read: read}, nil
+		return slowReader{TCPConn: c.(*net.TCPConn), taken: taken, read: read}, nil
 	}
 	node := startNode(h, nil)
 	var group errgroup.Group
@@ -119,7 +126,12 @@
 	}
 	send("r0")
 	first := <-conns
-	Eventually(func() bool { return connection.HasUnread(first) }).Should(BeTrue())
+	if taken {
+		Eventually(arrived.Load).Should(BeEquivalentTo(1))
+		time.Sleep(50 * time.Millisecond)
+	} else {
+		Eventually(func() bool { return connection.HasUnread(first) }).Should(BeTrue())
+	}
 	for n := range 5 {
 		send(fmt.Sprint("r", n+1))
 	}
@@ -127,7 +139,10 @@
 	close(read)
 	Expect(group.Wait()).To(Succeed())
 	Expect(arrived.Load()).To(BeEquivalentTo(1))
-})
+},
+	ginkgo.Entry("in the socket", false),
+	ginkgo.Entry("behind it", true),
+)
 
 // BUDGET, DRAIN: what an endpoint announced in a response that the node skipped was dropped.
 var _ = ginkgo.DescribeTable("An announcement is read in a response", func(respond func(w io.Writer, r *http.Request), paused, leaving bool) {
