forward: responses are awaited from before the first byte of the request

Callers saw: nothing; an endpoint that had asked for a pause got further requests (BUDGET).

Cause: a connection was registered as awaiting a response once the request was written. If the goroutine is preempted in between, the refusal waits in a socket that settleUnread does not look at, and the next requests go out.

Now it is registered before the write.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -168,10 +168,13 @@
 		p.put(c, cmp.Or(c.expires, time.Now().Add(defaultIdleTimeout)))
 		return nil, &UnsentError{Address: req.Address, Cause: ErrAbandoned}
 	}
+	// The response may arrive before send returns.
+	p.addAwaiting(c)
 	stopReset := context.AfterFunc(ctx, c.reset)
 	written, sent, err := c.send(req)
 	stopReset()
 	if err != nil && sent == 0 {
+		p.removeAwaiting(c)
 		p.discard(c)
 		return nil, &UnsentError{Address: req.Address, Cause: cmp.Or(context.Cause(ctx), err)}
 	}
--- a/pkg/forward/linger.go
+++ b/pkg/forward/linger.go
@@ -33,7 +33,6 @@
 // connection of a long request, of which a part may still be on its way.
 func (p *Pool) awaitHead(ctx context.Context, c *conn, req Request, written func() bool) (*http.Response, error) {
 	result, abandoned := make(chan received), make(chan struct{})
-	p.addAwaiting(c)
 	p.readers.Go(func() error {
 		var r received
 		r.response, r.err = c.receive(req) //nolint:bodyclose // The connection under the body is closed.
--- a/pkg/gateway/announcement_unread_test.go
+++ b/pkg/gateway/announcement_unread_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,34 +79,52 @@
 	})
 })
 
-// slowReader is a connection on a node without processor time: what arrives waits, either
-// in the socket or with the goroutine that has read it from there.
-type slowReader struct {
+// stage is where a goroutine of a node without processor time stops.
+type stage int
+
+const (
+	beforeRead stage = iota
+	afterRead
+	afterWrite
+)
+
+// slowConn is a connection whose goroutines stop at a stage until proceed is closed.
+type slowConn struct {
 	*net.TCPConn
-	taken bool
-	read  <-chan struct{}
+	stage   stage
+	proceed <-chan struct{}
 }
 
-func (c slowReader) Read(p []byte) (n int, err error) {
-	if !c.taken {
-		<-c.read
+func (c slowConn) stopAt(s stage) {
+	if s == c.stage {
+		<-c.proceed
 	}
+}
+
+func (c slowConn) Read(p []byte) (n int, err error) {
+	c.stopAt(beforeRead)
 	n, err = c.TCPConn.Read(p)
-	if c.taken && n > 0 {
-		<-c.read
-	}
+	c.stopAt(afterRead)
+	return n, err
+}
+
+func (c slowConn) Write(p []byte) (n int, err error) {
+	n, err = c.TCPConn.Write(p)
+	c.stopAt(afterWrite)
 	return n, err
 }
 
 // BUDGET: a busy node sent further requests while the refusal waited to be read.
-var _ = ginkgo.DescribeTable("A request is not sent to an endpoint whose request for a pause waits unread", func(taken bool) {
+var _ = ginkgo.DescribeTable("A request is not sent to an endpoint whose request for a pause waits unread", func(at stage) {
 	var arrived atomic.Int64
 	e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, _, _ int64) bool {
 		arrived.Add(1)
 		write(w, refusal(r.Header.Get("Skylarkloom-Attempt-Id"), "5"))
 		return true
 	}}
-	read, conns := make(chan struct{}), make(chan net.Conn, 10)
+	proceed, conns := make(chan struct{}), make(chan net.Conn, 10)
+	resume := sync.OnceFunc(func() { close(proceed) })
+	defer resume()
 	h := newHandler(e.start())
 	h.Pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
@@ -113,7 +132,7 @@
 			return nil, err
 		}
 		conns <- c
-		return slowReader{TCPConn: c.(*net.TCPConn), taken: taken, read: read}, nil
+		return slowConn{TCPConn: c.(*net.TCPConn), stage: at, proceed: proceed}, nil
 	}
 	node := startNode(h, nil)
 	var group errgroup.Group
@@ -126,7 +145,7 @@
 	}
 	send("r0")
 	first := <-conns
-	if taken {
+	if at == afterRead {
 		Eventually(arrived.Load).Should(BeEquivalentTo(1))
 		time.Sleep(50 * time.Millisecond)
 	} else {
@@ -136,12 +155,13 @@
 		send(fmt.Sprint("r", n+1))
 	}
 	Consistently(arrived.Load, "200ms").Should(BeEquivalentTo(1))
-	close(read)
+	resume()
 	Expect(group.Wait()).To(Succeed())
 	Expect(arrived.Load()).To(BeEquivalentTo(1))
 },
-	ginkgo.Entry("in the socket", false),
-	ginkgo.Entry("behind it", true),
+	ginkgo.Entry("in the socket", beforeRead),
+	ginkgo.Entry("behind it", afterRead),
+	ginkgo.Entry("since before its request was written to the end", afterWrite),
 )
 
 // BUDGET, DRAIN: what an endpoint announced in a response that the node skipped was dropped.
