--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -32,6 +32,30 @@
 	closeCheckInterval = 200 * time.Millisecond
 )
 
+// ReadStage is when the announcement of an endpoint was read.
+type ReadStage string
+
+// The stages. Their values are logged.
+const (
+	// ReadInTime means in the response to the request.
+	ReadInTime ReadStage = "in time"
+	// ReadSkipped means in a response to another request on the connection.
+	ReadSkipped ReadStage = "skipped"
+	// ReadAbandoned means in a response that came after the request was given up.
+	ReadAbandoned ReadStage = "abandoned"
+)
+
+// UnreadCause is why a request was given up before the endpoint responded.
+type UnreadCause string
+
+// The causes. Their values are labels of metrics.
+const (
+	// UnreadCallerLeft means that the caller left.
+	UnreadCallerLeft UnreadCause = "caller left"
+	// UnreadTimeout means that the attempt timed out or its stream stalled.
+	UnreadTimeout UnreadCause = "timeout"
+)
+
 // attempt is one exchange of a request with one endpoint.
 type attempt struct {
 	proxy    *proxyRequest
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -46,7 +46,7 @@
 // is complete.
 func (p *proxyRequest) serveBuffered() {
 	if !p.canFinishBeforeStop(p.route.Objective) {
-		p.refuse(http.StatusServiceUnavailable, ReasonStopping, retryAfterTransient)
+		p.refuseStopping()
 		return
 	}
 	if !p.takeQuota() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,7 +4,6 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -73,30 +72,6 @@
 	AnnouncePause Announcement = "pause"
 )
 
-// ReadStage is when the announcement of an endpoint was read.
-type ReadStage string
-
-// The stages. Their values are logged.
-const (
-	// ReadInTime means in the response to the request.
-	ReadInTime ReadStage = "in time"
-	// ReadSkipped means in a response to another request on the connection.
-	ReadSkipped ReadStage = "skipped"
-	// ReadAbandoned means in a response that came after the request was given up.
-	ReadAbandoned ReadStage = "abandoned"
-)
-
-// UnreadCause is why a request was given up before the endpoint responded.
-type UnreadCause string
-
-// The causes. Their values are labels of metrics.
-const (
-	// UnreadCallerLeft means that the caller left.
-	UnreadCallerLeft UnreadCause = "caller left"
-	// UnreadTimeout means that the attempt timed out or its stream stalled.
-	UnreadTimeout UnreadCause = "timeout"
-)
-
 const (
 	// retryAfterTransient is the Retry-After time for a transient failure.
 	retryAfterTransient = 100 * time.Millisecond
@@ -236,7 +211,7 @@
 		p.abort()
 	}
 	if h.Shutdown.Refusing() {
-		p.refuse(http.StatusServiceUnavailable, ReasonStopping, retryAfterTransient)
+		p.refuseStopping()
 		return
 	}
 	if !p.admit() {
@@ -507,23 +482,3 @@
 	p.reportResult(0)
 	panic(http.ErrAbortHandler)
 }
-
-// closeIfStopping makes the response, which must not have begun, close the connection if
-// the node stops.
-func (p *proxyRequest) closeIfStopping() {
-	if p.handler.Shutdown.Begun() {
-		p.writer.Header().Set("Connection", "close")
-	}
-}
-
-// attemptContext returns the context of one attempt, which ends with the node.
-func (p *proxyRequest) attemptContext(timeout time.Duration) (ctx context.Context, cancel context.CancelFunc) {
-	ctx, cancelTimeout := context.WithTimeout(p.httpRequest.Context(), timeout)
-	ctx, cancelCause := context.WithCancelCause(ctx)
-	forget := context.AfterFunc(p.handler.Shutdown.End(), func() { cancelCause(errStopping) })
-	return ctx, func() {
-		forget()
-		cancelCause(nil)
-		cancelTimeout()
-	}
-}
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -111,3 +112,28 @@
 	}
 	return max(expected, p.route.Objective)
 }
+
+// refuseStopping refuses a request because the node stops.
+func (p *proxyRequest) refuseStopping() {
+	p.refuse(http.StatusServiceUnavailable, ReasonStopping, retryAfterTransient)
+}
+
+// closeIfStopping makes the response, which must not have begun, close the connection if
+// the node stops.
+func (p *proxyRequest) closeIfStopping() {
+	if p.handler.Shutdown.Begun() {
+		p.writer.Header().Set("Connection", "close")
+	}
+}
+
+// attemptContext returns the context of one attempt, which ends with the node.
+func (p *proxyRequest) attemptContext(timeout time.Duration) (ctx context.Context, cancel context.CancelFunc) {
+	ctx, cancelTimeout := context.WithTimeout(p.httpRequest.Context(), timeout)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	forget := context.AfterFunc(p.handler.Shutdown.End(), func() { cancelCause(errStopping) })
+	return ctx, func() {
+		forget()
+		cancelCause(nil)
+		cancelTimeout()
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -74,7 +74,7 @@
 		}
 		if !p.canFinishBeforeStop(p.expectedDuration(c)) {
 			p.refundQuota()
-			p.refuse(http.StatusServiceUnavailable, ReasonStopping, retryAfterTransient)
+			p.refuseStopping()
 			return
 		}
 	}
