--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -120,6 +120,7 @@
 	requests atomic.Int64
 	mu       sync.Mutex
 	conns    []net.Conn
+	closed   bool
 }
 
 // start serves until the end of the spec and returns the address.
@@ -135,6 +136,9 @@
 			}
 			e.mu.Lock()
 			e.conns = append(e.conns, c)
+			if e.closed {
+				_ = c.Close()
+			}
 			e.mu.Unlock()
 			group.Go(func() error {
 				defer func() { _ = c.Close() }()
@@ -146,6 +150,7 @@
 	ginkgo.DeferCleanup(func() {
 		Expect(l.Close()).To(Succeed())
 		e.mu.Lock()
+		e.closed = true
 		for _, c := range e.conns {
 			_ = c.Close()
 		}
