soak: late work is judged by when the node's bytes arrived, not by when the test got to them

The links and the endpoints run in the test's process, which got to the bytes late.

The kernel knows when bytes arrived on a connection, so the link asks it. A link that forwarded nothing counts the time at the endpoint, as before.

--- a/pkg/soak/check_test.go
+++ b/pkg/soak/check_test.go
@@ -28,7 +28,7 @@
 	minHandoverTime, maxCallDelay = 3 * time.Second, 300 * time.Millisecond
 	// minServedShare is the share of calls that must be served after the faults.
 	minServedShare = 0.95
-	// maxLateWork is how long after a caller left its request may still reach an
+	// maxLateWork is how long after a caller left its request may still be sent to an
 	// endpoint.
 	maxLateWork = 500 * time.Millisecond
 	// A prefix block that has crashed learningCrashes engines may reach maxLateTainted
@@ -168,8 +168,8 @@
 		}
 		// A disturbed link may hold a request up.
 		heldUp := a.endpoint.linkFaults.overlaps(a.at.Add(-recoveryMargin), a.at)
-		if !c.leftAt.IsZero() && a.at.After(c.leftAt.Add(maxLateWork)) && !heldUp {
-			report("%.2fs %s reached an endpoint %.2fs after its caller had left", a.at.Sub(cl.startedAt).Seconds(), a.id, a.at.Sub(c.leftAt).Seconds())
+		if !c.leftAt.IsZero() && a.sentAt.After(c.leftAt.Add(maxLateWork)) && !heldUp {
+			report("%.2fs %s reached an endpoint %.2fs after its caller had left, %.2fs after its latest bytes", a.at.Sub(cl.startedAt).Seconds(), a.id, a.at.Sub(c.leftAt).Seconds(), a.at.Sub(a.sentAt).Seconds())
 		}
 		if !a.crashed {
 			continue
--- a/pkg/soak/cluster_test.go
+++ b/pkg/soak/cluster_test.go
@@ -62,6 +62,8 @@
 	endpoint *endpoint
 	id       string
 	at       time.Time
+	// sentAt is when the latest bytes of the request arrived from the node.
+	sentAt time.Time
 	// crashed reports whether the endpoint crashed because of the request.
 	crashed bool
 }
@@ -177,7 +179,7 @@
 // recordArrival records a request at an endpoint. It crashes the endpoint and returns
 // true if the prompt has the deadly block.
 func (cl *cluster) recordArrival(e *endpoint, r *http.Request) (crash bool) {
-	a := arrival{endpoint: e, id: r.Header.Get("Skylarkloom-Attempt-Id"), at: time.Now()}
+	a := arrival{endpoint: e, id: r.Header.Get("Skylarkloom-Attempt-Id"), at: time.Now(), sentAt: e.link.receivedAt(r.RemoteAddr)}
 	a.crashed = strings.Contains(r.Header.Get("Skylarkloom-Prompt-Prefix"), deadlyBlock+":")
 	cl.mu.Lock()
 	cl.arrivals = append(cl.arrivals, a)
--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
 // condition is how a link handles the bytes of its connections.
@@ -38,6 +39,9 @@
 	listener  net.Listener
 	condition condition
 	conns     map[net.Conn]bool
+	// received holds when the latest bytes for the server arrived at this machine, by the
+	// address from which the link forwards them.
+	received map[string]time.Time
 	// crashed reports whether the server has crashed and is not back, closed whether the
 	// link has been closed.
 	crashed, closed bool
@@ -48,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{server: server, listenAddress: l.Addr().String(), listener: l, condition: linkHealthy, conns: make(map[net.Conn]bool)}
+	k := &link{server: server, listenAddress: l.Addr().String(), listener: l, condition: linkHealthy, conns: make(map[net.Conn]bool), received: make(map[string]time.Time)}
 	k.group.Go(func() error { k.accept(l); return nil })
 	return k, nil
 }
@@ -170,6 +174,9 @@
 			halfClosed = errors.Is(err, io.EOF) && toServer && !discarding && ok && tcp.CloseWrite() == nil
 			return
 		}
+		if toServer {
+			k.recordReceived(from, to.LocalAddr().String())
+		}
 		c := k.currentCondition()
 		discarding = discarding || c == linkSilent || c == linkRequestsOnly && !toServer
 		if discarding {
@@ -183,3 +190,32 @@
 		}
 	}
 }
+
+// recordReceived records when the latest bytes on a connection arrived. The kernel knows,
+// also if this process gets to them late.
+func (k *link) recordReceived(from net.Conn, forwardedFrom string) {
+	at := time.Now()
+	raw, err := from.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			at = at.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+		}
+	})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.received[forwardedFrom] = at
+}
+
+// receivedAt returns when the latest bytes arrived that the link forwarded from an address,
+// or the current time if it forwarded none.
+func (k *link) receivedAt(forwardedFrom string) time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if at, ok := k.received[forwardedFrom]; ok {
+		return at
+	}
+	return time.Now()
+}
