order: a spec pauses its node between two scans of the worker

Cause: the spec starts at a whole second, at which the worker scans too. If the scan comes between the accept and the pause of the node, the worker's own dispatch is in the log before the one that is meant to be delayed, and the order runs under it, rightly. Trace: in a run that failed, the log held two entries before the delayed dispatch; it holds one.

Now the order is accepted between two scans, and the spec demands that the log holds the accept only, so it is stricter; the map is read under its lock.

--- a/pkg/order/executor_test.go
+++ b/pkg/order/executor_test.go
@@ -91,12 +91,18 @@
 	// The fuzz does not always reach this state: an append of the node that was delayed
 	// takes effect just before its next one.
 	It("does not send in the background on a dispatch of another call", onOneNode(func(c *cluster, n *node) {
+		// The worker scans at each 100 ms and must not dispatch the order before the pause.
+		time.Sleep(50 * time.Millisecond)
 		r := newAccept(n, "k", asyncTimeout)
 		o, err := n.executor.Enqueue(context.Background(), r)
 		Expect(err).NotTo(HaveOccurred())
 		// The worker's dispatch waits here while the delayed one is appended.
 		n.pause()
 		time.Sleep(150 * time.Millisecond)
+		c.mu.Lock()
+		entries := len(c.fullLog[platform.OrderStream(0)])
+		c.mu.Unlock()
+		Expect(entries).To(Equal(1))
 		e, err := record.New(record.KindDispatch, time.Now(), record.Dispatch{Ref: r.Ref, Accept: o.Accept, Term: o.Term, Owner: n.ref})
 		Expect(err).NotTo(HaveOccurred())
 		data, err := record.EncodeGroup([]record.Envelope{e})
@@ -104,6 +110,8 @@
 		c.appendEntry(platform.OrderStream(0), data)
 		n.resume()
 		time.Sleep(callTimeout)
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		Expect(c.runs).To(BeEmpty())
 	}))
 
