Review case 2: sound streams are cut at a planned stop

Around a SIGTERM of its node a stream that its engine preempts for 2.2 s is broken off (LOST). The watchdog of gateway/stream.go cancels the attempt after 4 x gapAimMs of silence before it is known whether another endpoint takes the request. The other engine is full, so the stream is lost, though the first one would have gone on.

--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -4,14 +4,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 )
 
 // engine is a stand-in for a sound model worker: it runs as many requests as it has slots,
-// refuses further ones as full, and stops work when the connection closes. While it is
-// preempting, the streams it has begun make no events.
+// refuses further ones as full, and stops work when the connection closes. A run that is
+// preempted makes no events until it is read in again.
 type engine struct {
 	rig           *rig
 	id            string
@@ -19,12 +20,13 @@
 	interval      time.Duration
 	address       string
 
-	mu         sync.Mutex
-	running    int
-	preempting chan struct{}
-	// openRuns are the runs that have not ended, by request.
-	openRuns map[string]bool
-	ended    []runEnd
+	mu sync.Mutex
+	// running are the requests of the runs that have not ended, oldest first.
+	running []string
+	// preempted are the requests that are preempted, until readIn is closed.
+	preempted map[string]bool
+	readIn    chan struct{}
+	ended     []runEnd
 }
 
 // runEnd tells how a run ended.
@@ -36,41 +38,52 @@
 	last int
 }
 
-func (e *engine) preempt() {
+// preempt preempts the newest runs.
+func (e *engine) preempt(count int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rig.note("%s preempts its streams", e.id)
-	e.preempting = make(chan struct{})
+	newest := e.running[max(0, len(e.running)-count):]
+	e.preempted, e.readIn = make(map[string]bool), make(chan struct{})
+	for _, request := range newest {
+		e.preempted[request] = true
+	}
+	e.rig.note("%s preempts %v", e.id, newest)
+}
+
+// readInAgain ends the preemption.
+func (e *engine) readInAgain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rig.note("%s has read in what it preempted", e.id)
+	close(e.readIn)
+	e.preempted = nil
 }
 
-func (e *engine) resume() {
+// wasPreempted returns a channel that is closed when a preempted run goes on, or nil.
+func (e *engine) wasPreempted(request string) <-chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rig.note("%s continues its streams", e.id)
-	close(e.preempting)
-	e.preempting = nil
+	if !e.preempted[request] {
+		return nil
+	}
+	return e.readIn
 }
 
 // begin takes a slot for a request.
 func (e *engine) begin(request string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.running >= e.slots {
+	if len(e.running) >= e.slots {
 		return false
 	}
-	e.running++
-	if e.openRuns == nil {
-		e.openRuns = make(map[string]bool)
-	}
-	e.openRuns[request] = true
+	e.running = append(e.running, request)
 	return true
 }
 
 func (e *engine) end(run runEnd) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running--
-	delete(e.openRuns, run.request)
+	e.running = slices.DeleteFunc(e.running, func(request string) bool { return request == run.request })
 	e.ended = append(e.ended, run)
 	e.rig.note("%s: run of %s ended, complete: %t, last event %d", e.id, run.request, run.complete, run.last)
 }
@@ -87,13 +100,6 @@
 	return runEnd{}, false
 }
 
-// paused returns a channel that is closed when the engine stops preempting, or nil.
-func (e *engine) paused() <-chan struct{} {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.preempting
-}
-
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -127,9 +133,9 @@
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, last *int) bool {
 	controller := http.NewResponseController(w)
 	for *last < e.events {
-		if paused := e.paused(); paused != nil && *last > 0 {
+		if readIn := e.wasPreempted(r.Header.Get("Skylarkloom-Attempt-Id")); readIn != nil {
 			select {
-			case <-paused:
+			case <-readIn:
 			case <-r.Context().Done():
 				return false
 			}
--- a/review/rig/silence.go
+++ b/review/rig/silence.go
@@ -13,18 +13,19 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// The case "silence": a stream whose engine is silent for a while must not be cut around a
-// planned stop of its node.
+// The case "silence": a stream that its engine preempts for a while must not be cut around
+// a planned stop of its node.
 const (
-	// silenceTime is how long the engine preempts its streams. Callers bear a gap of 4 s on
-	// this route: eight times its gapAimMs is 3.2 s, four times its objective is 6 s.
-	silenceTime = 2200 * time.Millisecond
+	// silenceTime is how long an engine preempts preemptedRuns of its runs. Callers bear a
+	// gap of 6 s on this route, which is four times its objective.
+	silenceTime   = 2200 * time.Millisecond
+	preemptedRuns = 3
 	// streamEvents at eventInterval end long before the last sixth of graceS.
 	streamEvents  = 64
 	eventInterval = 50 * time.Millisecond
 	engineSlots   = 6
 	// termAfter is when after the streams have begun the node gets SIGTERM, and silentAfter
-	// when after that its engines turn silent.
+	// when after that an engine preempts runs.
 	promptBytes            = 1400
 	termAfter, silentAfter = 300 * time.Millisecond, 200 * time.Millisecond
 	// lastSixth is when the last sixth of graceS begins.
@@ -152,25 +153,25 @@
 	begun.Wait()
 	time.Sleep(termAfter)
 	termAt := time.Now()
-	if trouble {
-		if err = front.signal(syscall.SIGTERM); err != nil {
-			return nil, err
-		}
+	if err = front.signal(syscall.SIGTERM); err != nil {
+		return nil, err
 	}
 	time.Sleep(silentAfter)
-	engines[0].preempt()
-	time.Sleep(silenceTime)
-	engines[0].resume()
+	if trouble {
+		engines[0].preempt(preemptedRuns)
+		time.Sleep(silenceTime)
+		engines[0].readInAgain()
+	}
 	if err = callers.Wait(); err != nil {
 		return nil, err
 	}
-	return judgeSilence(r, trouble, engines, calls, termAt), nil
+	return judgeSilence(r, engines, calls, termAt), nil
 }
 
 // judgeSilence applies LOST: around a planned stop, a request that was passed on must not
 // end without a complete answer, unless its worker broke off or was at work in the last
 // sixth of graceS, or the time of its route was over.
-func judgeSilence(r *rig, trouble bool, engines []*engine, calls []*streamCall, termAt time.Time) (broken []string) {
+func judgeSilence(r *rig, engines []*engine, calls []*streamCall, termAt time.Time) (broken []string) {
 	cut, unfinished := 0, 0
 	for _, c := range calls {
 		switch {
@@ -180,7 +181,7 @@
 		case c.status == http.StatusOK:
 			cut++
 			run, ran := engines[0].endOf(c.id)
-			if !trouble || !ran || c.endsAt.Sub(c.sentAt) >= deadline || c.endsAt.Sub(termAt) >= lastSixth {
+			if !ran || c.endsAt.Sub(c.sentAt) >= deadline || c.endsAt.Sub(termAt) >= lastSixth {
 				continue
 			}
 			broken = append(broken, fmt.Sprintf("LOST: %s was cut %.2f s after SIGTERM, after %d of %d events; its engine had sent %d and was still at work (run complete: %t)",
