--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,8 +23,9 @@
 
 // cases are the cases by name. A case reports what broke its rule.
 var cases = map[string]func(r *rig, trouble bool) (broken []string, err error){
-	"silence": playSilence,
-	"early":   playEarly,
+	"replaced": playReplaced,
+	"silence":  playSilence,
+	"early":    playEarly,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -30,6 +30,8 @@
 	exitWait = 10 * time.Second
 	// pollPause is the pause between two looks at a condition that is awaited.
 	pollPause = 50 * time.Millisecond
+	// ownerOnly is the mode of the files that a run writes.
+	ownerOnly = 0o600
 	callPort  = 8180
 	readyPort = 8181
 )
@@ -111,13 +113,16 @@
 	const blocks = 250
 	r.addressBase = fmt.Sprintf("127.%d.%d.", 2+rand.IntN(blocks), 1+rand.IntN(blocks))
 	r.storeAddress = r.serve(r.store)
-	r.cloudAddress = r.serve(http.HandlerFunc(func(_ http.ResponseWriter, call *http.Request) {
-		// The answer does not depend on the body.
-		_, _ = io.Copy(io.Discard, call.Body)
-	}))
+	r.cloudAddress = r.serve(http.HandlerFunc(r.handleDutyCall))
 	return r, nil
 }
 
+// handleDutyCall stands in for the platform's API for duties.
+func (r *rig) handleDutyCall(_ http.ResponseWriter, call *http.Request) {
+	body, err := io.ReadAll(call.Body)
+	r.note("%s of %s with fence %s: %s, error: %v", call.URL.Path, call.Header.Get("Skylarkloom-Duty-Holder"), call.Header.Get("Skylarkloom-Fencing-Token"), body, err)
+}
+
 // note writes a line with the time since the start of the run.
 func (r *rig) note(format string, values ...any) {
 	r.record.line(fmt.Sprintf("%8.3f  ", time.Since(r.startedAt).Seconds()) + fmt.Sprintf(format, values...))
@@ -163,9 +168,9 @@
 
 // node is a node of the system with its process.
 type node struct {
-	rig      *rig
-	name, ip string
-	settings string
+	rig            *rig
+	name, zone, ip string
+	settings       string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -174,9 +179,8 @@
 
 // addNode writes the settings of a node. number distinguishes its loopback address.
 func (r *rig) addNode(name, zone string, number int, bootstrap bool) (n *node, err error) {
-	n = &node{rig: r, name: name, ip: fmt.Sprint(r.addressBase, number), settings: filepath.Join(r.dir, name+".yaml")}
+	n = &node{rig: r, name: name, zone: zone, ip: fmt.Sprint(r.addressBase, number), settings: filepath.Join(r.dir, name+".yaml")}
 	text := fmt.Sprintf(settingsTemplate, name, n.ip, zone, callPort, readyPort, bootstrap, r.storeAddress, r.cloudAddress)
-	const ownerOnly = 0o600
 	if err = os.WriteFile(n.settings, []byte(text), ownerOnly); err != nil {
 		return nil, err
 	}
@@ -186,6 +190,15 @@
 	return n, nil
 }
 
+// rewriteSettings changes the settings file.
+func (n *node) rewriteSettings(change func(string) string) error {
+	text, err := os.ReadFile(n.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(n.settings, []byte(change(string(text))), ownerOnly)
+}
+
 func (n *node) callAddress() string { return fmt.Sprintf("%s:%d", n.ip, callPort) }
 
 // start starts the process with the command of the deploy file.
@@ -194,7 +207,7 @@
 	defer n.mu.Unlock()
 	cmd := exec.Command(n.rig.program, "front") //nolint:noctx // The process is ended by kill.
 	cmd.Env = append(os.Environ(), "SKYLARKLOOM_SETTINGS="+n.settings)
-	log, err := os.OpenFile(n.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(n.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, ownerOnly)
 	if err != nil {
 		return err
 	}
