--- a/review/rig/early.go
+++ b/review/rig/early.go
@@ -31,7 +31,7 @@
 	// is 45 times as large, and the kernel's send buffer grows with it.
 	workerWindow    = 4 << 10
 	ethernetSegment = 1460
-	planCalls       = 160
+	planCalls       = 320
 	planPause       = 60 * time.Millisecond
 )
 
