Review case 1: keep to the disruption's length and the sheet's sizes

Most bodies have the sheet's mean length, and connections are kept. The stand-in program, which the cases share, also changes for cases 2 and 3, and its nodes end with it.

--- a/review/rig/early.go
+++ b/review/rig/early.go
@@ -18,25 +18,36 @@
 // The case "early": a worker that answers before it has read a long body, and whose answer
 // ends with its connection, must not be cut and then passed off as complete.
 const (
-	// planBody is the length of a request body, the largest on the site's sheet.
-	planBody = 110_000
+	// longBody is the length of one request body in longEvery, the largest on the site's
+	// sheet; the others have usualBody, its mean.
+	longBody, usualBody, longEvery = 110_000, 18_000, 4
 	// planEvents at planInterval last longer than the node lets sent bytes wait.
-	planEvents   = 40
+	planEvents   = 32
 	planInterval = 75 * time.Millisecond
-	// earlyEvery is one answer in how many of the faulty worker that comes early, the largest
-	// share on the site's sheet.
+	// While the worker is faulty, for earlyTime, one answer in earlyEvery comes early. These
+	// are the duration and the share of the site's disruption.
 	earlyEvery = 20
+	earlyTime  = 5 * time.Second
 	// workerWindow is the receive buffer of the workers' connections: links have small
 	// windows. ethernetSegment is the segment size on Ethernet; that of the loopback device
 	// is 45 times as large, and the kernel's send buffer grows with it.
 	workerWindow    = 4 << 10
 	ethernetSegment = 1460
-	planCalls       = 320
-	planPause       = 60 * time.Millisecond
+	workerSlots     = 96
+	planCalls       = 360
+	planPause       = 14 * time.Millisecond
+	// planTimeout is the timeout of the route and the callers' deadline.
+	planTimeout = 8 * time.Second
 )
 
-// planWorker is a stand-in for a model worker. Some answers of a faulty one come before it
-// has read the body, which it does once it has sent them, and have no length.
+// planRoute is the route of season-plan on the site.
+var planRoute = map[string]any{
+	"name": "plan", "host": "h", "pathPrefix": "/plan/", "kind": "streaming", "resumable": true, "sticky": true, "service": "engines",
+	"attempts": 2, "timeoutMs": planTimeout.Milliseconds(), "targetLatencyMs": 1000, "gapAimMs": 400, "priority": 0,
+}
+
+// planWorker is a stand-in for a sound model worker. Some answers of a faulty one come before
+// it has read a long body, which it does once it has sent them, and have no length.
 type planWorker struct {
 	rig     *rig
 	id      string
@@ -46,6 +57,10 @@
 	listener net.Listener
 	mu       sync.Mutex
 	served   int
+	// faultyUntil is when the worker stops to be faulty, and owed how many of its answers are
+	// still to come early.
+	faultyUntil time.Time
+	owed        int
 	// early holds the requests that were answered early, with the number of events sent.
 	early map[string]int
 }
@@ -83,67 +98,89 @@
 	return nil
 }
 
-// next counts a request and reports whether its answer comes early.
-func (p *planWorker) next(id string) bool {
+// next counts a request and reports whether its answer comes early: that to the next long
+// body after each earlyEvery requests.
+func (p *planWorker) next(id string, long bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.served++
-	if !p.faulty || p.served%earlyEvery != 0 {
+	if !p.faulty {
+		return false
+	}
+	if p.faultyUntil.IsZero() {
+		p.faultyUntil = time.Now().Add(earlyTime)
+	}
+	if p.served++; p.served%earlyEvery == 0 {
+		p.owed++
+	}
+	if p.owed == 0 || !long || time.Now().After(p.faultyUntil) {
 		return false
 	}
+	p.owed--
 	p.early[id] = 0
 	return true
 }
 
-// serve handles the one request of a connection.
+// serve handles the requests of a connection.
 func (p *planWorker) serve(conn net.Conn) {
 	// An error on close has no consequence for the run.
 	defer func() { _ = conn.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			// The node closed the connection.
+			return
+		}
+		if err = p.handle(conn, req); err != nil {
+			if !errors.Is(err, errAnswerEnds) {
+				p.rig.note("%s: %s: %v", p.id, req.Header.Get("Skylarkloom-Attempt-Id"), err)
+			}
+			return
+		}
 	}
+}
+
+// errAnswerEnds ends a connection behind an answer that has no length.
+var errAnswerEnds = errors.New("the answer ends with the connection")
+
+func (p *planWorker) handle(conn net.Conn, req *http.Request) error {
 	id := req.Header.Get("Skylarkloom-Attempt-Id")
 	if req.Header.Get("Skylarkloom-Expect-Instance") != p.id {
-		_, err = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nSkylarkloom-Instance-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", p.id)
-		p.rig.note("%s got a request for another instance: %s, error: %v", p.id, id, err)
-		return
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nSkylarkloom-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", p.id)
+		return err
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nSkylarkloom-Attempt-Id: %s\r\nSkylarkloom-Response-Seal: seal-%s-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n", id, p.id, id)
-	if p.next(id) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nSkylarkloom-Attempt-Id: %s\r\nSkylarkloom-Response-Seal: seal-%s-%s\r\nSkylarkloom-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n", id, p.id, id)
+	if p.next(id, req.ContentLength >= longBody) {
 		p.rig.note("%s answers %s before it has read the body", p.id, id)
-		sent, err := p.answer(conn, head+"\r\n", "%s")
+		sent, err := p.answer(conn, head+"Connection: close\r\n\r\n", false)
 		read, readErr := io.Copy(io.Discard, req.Body)
 		p.rig.note("%s sent %d of %d events to %s and then read %d bytes of the body; errors: %v, %v", p.id, sent, planEvents, id, read, err, readErr)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.early[id] = sent
-		return
-	}
-	if _, err = io.Copy(io.Discard, req.Body); err != nil {
-		p.rig.note("%s could not read the body of %s: %v", p.id, id, err)
-		return
+		return errAnswerEnds
 	}
-	sent, err := p.answer(conn, head+"Transfer-Encoding: chunked\r\n\r\n", chunkFormat)
-	if err == nil {
-		_, err = io.WriteString(conn, "0\r\n\r\n")
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return err
 	}
-	if err != nil {
-		p.rig.note("%s sent %d of %d events to %s: %v", p.id, sent, planEvents, id, err)
+	if _, err := p.answer(conn, head+"Transfer-Encoding: chunked\r\n\r\n", true); err != nil {
+		return err
 	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err
 }
 
-// chunkFormat stands for an answer in chunks.
-const chunkFormat = "chunk"
-
 // answer sends the events. It returns how many were sent.
-func (p *planWorker) answer(conn net.Conn, head, format string) (sent int, err error) {
+func (p *planWorker) answer(conn net.Conn, head string, chunked bool) (sent int, err error) {
 	if _, err = io.WriteString(conn, head); err != nil {
 		return 0, err
 	}
 	for sent < planEvents {
 		text := fmt.Sprintf("id: %d\ndata: part %d\n\n", sent+1, sent+1)
-		if format == chunkFormat {
+		if chunked {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
 		if _, err = io.WriteString(conn, text); err != nil {
@@ -161,7 +198,7 @@
 	if err = r.addressesFree(); err != nil {
 		return nil, err
 	}
-	if err = r.publishChat(); err != nil {
+	if err = r.publishStreams(workerSlots, planRoute); err != nil {
 		return nil, err
 	}
 	workers := []*planWorker{{rig: r, id: "i-plan-1", faulty: trouble, early: make(map[string]int)}, {rig: r, id: "i-plan-2"}}
@@ -170,7 +207,7 @@
 			return nil, err
 		}
 		defer func() { err = firstError(err, p.listener.Close()) }()
-		if err = r.register(p.id, p.address, "zone-a"); err != nil {
+		if err = r.register(p.id, p.address, "zone-a", workerSlots); err != nil {
 			return nil, err
 		}
 	}
@@ -178,11 +215,14 @@
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(settleTime)
 	calls := make([]*streamCall, planCalls)
 	var callers errgroup.Group
 	for i := range calls {
-		calls[i] = &streamCall{id: fmt.Sprintf("%016x", i+1), body: planBody, want: planEvents}
+		calls[i] = &streamCall{id: fmt.Sprintf("%016x", i+1), path: "/plan/x", body: usualBody, want: planEvents, deadline: planTimeout}
+		if i%longEvery == 0 {
+			calls[i].body = longBody
+		}
 		callers.Go(func() error {
 			calls[i].run(context.Background(), r, nodes[i%len(nodes)].callAddress(), nil)
 			return nil
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -206,6 +206,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	cmd := exec.Command(n.rig.program, "front") //nolint:noctx // The process is ended by kill.
+	// If this process is killed, the node ends with it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Env = append(os.Environ(), "SKYLARKLOOM_SETTINGS="+n.settings)
 	log, err := os.OpenFile(n.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, ownerOnly)
 	if err != nil {
--- a/review/rig/silence.go
+++ b/review/rig/silence.go
@@ -23,21 +23,40 @@
 	// streamEvents at eventInterval end long before the last sixth of graceS.
 	streamEvents  = 64
 	eventInterval = 50 * time.Millisecond
-	engineSlots   = 6
-	// termAfter is when after the streams have begun the node gets SIGTERM, and silentAfter
-	// when after that an engine preempts runs.
-	promptBytes            = 1400
-	termAfter, silentAfter = 300 * time.Millisecond, 200 * time.Millisecond
+	// engineSlots is how many requests an engine runs at once, and engineQueue how many more
+	// it queues. waitingCalls are the requests that fill the queues.
+	engineSlots, engineQueue, waitingCalls = 6, 3, 8
+	// settleTime is how long after their start the nodes are left alone, more than contactMs.
+	settleTime = 4 * time.Second
+	// waitAfter is when after the streams have begun the waiting calls are sent, termAfter
+	// when after these the node gets SIGTERM, and silentAfter when after that an engine
+	// preempts runs.
+	waitAfter, termAfter, silentAfter = 100 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond
+	promptBytes                       = 1400
 	// lastSixth is when the last sixth of graceS begins.
 	lastSixth = 8 * time.Second * 5 / 6
-	deadline  = 15 * time.Second
+	// chatTimeout and noteTimeout are the timeouts of the routes and the callers' deadlines.
+	chatTimeout, noteTimeout = 15 * time.Second, 4 * time.Second
+)
+
+// chatRoute is the route of chat-reply on the site, noteRoute one that may not be resumed.
+var (
+	chatRoute = map[string]any{
+		"name": "chat", "host": "h", "pathPrefix": "/chat/", "kind": "streaming", "resumable": true, "sticky": true, "service": "engines",
+		"attempts": 2, "timeoutMs": chatTimeout.Milliseconds(), "targetLatencyMs": 1500, "gapAimMs": 400, "priority": 2,
+	}
+	noteRoute = map[string]any{
+		"name": "note", "host": "h", "pathPrefix": "/note/", "kind": "streaming", "resumable": false, "sticky": true, "service": "engines",
+		"attempts": 1, "timeoutMs": noteTimeout.Milliseconds(), "targetLatencyMs": 1500, "gapAimMs": 400, "priority": 2,
+	}
 )
 
 // streamCall is a caller's request for a stream.
 type streamCall struct {
-	id string
+	id, path string
 	// body is the length of the prompt, want the number of events of the whole stream.
 	body, want     int
+	deadline       time.Duration
 	sentAt, endsAt time.Time
 	status, events int
 	complete       bool
@@ -47,21 +66,21 @@
 // run sends the request on a new connection and reads the response. It calls begun, if
 // set, at the first event or the end.
 func (c *streamCall) run(ctx context.Context, r *rig, address string, begun func()) {
-	ctx, cancel := context.WithTimeout(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	if begun == nil {
 		begun = func() {}
 	}
 	noteBegun := sync.OnceFunc(begun)
 	defer noteBegun()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/chat/x", strings.NewReader(strings.Repeat("p", c.body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.path, strings.NewReader(strings.Repeat("p", c.body)))
 	if err != nil {
 		c.err = err
 		return
 	}
 	req.Host = "h"
 	req.Header.Set("Skylarkloom-Attempt-Id", c.id)
-	req.Header.Set("Skylarkloom-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Skylarkloom-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	req.Header.Set("Skylarkloom-Model", "m")
 	req.Header.Set("Skylarkloom-Token-Counts", "640,234")
 	req.Header.Set("Skylarkloom-Prompt-Prefix", "5c1e07a2:100,"+c.id+":540")
@@ -87,40 +106,34 @@
 	r.note("caller of %s: status %d, %d events, complete: %t, error: %v", c.id, c.status, c.events, c.complete, c.err)
 }
 
-// publishChat writes a configuration with one resumable streaming route.
-func (r *rig) publishChat() error {
+// publishStreams writes a configuration with routes to a pool of engines.
+func (r *rig) publishStreams(slots int, routes ...any) error {
 	return r.put("keyed.op", "config", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "chat", "host": "h", "pathPrefix": "/chat/", "kind": "streaming", "resumable": true, "sticky": true, "service": "engines",
-			"attempts": 2, "timeoutMs": deadline.Milliseconds(), "targetLatencyMs": 1500, "gapAimMs": 400, "priority": 2,
-		}},
-		"services": []any{map[string]any{"name": "engines", "maxConns": 480, "engine": map[string]any{"slots": engineSlots, "stride": 3}}},
+		"version":  7,
+		"routes":   routes,
+		"services": []any{map[string]any{"name": "engines", "maxConns": 480, "engine": map[string]any{"slots": slots, "stride": 3}}},
 		"tenants":  []any{map[string]any{"name": "t", "apiKeys": []string{"key"}, "unit": "tokens", "plainTokens": 200, "ratePerS": 500_000, "burst": 500_000}},
-		"limits":   map[string]any{"maxBodyBytes": 4 << 20},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
 
 // addEngine starts and registers an engine.
 func (r *rig) addEngine(id, zone string) (e *engine, err error) {
-	e = &engine{rig: r, id: id, slots: engineSlots, events: streamEvents, interval: eventInterval}
+	e = &engine{rig: r, id: id, slots: engineSlots, queue: engineQueue, events: streamEvents, interval: eventInterval}
 	e.address = r.serve(e)
-	return e, r.register(id, e.address, zone)
+	return e, r.register(id, e.address, zone, engineSlots)
 }
 
 // register writes the entry of an engine.
-func (r *rig) register(id, address, zone string) error {
+func (r *rig) register(id, address, zone string, slots int) error {
 	return r.put("keyed.servers", id, map[string]any{
-		"service": "engines", "address": address, "zone": zone, "version": "v1", "slots": engineSlots, "state": "ready", "coldLeftMs": 0, "seqNo": 1,
-		"born": time.Now().UnixMilli(),
+		"service": "engines", "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seqNo": 1,
+		"stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "born": time.Now().UnixMilli(),
 	})
 }
 
 func playSilence(r *rig, trouble bool) (broken []string, err error) {
-	if err = r.addressesFree(); err != nil {
-		return nil, err
-	}
-	if err = r.publishChat(); err != nil {
+	if err = firstError(r.addressesFree(), r.publishStreams(engineSlots, chatRoute, noteRoute)); err != nil {
 		return nil, err
 	}
 	var engines []*engine
@@ -135,22 +148,28 @@
 	if err != nil {
 		return nil, err
 	}
-	// The nodes learn of each other.
-	time.Sleep(2 * time.Second)
+	time.Sleep(settleTime)
 	front := nodes[0]
-	calls := make([]*streamCall, len(engines)*engineSlots)
 	var callers errgroup.Group
 	var begun sync.WaitGroup
-	for i := range calls {
-		calls[i] = &streamCall{id: fmt.Sprintf("%016x", i+1), body: promptBytes, want: streamEvents}
-		begun.Add(1)
+	send := func(c *streamCall, begun func()) *streamCall {
 		callers.Go(func() error {
-			calls[i].run(context.Background(), r, front.callAddress(), begun.Done)
+			c.run(context.Background(), r, front.callAddress(), begun)
 			return nil
 		})
 		time.Sleep(eventInterval / 2)
+		return c
+	}
+	var calls []*streamCall
+	for i := range len(engines) * engineSlots {
+		begun.Add(1)
+		calls = append(calls, send(&streamCall{id: fmt.Sprintf("%016x", i+1), path: "/chat/x", body: promptBytes, want: streamEvents, deadline: chatTimeout}, begun.Done))
 	}
 	begun.Wait()
+	time.Sleep(waitAfter)
+	for i := range waitingCalls {
+		send(&streamCall{id: fmt.Sprintf("note-%d", i+1), path: "/note/x", body: promptBytes, want: streamEvents, deadline: noteTimeout}, nil)
+	}
 	time.Sleep(termAfter)
 	termAt := time.Now()
 	if err = front.signal(syscall.SIGTERM); err != nil {
@@ -168,26 +187,25 @@
 	return judgeSilence(r, engines, calls, termAt), nil
 }
 
-// judgeSilence applies LOST: around a planned stop, a request that was passed on must not
-// end without a complete answer, unless its worker broke off or was at work in the last
-// sixth of graceS, or the time of its route was over.
+// judgeSilence applies LOST to the resumable streams, which were all sent before SIGTERM and
+// passed on: they must not end without a complete answer, unless the worker broke off, the
+// timeout was reached, or the worker was still at work in the last sixth of graceS.
 func judgeSilence(r *rig, engines []*engine, calls []*streamCall, termAt time.Time) (broken []string) {
-	cut, unfinished := 0, 0
+	cut := 0
 	for _, c := range calls {
-		switch {
-		case c.complete:
-		case c.status == 0 && c.err == nil:
-			unfinished++
-		case c.status == http.StatusOK:
-			cut++
-			run, ran := engines[0].endOf(c.id)
-			if !ran || c.endsAt.Sub(c.sentAt) >= deadline || c.endsAt.Sub(termAt) >= lastSixth {
+		if c.complete {
+			continue
+		}
+		cut++
+		for _, e := range engines {
+			run, ran := e.endOf(c.id)
+			if !ran || run.complete || !run.closedByNode || c.endsAt.Sub(c.sentAt) >= chatTimeout || c.endsAt.Sub(termAt) >= lastSixth {
 				continue
 			}
-			broken = append(broken, fmt.Sprintf("LOST: %s was cut %.2f s after SIGTERM, after %d of %d events; its engine had sent %d and was still at work (run complete: %t)",
-				c.id, c.endsAt.Sub(termAt).Seconds(), c.events, streamEvents, run.last, run.complete))
+			broken = append(broken, fmt.Sprintf("LOST: %s was cut %.2f s after SIGTERM, after %d of %d events; %s had sent %d and was still at work when the node closed the connection",
+				c.id, c.endsAt.Sub(termAt).Seconds(), c.events, streamEvents, e.id, run.last))
 		}
 	}
-	r.note("%d of %d streams were cut, %d did not begin", cut, len(calls), unfinished)
+	r.note("%d of %d streams were cut", cut, len(calls))
 	return broken
 }
