Review case 4: crashes within 0.4 s count as one

A request that crashes the workers that run it comes three times, every 3.7 s, and is retried once each time. Later than contactMs after its third crash it reaches workers in four retries, where three are allowed (BUDGET). It crashes eight workers then, and 13 or 14 requests of other callers that may not be repeated are lost with them.

Path: a node reports each crash to pkg/quarantine (gateway/attempt.go, RecordBroken; front/quarantine.go, recordCrash). Evidence.best counts the crashes of a subject with spacedCount, which takes those that differ by less than crashSpacing (0.4 s) as one. The request's two attempts and its caller's retry crash four workers within 0.1 s, so each time that it comes counts once, and minCrashes is reached the third time.

--- /dev/null
+++ b/review/rig/deadly.go
@@ -0,0 +1,295 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// The case "deadly": a request that crashes the workers that run it, and that comes again
+// while its first crashes lie close together, must not reach workers for long.
+const (
+	// deadlyWorkers is how many workers the service has, as on the site.
+	deadlyWorkers = 18
+	// crashDelay is how long a worker runs the deadly request before it crashes, and downFor
+	// how long it is gone then.
+	crashDelay = 20 * time.Millisecond
+	downFor    = 2500 * time.Millisecond
+	// silenceLimit is three heartbeat intervals, after which the entry of a worker that
+	// crashed is removed.
+	silenceLimit = 3 * 1200 * time.Millisecond
+	// The deadly request comes returns times, one every returnPause. The caller retries it
+	// once each time, at another node.
+	returns     = 3
+	returnPause = 3700 * time.Millisecond
+	// judgedAfter is contactMs, judgedCrash the crash after which it begins, and maxRetries
+	// how many retries may reach workers later.
+	judgedAfter = 3 * time.Second
+	judgedCrash = 3
+	maxRetries  = 3
+	// Other callers send a short request every otherPause, whose streams have otherEvents.
+	otherPause  = 30 * time.Millisecond
+	otherEvents = 8
+	otherBody   = 4700
+	// afterwards is how long they go on.
+	afterwards = 3 * time.Second
+	deadlyText = "a prompt that crashes the engine"
+)
+
+// mortalEngine is a model worker that the deadly request crashes. It is back after downFor,
+// at the same address, as a new incarnation.
+type mortalEngine struct {
+	rig          *rig
+	number, zone string
+	address      string
+	crashes      bool
+	record       *crashRecord
+
+	mu          sync.Mutex
+	incarnation int
+	current     *engine
+	listener    net.Listener
+	conns       map[net.Conn]bool
+	// ended reports whether the run has ended.
+	ended bool
+}
+
+// crashRecord holds the runs of the deadly request at all workers.
+type crashRecord struct {
+	mu   sync.Mutex
+	runs []deadlyRun
+}
+
+// deadlyRun is a run of the deadly request.
+type deadlyRun struct {
+	at             time.Time
+	worker, caller string
+}
+
+// start starts the next incarnation and registers it.
+func (m *mortalEngine) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		return nil
+	}
+	address := m.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address) //nolint:noctx // Listen does not wait.
+	if err != nil {
+		return err
+	}
+	m.listener, m.address, m.conns = listener, listener.Addr().String(), make(map[net.Conn]bool)
+	m.incarnation++
+	current := &engine{rig: m.rig, id: fmt.Sprintf("i-engine-%s-%d", m.number, m.incarnation), slots: workerSlots, events: otherEvents, interval: eventInterval}
+	m.current = current
+	server := &http.Server{
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(current, w, r) }),
+		ConnState:         m.track,
+		ReadHeaderTimeout: readyWait,
+	}
+	m.rig.group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		return nil
+	})
+	return m.rig.register(current.id, m.address, m.zone, workerSlots)
+}
+
+// track keeps the open connections.
+func (m *mortalEngine) track(conn net.Conn, state http.ConnState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		m.conns[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(m.conns, conn)
+	default:
+	}
+}
+
+// serve runs a request, or crashes because of it.
+func (m *mortalEngine) serve(current *engine, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if m.crashes && string(body) == deadlyText && r.Header.Get("Skylarkloom-Expect-Instance") == current.id {
+		request := r.Header.Get("Skylarkloom-Attempt-Id")
+		time.Sleep(crashDelay)
+		if m.crash(current) {
+			m.record.add(deadlyRun{at: time.Now(), worker: current.id, caller: request})
+			m.rig.note("%s begins to run %s and crashes", current.id, request)
+		}
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	current.ServeHTTP(w, r)
+}
+
+func (c *crashRecord) add(run deadlyRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs = append(c.runs, run)
+}
+
+// crash resets all connections and refuses new ones until the next incarnation starts. It
+// reports false if the incarnation has crashed already.
+func (m *mortalEngine) crash(current *engine) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current != current {
+		return false
+	}
+	m.current = nil
+	m.stop()
+	m.rig.group.Go(func() error {
+		time.Sleep(downFor)
+		if err := m.start(); err != nil {
+			return err
+		}
+		time.Sleep(silenceLimit - downFor)
+		m.rig.store.Put("keyed.servers", current.id, nil)
+		return nil
+	})
+	return true
+}
+
+// stop closes the listener and resets all connections. The caller holds the lock.
+func (m *mortalEngine) stop() {
+	// An error means that the listener is closed already.
+	_ = m.listener.Close()
+	for conn := range m.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// Without it the connection is closed instead of reset.
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// end stops the worker at the end of the run.
+func (m *mortalEngine) end() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+	m.stop()
+}
+
+// sendDeadly sends the deadly request to a node, and retries it once at the next one.
+func (r *rig) sendDeadly(nodes []*node, turn int) {
+	const tries = 2
+	for try := range tries {
+		c := &streamCall{id: fmt.Sprintf("deadly-%d-%d", turn, try), path: "/chat/x", text: deadlyText, block: "deadly", want: otherEvents, deadline: chatTimeout}
+		c.run(context.Background(), r, nodes[(turn+try)%len(nodes)].callAddress(), nil)
+		r.note("caller of %s: status %d, error: %v", c.id, c.status, c.err)
+		if c.status == http.StatusOK || c.status == http.StatusServiceUnavailable {
+			return
+		}
+	}
+}
+
+// others sends the requests of other callers until done is closed, and returns them.
+func (r *rig) others(nodes []*node, done <-chan struct{}) (calls []*streamCall, err error) {
+	var callers errgroup.Group
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return calls, callers.Wait()
+		case <-time.After(otherPause):
+		}
+		c := &streamCall{id: fmt.Sprintf("%016x", i+1), path: "/note/x", body: otherBody, want: otherEvents, deadline: noteTimeout}
+		calls = append(calls, c)
+		callers.Go(func() error {
+			c.run(context.Background(), r, nodes[i%len(nodes)].callAddress(), nil)
+			return nil
+		})
+	}
+}
+
+func playDeadly(r *rig, trouble bool) (broken []string, err error) {
+	if err = firstError(r.addressesFree(), r.publishStreams(workerSlots, chatRoute, noteRoute)); err != nil {
+		return nil, err
+	}
+	runs := &crashRecord{}
+	for i := range deadlyWorkers {
+		m := &mortalEngine{rig: r, number: fmt.Sprint(i + 1), zone: fleetZones[i%len(fleetZones)], crashes: trouble, record: runs}
+		if err = m.start(); err != nil {
+			return nil, err
+		}
+		defer m.end()
+	}
+	nodes, err := r.startFleet()
+	if err != nil {
+		return nil, err
+	}
+	var group errgroup.Group
+	var calls []*streamCall
+	done := make(chan struct{})
+	group.Go(func() (err error) {
+		calls, err = r.others(nodes, done)
+		return err
+	})
+	time.Sleep(settleTime)
+	for turn := range returns {
+		begunAt := time.Now()
+		r.sendDeadly(nodes, turn)
+		time.Sleep(time.Until(begunAt.Add(returnPause)))
+	}
+	time.Sleep(afterwards)
+	close(done)
+	if err = group.Wait(); err != nil {
+		return nil, err
+	}
+	return judgeDeadly(r, runs.runs, calls), nil
+}
+
+// judgeDeadly applies BUDGET: later than contactMs after the third crash, the deadly request
+// may reach workers in three retries. A caller's request that is sent to two workers counts
+// as one retry.
+func judgeDeadly(r *rig, runs []deadlyRun, calls []*streamCall) (broken []string) {
+	var late []string
+	var lateRuns []deadlyRun
+	seen := make(map[string]bool)
+	for i, run := range runs {
+		if i < judgedCrash || run.at.Sub(runs[judgedCrash-1].at) <= judgedAfter {
+			continue
+		}
+		lateRuns = append(lateRuns, run)
+		if !seen[run.caller] {
+			seen[run.caller] = true
+			late = append(late, run.caller)
+		}
+	}
+	lost := 0
+	for _, c := range calls {
+		if c.complete || c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests {
+			continue
+		}
+		for _, run := range lateRuns {
+			if c.sentAt.Before(run.at) && !c.endsAt.Before(run.at) {
+				lost++
+				break
+			}
+		}
+	}
+	r.note("the deadly request ran %d times; later than %s after the third crash %d times, in %d retries; these crashes broke off %d of %d requests of other callers",
+		len(runs), judgedAfter, len(lateRuns), len(late), lost, len(calls))
+	if len(late) > maxRetries {
+		broken = append(broken, fmt.Sprintf("BUDGET: later than %s after its third crash the deadly request reached workers in %d retries: %s", judgedAfter, len(late), strings.Join(late, ", ")))
+	}
+	return broken
+}
--- a/review/rig/early.go
+++ b/review/rig/early.go
@@ -211,7 +211,7 @@
 			return nil, err
 		}
 	}
-	nodes, err := r.startFleet(true)
+	nodes, err := r.startFleet()
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -6,9 +6,9 @@
 var fleetZones = []string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-b", "zone-c"}
 
 // startFleet starts the nodes of a small deployment and waits until they are ready.
-func (r *rig) startFleet(bootstrap bool) (nodes []*node, err error) {
+func (r *rig) startFleet() (nodes []*node, err error) {
 	for i, zone := range fleetZones {
-		n, err := r.addNode(fmt.Sprintf("front-%s-%d", zone, i+1), zone, i+1, bootstrap)
+		n, err := r.addNode(fmt.Sprintf("front-%s-%d", zone, i+1), zone, i+1, true)
 		if err != nil {
 			return nil, err
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 	"replaced": playReplaced,
 	"silence":  playSilence,
 	"early":    playEarly,
+	"deadly":   playDeadly,
 }
 
 func main() {
--- a/review/rig/replaced.go
+++ b/review/rig/replaced.go
@@ -183,7 +183,7 @@
 	if err = firstError(r.addressesFree(), r.publishLook()); err != nil {
 		return nil, err
 	}
-	nodes, err := r.startFleet(true)
+	nodes, err := r.startFleet()
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/silence.go
+++ b/review/rig/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -54,6 +55,9 @@
 // streamCall is a caller's request for a stream.
 type streamCall struct {
 	id, path string
+	// text is the prompt, and block the ID of its last prefix block. Without them the prompt
+	// has body bytes, and a block of its own.
+	text, block string
 	// body is the length of the prompt, want the number of events of the whole stream.
 	body, want     int
 	deadline       time.Duration
@@ -73,7 +77,7 @@
 	}
 	noteBegun := sync.OnceFunc(begun)
 	defer noteBegun()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.path, strings.NewReader(strings.Repeat("p", c.body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.path, strings.NewReader(cmp.Or(c.text, strings.Repeat("p", c.body))))
 	if err != nil {
 		c.err = err
 		return
@@ -83,7 +87,7 @@
 	req.Header.Set("Skylarkloom-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	req.Header.Set("Skylarkloom-Model", "m")
 	req.Header.Set("Skylarkloom-Token-Counts", "640,234")
-	req.Header.Set("Skylarkloom-Prompt-Prefix", "5c1e07a2:100,"+c.id+":540")
+	req.Header.Set("Skylarkloom-Prompt-Prefix", "5c1e07a2:100,"+cmp.Or(c.block, c.id)+":540")
 	req.Header.Set("Authorization", "Bearer key")
 	c.sentAt = time.Now()
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
@@ -144,7 +148,7 @@
 		}
 		engines = append(engines, e)
 	}
-	nodes, err := r.startFleet(true)
+	nodes, err := r.startFleet()
 	if err != nil {
 		return nil, err
 	}
