--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -15,22 +15,27 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// The case "deadly": a request that crashes the workers that run it, and that comes again
-// while its first crashes lie close together, must not reach workers for long.
+// The cases "deadly" and "outlived": a request that crashes the workers that run it, and that
+// comes again, must not reach workers for long. In the first, its crashes lie close together.
+// In the second, a worker has sent a part of the stream for more than a second by then.
 const (
 	// deadlyWorkers is how many workers the service has, as on the site.
 	deadlyWorkers = 18
-	// crashDelay is how long a worker runs the deadly request before it crashes, and downFor
-	// how long it is gone then.
-	crashDelay = 20 * time.Millisecond
-	downFor    = 2500 * time.Millisecond
+	// promptTime is how long a worker reads the prompt of the deadly request. It crashes then,
+	// or streamedTime after it began to answer, and is gone for downFor.
+	promptTime   = 20 * time.Millisecond
+	streamedTime = 1200 * time.Millisecond
+	downFor      = 2500 * time.Millisecond
 	// silenceLimit is three heartbeat intervals, after which the entry of a worker that
 	// crashed is removed.
 	silenceLimit = 3 * 1200 * time.Millisecond
-	// The deadly request comes returns times, one every returnPause. The caller retries it
-	// once each time, at another node.
-	returns     = 3
+	// The deadly request comes again every returnPause, or once the caller has given up if
+	// that is later. The caller retries it once each time, at another node.
 	returnPause = 3700 * time.Millisecond
+	// deadlyReturns and outlivedReturns are how often it comes in the two cases.
+	deadlyReturns, outlivedReturns = 3, 5
+	// deadlyEvents is the number of events in its stream, the mean of chat-reply.
+	deadlyEvents = 78
 	// judgedAfter is contactMs, judgedCrash the crash after which it begins, and maxRetries
 	// how many retries may reach workers later.
 	judgedAfter = 3 * time.Second
@@ -51,7 +56,7 @@
 	rig          *rig
 	number, zone string
 	address      string
-	crashes      bool
+	deadly       deadlyRequest
 	record       *crashRecord
 
 	mu          sync.Mutex
@@ -63,6 +68,14 @@
 	ended bool
 }
 
+// deadlyRequest says what the deadly request does to a worker.
+type deadlyRequest struct {
+	crashes bool
+	// streamed is how long the worker sends events first.
+	streamed time.Duration
+	returns  int
+}
+
 // crashRecord holds the runs of the deadly request at all workers.
 type crashRecord struct {
 	mu   sync.Mutex
@@ -71,8 +84,8 @@
 
 // deadlyRun is a run of the deadly request.
 type deadlyRun struct {
-	at             time.Time
-	worker, caller string
+	begunAt, crashedAt time.Time
+	worker, request    string
 }
 
 // start starts the next incarnation and registers it.
@@ -127,17 +140,25 @@
 	if err != nil {
 		return
 	}
-	if m.crashes && string(body) == deadlyText && r.Header.Get("Skylarkloom-Expect-Instance") == current.id {
-		request := r.Header.Get("Skylarkloom-Attempt-Id")
-		time.Sleep(crashDelay)
-		if m.crash(current) {
-			m.record.add(deadlyRun{at: time.Now(), worker: current.id, caller: request})
-			m.rig.note("%s begins to run %s and crashes", current.id, request)
-		}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if string(body) != deadlyText || r.Header.Get("Skylarkloom-Expect-Instance") != current.id {
+		current.ServeHTTP(w, r)
+		return
+	}
+	time.Sleep(promptTime)
+	run := deadlyRun{begunAt: time.Now(), worker: current.id, request: r.Header.Get("Skylarkloom-Attempt-Id")}
+	if m.deadly.crashes && m.deadly.streamed == 0 {
+		m.crash(current, run)
 		panic(http.ErrAbortHandler)
 	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	current.ServeHTTP(w, r)
+	long := &engine{rig: m.rig, id: current.id, slots: workerSlots, events: deadlyEvents, interval: eventInterval}
+	if m.deadly.crashes {
+		defer time.AfterFunc(m.deadly.streamed, func() {
+			long.gone.Store(true)
+			m.crash(current, run)
+		}).Stop()
+	}
+	long.ServeHTTP(w, r)
 }
 
 func (c *crashRecord) add(run deadlyRun) {
@@ -146,15 +167,19 @@
 	c.runs = append(c.runs, run)
 }
 
-// crash resets all connections and refuses new ones until the next incarnation starts. It
-// reports false if the incarnation has crashed already.
-func (m *mortalEngine) crash(current *engine) bool {
+// crash resets all connections and refuses new ones until the next incarnation starts,
+// unless the incarnation has crashed already.
+func (m *mortalEngine) crash(current *engine, run deadlyRun) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.current != current {
-		return false
+		return
 	}
 	m.current = nil
+	current.gone.Store(true)
+	run.crashedAt = time.Now()
+	m.record.add(run)
+	m.rig.note("%s crashes, %s after it began to run %s", current.id, run.crashedAt.Sub(run.begunAt).Round(time.Millisecond), run.request)
 	m.stop()
 	m.rig.group.Go(func() error {
 		time.Sleep(downFor)
@@ -165,7 +190,6 @@
 		m.rig.store.Put("keyed.servers", current.id, nil)
 		return nil
 	})
-	return true
 }
 
 // stop closes the listener and resets all connections. The caller holds the lock.
@@ -193,10 +217,10 @@
 func (r *rig) sendDeadly(nodes []*node, turn int) {
 	const tries = 2
 	for try := range tries {
-		c := &streamCall{id: fmt.Sprintf("deadly-%d-%d", turn, try), path: "/chat/x", text: deadlyText, block: "deadly", want: otherEvents, deadline: chatTimeout}
+		c := &streamCall{id: fmt.Sprintf("deadly-%d-%d", turn, try), path: "/chat/x", text: deadlyText, block: "deadly", want: deadlyEvents, deadline: chatTimeout}
 		c.run(context.Background(), r, nodes[(turn+try)%len(nodes)].callAddress(), nil)
 		r.note("caller of %s: status %d, error: %v", c.id, c.status, c.err)
-		if c.status == http.StatusOK || c.status == http.StatusServiceUnavailable {
+		if c.complete || c.status == http.StatusServiceUnavailable {
 			return
 		}
 	}
@@ -221,12 +245,21 @@
 }
 
 func playDeadly(r *rig, trouble bool) (broken []string, err error) {
+	return r.playCrashes(deadlyRequest{crashes: trouble, returns: deadlyReturns})
+}
+
+func playOutlived(r *rig, trouble bool) (broken []string, err error) {
+	return r.playCrashes(deadlyRequest{crashes: trouble, streamed: streamedTime, returns: outlivedReturns})
+}
+
+// playCrashes plays a case with the deadly request.
+func (r *rig) playCrashes(deadly deadlyRequest) (broken []string, err error) {
 	if err = firstError(r.addressesFree(), r.publishStreams(workerSlots, chatRoute, noteRoute)); err != nil {
 		return nil, err
 	}
 	runs := &crashRecord{}
 	for i := range deadlyWorkers {
-		m := &mortalEngine{rig: r, number: fmt.Sprint(i + 1), zone: fleetZones[i%len(fleetZones)], crashes: trouble, record: runs}
+		m := &mortalEngine{rig: r, number: fmt.Sprint(i + 1), zone: fleetZones[i%len(fleetZones)], deadly: deadly, record: runs}
 		if err = m.start(); err != nil {
 			return nil, err
 		}
@@ -244,7 +277,7 @@
 		return err
 	})
 	time.Sleep(settleTime)
-	for turn := range returns {
+	for turn := range deadly.returns {
 		begunAt := time.Now()
 		r.sendDeadly(nodes, turn)
 		time.Sleep(time.Until(begunAt.Add(returnPause)))
@@ -265,13 +298,13 @@
 	var lateRuns []deadlyRun
 	seen := make(map[string]bool)
 	for i, run := range runs {
-		if i < judgedCrash || run.at.Sub(runs[judgedCrash-1].at) <= judgedAfter {
+		if i < judgedCrash || run.begunAt.Sub(runs[judgedCrash-1].crashedAt) <= judgedAfter {
 			continue
 		}
 		lateRuns = append(lateRuns, run)
-		if !seen[run.caller] {
-			seen[run.caller] = true
-			late = append(late, run.caller)
+		if !seen[run.request] {
+			seen[run.request] = true
+			late = append(late, run.request)
 		}
 	}
 	lost := 0
@@ -280,7 +313,7 @@
 			continue
 		}
 		for _, run := range lateRuns {
-			if c.sentAt.Before(run.at) && !c.endsAt.Before(run.at) {
+			if c.sentAt.Before(run.crashedAt) && !c.endsAt.Before(run.crashedAt) {
 				lost++
 				break
 			}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	events       int
 	interval     time.Duration
 	address      string
+	// gone reports whether the engine has crashed.
+	gone atomic.Bool
 
 	mu sync.Mutex
 	// running are the requests of the runs that have not ended, oldest first, and waiting
@@ -176,8 +179,8 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Skylarkloom-Weight-Versions", "1")
 	run.complete = e.stream(w, r, &run.last)
-	// The engine itself never breaks off.
-	run.at, run.closedByNode = time.Now(), !run.complete
+	// Unless it crashes, the engine itself never breaks off.
+	run.at, run.closedByNode = time.Now(), !run.complete && !e.gone.Load()
 	e.end(run)
 }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"silence":  playSilence,
 	"early":    playEarly,
 	"deadly":   playDeadly,
+	"outlived": playOutlived,
 }
 
 func main() {
