--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
@@ -15,11 +14,6 @@
 )
 
 const (
-	// maxCachedBlocks bounds the prefix blocks that are recorded for an endpoint.
-	maxCachedBlocks = 2048
-	// cachedBlockLifetime is how long a prefix block is assumed to stay in an
-	// engine's cache after its last use.
-	cachedBlockLifetime = 60 * time.Second
 	// failureWeight is the weight of one request in the moving average of the
 	// failure rate.
 	failureWeight = 0.25
@@ -32,15 +26,6 @@
 	// fullAvoidTime is how long a full endpoint is avoided while others may have
 	// free slots. Several requests end at an endpoint in this time.
 	fullAvoidTime = 150 * time.Millisecond
-	// prefillRateWeight is the weight of one observation in the moving average of
-	// the prefill rate.
-	prefillRateWeight = 0.15
-	// minRateTokens is the minimum number of queued prompt tokens from which the
-	// prefill rate is estimated.
-	minRateTokens = 1000
-	// minPrefillFactor and maxPrefillFactor bound the prefill rate of an engine relative
-	// to the usual one of its pool.
-	minPrefillFactor, maxPrefillFactor = 0.12, 2.4
 )
 
 // Work is the load that one node puts on an endpoint.
@@ -176,65 +161,6 @@
 	return t.PoolPrefillRate(pool)
 }
 
-// cachedTokens returns the number of leading tokens of a prompt that are recorded
-// as cached.
-func (s *endpointState) cachedTokens(blocks []serving.PrefixBlock, now clock.Instant) (tokens fleet.Tokens) {
-	for _, b := range blocks {
-		usedAt, ok := s.cachedBlocks.Peek(b.ID)
-		if !ok || now.Sub(usedAt) > cachedBlockLifetime {
-			break
-		}
-		tokens += b.Tokens
-	}
-	return tokens
-}
-
-// maxPreferred is the number of endpoints that are ranked as preferred for a prompt.
-const maxPreferred = 3
-
-// preferredEndpoints returns the preferred endpoints for the last prefix block that
-// a prompt shares with others, best first. Rendezvous hashing lets all nodes arrive
-// at the same ranking without exchanging messages.
-func preferredEndpoints(endpoints []serving.Endpoint, blocks []serving.PrefixBlock) (ranked []fleet.InstanceID) {
-	if len(blocks) == 0 {
-		return nil
-	}
-	key := blocks[max(0, len(blocks)-2)].ID
-	var topHashes [maxPreferred + 1]uint64
-	ranked = make([]fleet.InstanceID, 0, maxPreferred+1)
-	for _, e := range endpoints {
-		var h xxhash.Digest
-		h.Reset()
-		// Writes to an xxhash digest never fail.
-		_, _ = h.WriteString(string(key))
-		_, _ = h.WriteString(string(e.ID))
-		sum := h.Sum64()
-		position := len(ranked)
-		for position > 0 && sum > topHashes[position-1] {
-			position--
-		}
-		if position == maxPreferred {
-			continue
-		}
-		copy(topHashes[position+1:], topHashes[position:])
-		topHashes[position] = sum
-		ranked = slices.Insert(ranked, position, e.ID)
-		ranked = ranked[:min(len(ranked), maxPreferred)]
-	}
-	return ranked
-}
-
-// SharedTokens returns the number of leading tokens of a prompt that other requests
-// share: those of all prefix blocks but the last.
-func SharedTokens(blocks []serving.PrefixBlock) (tokens fleet.Tokens) {
-	for i, b := range blocks {
-		if i < len(blocks)-1 {
-			tokens += b.Tokens
-		}
-	}
-	return tokens
-}
-
 // Prefill is a request at an endpoint, from its start to its end. Its prompt counts
 // towards the endpoint's backlog until the first event.
 type Prefill struct {
@@ -301,41 +227,6 @@
 	return true
 }
 
-// usualRate returns the usual prefill rate of the endpoint's pool.
-func (s *endpointState) usualRate() float64 {
-	if s.poolRate <= 0 {
-		return provision.DefaultSpeeds.Prefill
-	}
-	return s.poolRate
-}
-
-// observedRate returns the prefill rate that follows from a first event at now. It
-// reports false if too few tokens were queued or too little time has passed.
-func (s *endpointState) observedRate(p *Prefill, now clock.Instant) (rate float64, ok bool) {
-	took := now.Sub(p.startedAt) - idleFirstEventTime
-	if p.queued < minRateTokens || took <= 0 {
-		return 0, false
-	}
-	rate = float64(p.queued) / (float64(took) / float64(time.Millisecond))
-	return min(max(rate, minPrefillFactor*s.usualRate()), maxPrefillFactor*s.usualRate()), true
-}
-
-// prefillRate returns the lower of the average rate and the rate that the longest
-// waiting request implies so far. The latter shows that an engine has become slow
-// before its first event arrives.
-func (s *endpointState) prefillRate(now clock.Instant) float64 {
-	rate := s.measuredRate
-	if rate == 0 {
-		rate = s.usualRate()
-	}
-	if len(s.prefills) > 0 {
-		if bound, ok := s.observedRate(s.prefills[0], now); ok {
-			rate = min(rate, bound)
-		}
-	}
-	return rate
-}
-
 // RecordOutcome records whether a request to an endpoint succeeded.
 func (t *Tracker) RecordOutcome(id fleet.InstanceID, ok bool) {
 	t.mu.Lock()
@@ -376,49 +267,6 @@
 	s.avoidUntil = max(s.avoidUntil, now.Add(fullAvoidTime))
 }
 
-// RecordPause records that an endpoint wants no requests of this node until an instant.
-// This holds for its incarnations born up to newest, in Unix milliseconds, which is that
-// of e at least. A shorter pause does not end a longer one, unless e is newer.
-func (t *Tracker) RecordPause(e serving.Endpoint, newest int64, until clock.Instant) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.state(e.ID)
-	if e.Born <= s.pausedBorn {
-		until = max(until, s.pausedUntil)
-	}
-	s.pausedUntil, s.pausedBorn = until, max(s.pausedBorn, e.Born, newest)
-}
-
-// Paused reports whether an incarnation of an endpoint wants no requests now.
-func (t *Tracker) Paused(e serving.Endpoint, now clock.Instant) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.endpoints[e.ID]
-	return s != nil && s.wantsPause(e, now)
-}
-
-// wantsPause reports whether the incarnation of the endpoint wants no requests now.
-func (s *endpointState) wantsPause(e serving.Endpoint, now clock.Instant) bool {
-	return e.Born <= s.pausedBorn && now < s.pausedUntil
-}
-
-// Available returns the endpoints without a pause, and when the first pause of the
-// others that are ready ends; 0 if there is none. It reuses the slice.
-func (t *Tracker) Available(endpoints []serving.Endpoint, now clock.Instant) (available []serving.Endpoint, firstEnd clock.Instant) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	available = endpoints[:0]
-	for _, e := range endpoints {
-		s := t.endpoints[e.ID]
-		if s == nil || !s.wantsPause(e, now) {
-			available = append(available, e)
-		} else if e.State == serving.StateReady && (firstEnd == 0 || s.pausedUntil < firstEnd) {
-			firstEnd = s.pausedUntil
-		}
-	}
-	return available, firstEnd
-}
-
 // SetPeerWork replaces the load from the other nodes.
 func (t *Tracker) SetPeerWork(work map[fleet.InstanceID]Work) {
 	t.mu.Lock()
