Engines: model the speed of each endpoint over all nodes

Cause: where the engines of a pool differ in speed (0.6, 1 and 1.6) and stall from time to time, each node took the rate of a single engine from its own few prompts, so slow engines got too many requests and the watchdog cancelled runs that were only slow.

Change: package pace sums up the logarithms of what streams and responses took, by incarnation of an endpoint; the sums of all nodes travel in the digests (field 25). Placement, predictions, the watchdog and the speeds for provisioning use the model where the speeds of a pool differ clearly, and stay as they were elsewhere. By late views an engine is drawn among those of nearly the least cost; a plain service with fewer slots than nodes is drawn by its predicted response.

go test of placement, gossip, provision and gateway passed.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
@@ -144,6 +145,7 @@
 	directory   directory.Directory
 	history     directory.History
 	tracker     placement.Tracker
+	pace        pace.Model
 	quotas      allotment.QuotaLimiter
 	retries     allotment.RetryBudget
 	connections forward.Pool
@@ -170,6 +172,8 @@
 	f.tracker.DataCentreSilent = func(name fleet.DataCentreName) bool { return f.peers.DataCentreSilent(name, clock.Now()) }
 	f.tracker.PoolPrefillRate = func(pool fleet.PoolName) float64 { return f.engines.Speeds(pool).Prefill }
 	f.tracker.OnPrefill = f.engines.AddPrefill
+	f.tracker.Pace = &f.pace
+	f.engines.Usual = f.usualSpeeds
 	f.directory.OnChange = f.logEndpointChange
 	f.peers.OnLivenessChange = f.logPeerLiveness
 	f.quarantine.OnQuarantined = func(q quarantine.Quarantine, found bool) { f.handleQuarantined(ctx, q, found) }
@@ -352,6 +356,7 @@
 	f.directory.Expire(clock.Now())
 	f.connections.CloseExpired(time.Now())
 	f.expireGossipState()
+	f.updatePace()
 	f.countInitialEndpoints()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
@@ -62,6 +63,10 @@
 	choice   placement.Choice
 	prefill  *placement.Prefill
 	response *forward.Response
+	// sentAt is when the attempt began and firstAt when the first event or the response
+	// arrived.
+	sentAt, firstAt clock.Instant
+	gaps            pace.Gaps
 	// begunAt is when the response header arrived, 0 before.
 	begunAt clock.Instant
 	// servedRecorded reports whether the attempt was recorded as served.
@@ -89,10 +94,18 @@
 	}
 	candidates, pauseEnd := p.handler.Tracker.Available(candidates, now)
 	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
+	n := p.handler.Nodes()
+	view := placement.View{Lag: n.Lag, Nodes: n.Total, Draw: p.handler.Random()}
 	if p.pool.Engine == nil {
-		c, ok = placement.ChooseService(loads)
+		c, ok = placement.ChooseService(view, loads)
 	} else {
-		query := placement.Query{PromptTokens: p.request.PromptTokens, SharedTokens: placement.SharedTokens(p.request.PrefixBlocks), FetchesKV: p.pool.Engine.FetchesKV}
+		query := placement.Query{
+			PromptTokens: p.request.PromptTokens,
+			SharedTokens: placement.SharedTokens(p.request.PrefixBlocks),
+			OutputTokens: p.request.MaxOutputTokens,
+			FetchesKV:    p.pool.Engine.FetchesKV,
+			View:         view,
+		}
 		c, ok = placement.ChooseEngine(query, loads)
 	}
 	if p.paused = !ok && pauseEnd > 0; p.paused {
@@ -143,7 +156,8 @@
 
 // send sends the request to an endpoint and waits for the response header.
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
-	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
+	now := clock.Now()
+	a := &attempt{proxy: p, choice: c, sentAt: now, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, now)}
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
@@ -307,12 +321,29 @@
 	}
 }
 
-// recordFirstEvent records that the endpoint has processed the prompt. Only the
-// first call has an effect.
-func (a *attempt) recordFirstEvent() {
-	a.started.Store(true)
+// recordEvent records an event or the response. The first one shows that the endpoint
+// has processed the prompt.
+func (a *attempt) recordEvent() {
+	now := clock.Now()
+	if !a.started.Swap(true) {
+		a.firstAt = now
+	}
+	a.gaps.Add(now)
 	a.proxy.recordStart()
-	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, clock.Now())
+	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, now)
+}
+
+// recordPace records how fast the endpoint served the request. A response of a plain
+// service counts if the endpoint had a free slot.
+func (a *attempt) recordPace() {
+	t, e := a.proxy.handler.Tracker, a.choice.Endpoint
+	switch engine := a.proxy.pool.Engine; {
+	case t.Pace == nil:
+	case engine != nil:
+		t.Pace.AddUnit(e, a.gaps.Usual()/time.Duration(max(1, engine.TokensPerEvent)), clock.Now())
+	case a.servedRecorded && a.choice.Idle && a.response.Status < http.StatusInternalServerError:
+		t.Pace.AddUnit(e, a.firstAt.Sub(a.sentAt), clock.Now())
+	}
 }
 
 // finish closes the response and removes the attempt from the endpoint's load.
@@ -321,6 +352,7 @@
 		return
 	}
 	a.finished = true
+	a.recordPace()
 	if a.response != nil {
 		a.response.Close()
 	}
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -122,7 +122,7 @@
 		p.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
 	}
-	a.recordFirstEvent()
+	a.recordEvent()
 	a.recordServed()
 	failed := a.response.Status >= http.StatusInternalServerError
 	p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, !failed)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,6 +28,9 @@
 	stallPredictedFactor = 3
 	minStallObjectives   = 0.5
 	maxStallObjectives   = 1.6
+	// elsewhereFactor times the predicted time at another engine is the time that is left
+	// for it before the objective, where speeds differ.
+	elsewhereFactor = 1.5
 	// lateStartFactor times the route's objective is the highest predicted time to
 	// the first event that is admitted. It exceeds 1 because predictions err and a
 	// late response still has some value.
@@ -156,7 +159,7 @@
 		return outcomeLost, ReasonInvalidResponse
 	}
 	a.recordServed()
-	a.recordFirstEvent()
+	a.recordEvent()
 	if s.route.Repeatable() && s.takeAttempt() {
 		s.attemptTaken = true
 		return outcomeLost, ReasonEndpointFailed
@@ -169,7 +172,12 @@
 func (s *streamRequest) firstEventTimeout(c placement.Choice) time.Duration {
 	if s.hasMoreAttempts() {
 		objective := float64(s.route.Objective)
-		return time.Duration(min(max(stallPredictedFactor*float64(c.TimeToFirstEvent), minStallObjectives*objective), maxStallObjectives*objective))
+		least := minStallObjectives * objective
+		if c.Elsewhere > 0 {
+			// An engine that stalls for a moment is given as long as another one needs not.
+			least = max(least, objective-elsewhereFactor*float64(c.Elsewhere))
+		}
+		return time.Duration(min(max(stallPredictedFactor*float64(c.TimeToFirstEvent), least), maxStallObjectives*objective))
 	}
 	return s.remaining()
 }
@@ -228,7 +236,7 @@
 		if now.Sub(a.begunAt) >= servedTime {
 			a.recordServed()
 		}
-		a.recordFirstEvent()
+		a.recordEvent()
 		if e.hasID && !isNew {
 			continue
 		}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
@@ -98,6 +99,8 @@
 	Leaving map[fleet.InstanceID]int64 `cbor:"21,keyasint,omitempty"`
 	// Speeds are the known speeds of engines, by pool, for nodes that have not measured any.
 	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
+	// Pace is the evidence of the covered nodes for the speeds of endpoints.
+	Pace pace.Report `cbor:"25,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
@@ -444,6 +447,18 @@
 	return work
 }
 
+// Pace returns the evidence of the other nodes for the speeds of endpoints. A silent
+// node counts with its last report, because speeds outlast its silence.
+func (t *Table) Pace() pace.Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := make(pace.Report)
+	for _, p := range t.peers {
+		sum.Add(p.digest.Pace)
+	}
+	return sum
+}
+
 // addWork adds the load in added to sum.
 func addWork(sum, added map[fleet.InstanceID]placement.Work) {
 	for id, w := range added {
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 )
 
@@ -307,6 +308,8 @@
 	d.Work, d.Demand = make(map[fleet.InstanceID]placement.Work), make(map[fleet.PoolName]float64)
 	addWork(d.Work, local.Work)
 	maps.Copy(d.Demand, local.Demand)
+	d.Pace = make(pace.Report, len(local.Pace))
+	d.Pace.Add(local.Pace)
 	for _, p := range t.peers {
 		if include(p) {
 			mergePeer(&d, p, now)
@@ -344,6 +347,7 @@
 	for pool, n := range p.digest.Demand {
 		d.Demand[pool] += n
 	}
+	d.Pace.Add(p.digest.Pace)
 	if p.silent {
 		return
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -60,6 +60,15 @@
 	// PrefillRate is the number of prompt tokens processed in a millisecond; 0 if
 	// unknown.
 	PrefillRate float64
+	// Speed is the endpoint's speed relative to the usual one of its pool; 0 if the speeds
+	// there don't differ clearly.
+	Speed float64
+	// FirstStep is the time to the first event of an empty prompt at the idle engine; 0
+	// stands for idleFirstEventTime.
+	FirstStep time.Duration
+	// UnitTime is the usual time in the pool for an output token of an engine or for a
+	// request to a plain service; 0 if unknown.
+	UnitTime time.Duration
 	// FailureRate is the fraction of recent requests that failed, from 0 to 1.
 	FailureRate float64
 	// Remote reports whether the endpoint is in another data centre.
@@ -76,9 +85,12 @@
 	PromptTokens fleet.Tokens
 	// SharedTokens is the number of leading tokens that other requests share.
 	SharedTokens fleet.Tokens
+	// OutputTokens is the maximum number of output tokens.
+	OutputTokens fleet.Tokens
 	// FetchesKV reports whether engines can fetch cached prefix blocks from each
 	// other.
 	FetchesKV bool
+	View      View
 }
 
 // Choice is a chosen endpoint with the predicted cost of the request there.
@@ -92,6 +104,9 @@
 	// KVSource is another engine that probably has prefix blocks cached that the
 	// endpoint lacks; its address is empty if there is none.
 	KVSource serving.Endpoint
+	// Elsewhere is the predicted time to the first event at an idle engine of usual speed;
+	// 0 in a pool of equal engines.
+	Elsewhere time.Duration
 	// Idle reports whether the endpoint has free capacity: an engine if it has no
 	// backlog and fewer requests in flight than half its slots, a plain service if
 	// it has a free slot.
@@ -101,20 +116,28 @@
 // ChooseEngine returns the engine with the lowest predicted time to the first
 // event, including penalties. Weighing the preferred endpoint's cache against its
 // backlog spreads a hot prompt: when the preferred endpoint falls behind, requests
-// go to engines with less of the prompt cached.
+// go to engines with less of the prompt cached. Between engines of different speeds and
+// by a late view it draws among those of nearly the least cost.
 func ChooseEngine(q Query, loads []Load) (c Choice, ok bool) {
 	best := math.Inf(1)
 	preferred := bestPreferenceRank(loads)
 	var cached fleet.Tokens
+	var drawn spread
 	for _, l := range loads {
 		if l.Draining {
 			continue
 		}
 		cost, choice := engineCost(q, l, l.PreferenceRank > 0 && l.PreferenceRank == preferred)
+		if l.Speed > 0 && q.View.late() {
+			drawn.add(cost, choice, l.CachedTokens)
+		}
 		if cost < best {
 			best, c, cached, ok = cost, choice, l.CachedTokens, true
 		}
 	}
+	if len(drawn) > 1 {
+		c, cached = drawn.draw(best, q.View.Draw)
+	}
 	if ok && q.FetchesKV {
 		c.KVSource = kvSource(q, c.Endpoint.ID, cached, loads)
 	}
@@ -174,6 +197,22 @@
 	return provision.DefaultSpeeds.Prefill
 }
 
+// firstStep returns the time to the first event of an empty prompt.
+func (l Load) firstStep() time.Duration {
+	if l.FirstStep > 0 {
+		return l.FirstStep
+	}
+	return idleFirstEventTime
+}
+
+// relativeSpeed returns the speed relative to the pool's usual, 1 if there is none.
+func (l Load) relativeSpeed() float64 {
+	if l.Speed > 0 {
+		return l.Speed
+	}
+	return 1
+}
+
 // recomputeWeight returns the additional weight of shared tokens that an engine
 // would recompute. It grows with the engine's backlog, since the recomputation
 // delays every prompt that waits there.
@@ -193,18 +232,25 @@
 	}
 	uncached := max(0, q.PromptTokens-cached)
 	prefill := float64(l.Backlog+uncached) / rate * float64(time.Millisecond)
-	first := float64(idleFirstEventTime) + prefill*(1+streamSlowdown*float64(l.Running))
+	first := float64(l.firstStep()) + prefill*(1+streamSlowdown*float64(l.Running))
 	slots := max(1, l.Endpoint.Slots)
 	if excess := l.Running + 1 - slots; excess > 0 {
-		first += float64(excess) * float64(fullBatchWait)
+		first += float64(excess) * float64(fullBatchWait) / l.relativeSpeed()
 	}
 	recompute := float64(max(0, q.SharedTokens-cached)) / rate * float64(time.Millisecond)
-	return first + recomputeWeight(l)*recompute + penalty(l), Choice{
+	choice := Choice{
 		Endpoint:         l.Endpoint,
 		TimeToFirstEvent: time.Duration(first),
 		UncachedTokens:   uncached,
 		Idle:             l.Running < slots/2 && l.Backlog == 0,
 	}
+	cost := first + recomputeWeight(l)*recompute + penalty(l)
+	if l.Speed > 0 {
+		own := float64(uncached) / rate * float64(time.Millisecond)
+		choice.Elsewhere = time.Duration(l.Speed * (float64(l.FirstStep) + own))
+		cost += besideCost(q, l, own)
+	}
+	return cost, choice
 }
 
 // penalty returns the cost of an endpoint's condition, apart from its load, in
@@ -225,29 +271,3 @@
 	}
 	return cost
 }
-
-const (
-	// serviceTime is the assumed duration of one request to a plain service.
-	serviceTime = 30 * time.Millisecond
-	// defaultServiceSlots applies to an endpoint that does not report its slots.
-	defaultServiceSlots = 4
-)
-
-// ChooseService returns the endpoint of a plain service with the shortest
-// predicted wait, including penalties.
-func ChooseService(loads []Load) (c Choice, ok bool) {
-	best := math.Inf(1)
-	for _, l := range loads {
-		slots := l.Endpoint.Slots
-		if slots <= 0 {
-			slots = defaultServiceSlots
-		}
-		wait := float64(serviceTime) * float64(l.Running) / float64(slots)
-		cost := wait + penalty(l)
-		if cost < best {
-			best, ok = cost, true
-			c = Choice{Endpoint: l.Endpoint, TimeToFirstEvent: time.Duration(wait) + serviceTime, Idle: l.Running < slots}
-		}
-	}
-	return c, ok
-}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -183,7 +183,7 @@
 		{ID: "a", DataCentre: "x", Slots: 2}, {ID: "b", DataCentre: "x", Slots: 2}, {ID: "c", DataCentre: "y", Slots: 2},
 	}
 	choose := func(t *placement.Tracker, at clock.Instant) fleet.InstanceID {
-		c, ok := placement.ChooseService(t.Loads(endpoints, nil, "x", at))
+		c, ok := placement.ChooseService(placement.View{}, t.Loads(endpoints, nil, "x", at))
 		Expect(ok).To(BeTrue())
 		return c.Endpoint.ID
 	}
--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
@@ -48,6 +49,10 @@
 	// which no other one waited at the engine.
 	OnPrefill func(pool fleet.PoolName, uncached fleet.Tokens, took time.Duration)
 
+	// Pace, if set, models the speed of each endpoint. Where the endpoints of a pool differ
+	// clearly, it replaces the rates that this node observed.
+	Pace *pace.Model
+
 	mu        sync.Mutex
 	endpoints map[fleet.InstanceID]*endpointState
 	// lastResponse is when any endpoint of a data centre last sent something.
@@ -95,9 +100,15 @@
 	pausedUntil  clock.Instant
 	pausedBorn   int64
 	measuredRate float64
-	// pool is the pool of the endpoint and poolRate the usual prefill rate there.
-	pool     fleet.PoolName
+	// endpoint is the incarnation that was last considered for a request.
+	endpoint serving.Endpoint
+	// poolRate is the prefill rate that is expected of the endpoint: the usual one of its
+	// pool or, with a speed, the one by that speed.
 	poolRate float64
+	// speed is the speed relative to the pool's usual, 0 in a pool of equal endpoints, and
+	// firstStep the time to the first event of an empty prompt, 0 for the default.
+	speed     float64
+	firstStep time.Duration
 	// prefills are the requests without a first event, oldest first.
 	prefills     []*Prefill
 	cachedBlocks *lru.Cache[serving.PrefixBlockID, clock.Instant]
@@ -126,16 +137,18 @@
 	// The endpoints usually belong to one pool.
 	var pool fleet.PoolName
 	poolRate := 0.0
-	ranked := preferredEndpoints(endpoints, blocks)
+	var estimate *pace.Pool
+	ranked := preferredEndpoints(endpoints, blocks, t.speedOf)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	unreachable := t.unreachableDataCentres(endpoints, local, now)
 	for _, e := range endpoints {
 		s := t.state(e.ID)
 		if e.Pool != pool || poolRate == 0 {
-			pool, poolRate = e.Pool, t.poolPrefillRate(e.Pool)
+			pool, poolRate, estimate = e.Pool, t.poolPrefillRate(e.Pool), t.estimate(e.Pool)
 		}
-		s.pool, s.poolRate = pool, poolRate
+		s.endpoint, s.poolRate = e, poolRate
+		s.applyEstimate(estimate)
 		loads = append(loads, Load{
 			Endpoint:              e,
 			Running:               s.localWork.Running + s.peerWork.Running,
@@ -144,6 +157,9 @@
 			PreferenceRank:        1 + slices.Index(ranked, e.ID),
 			Draining:              e.State == serving.StateDraining,
 			PrefillRate:           s.prefillRate(now),
+			Speed:                 s.speed,
+			FirstStep:             s.firstStep,
+			UnitTime:              estimate.PerUnit,
 			FailureRate:           s.failureRate,
 			Remote:                e.DataCentre != local,
 			DataCentreUnreachable: unreachable[e.DataCentre],
@@ -165,6 +181,7 @@
 // towards the endpoint's backlog until the first event.
 type Prefill struct {
 	id        fleet.InstanceID
+	endpoint  serving.Endpoint
 	startedAt clock.Instant
 	// uncached is the number of tokens to prefill for the request, queued the
 	// endpoint's backlog including them at the start.
@@ -179,7 +196,7 @@
 	s := t.state(id)
 	s.localWork.Running++
 	s.localWork.Backlog += uncached
-	p := &Prefill{id: id, startedAt: now, uncached: uncached, queued: s.localWork.Backlog + s.peerWork.Backlog}
+	p := &Prefill{id: id, endpoint: s.endpoint, startedAt: now, uncached: uncached, queued: s.localWork.Backlog + s.peerWork.Backlog}
 	s.prefills = append(s.prefills, p)
 	return p
 }
@@ -196,8 +213,13 @@
 	for _, b := range blocks {
 		s.cachedBlocks.Add(b.ID, now)
 	}
-	if t.OnPrefill != nil && p.uncached > 0 && p.queued == p.uncached {
-		t.OnPrefill(s.pool, p.uncached, now.Sub(p.startedAt))
+	if p.uncached > 0 && p.queued == p.uncached {
+		if t.OnPrefill != nil {
+			t.OnPrefill(p.endpoint.Pool, p.uncached, now.Sub(p.startedAt))
+		}
+		if t.Pace != nil {
+			t.Pace.AddPrompt(p.endpoint, p.uncached, now.Sub(p.startedAt), now)
+		}
 	}
 	if rate, ok := s.observedRate(p, now); ok {
 		if s.measuredRate == 0 {
--- a/pkg/provision/engine.go
+++ b/pkg/provision/engine.go
@@ -49,6 +49,10 @@
 // node. Medians keep single slow, cold or faulty engines from deciding. The zero value
 // is ready to use.
 type EngineModel struct {
+	// Usual, if set, returns the speeds of a pool's usual engine as measured by all nodes,
+	// or false if its engines don't differ clearly. They replace the estimate of this node.
+	Usual func(fleet.PoolName) (Speeds, bool)
+
 	mu    sync.Mutex
 	pools map[fleet.PoolName]*poolModel
 }
@@ -155,6 +159,11 @@
 
 // Speeds returns the speeds of the engines of a pool.
 func (m *EngineModel) Speeds(pool fleet.PoolName) Speeds {
+	if m.Usual != nil {
+		if s, ok := m.Usual(pool); ok {
+			return s
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.pool(pool).speeds
