--- a/pkg/front/pace.go
+++ b/pkg/front/pace.go
@@ -16,7 +16,7 @@
 		return
 	}
 	evidence := f.peers.Pace()
-	evidence.Add(f.pace.Report(clock.Now()))
+	evidence.Add(f.pace.Evidence(clock.Now()))
 	for name := range c.Pools {
 		f.pace.Update(name, f.directory.Endpoints(name), evidence)
 	}
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -190,7 +190,7 @@
 		Demand:     f.demand.ByPool(),
 		Leaving:    f.directory.Announced(),
 		Speeds:     f.engines.Known(),
-		Pace:       f.pace.Report(clock.Now()),
+		Pace:       f.pace.Evidence(clock.Now()),
 		Clock:      f.wallClock(),
 	}
 	if f.holdsDuties.Load() {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -100,7 +100,7 @@
 	// Speeds are the known speeds of engines, by pool, for nodes that have not measured any.
 	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
 	// Pace is the evidence of the covered nodes for the speeds of endpoints.
-	Pace pace.Report `cbor:"25,keyasint,omitempty"`
+	Pace pace.Evidence `cbor:"25,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
@@ -449,10 +449,10 @@
 
 // Pace returns the evidence of the other nodes for the speeds of endpoints. A silent
 // node counts with its last report, because speeds outlast its silence.
-func (t *Table) Pace() pace.Report {
+func (t *Table) Pace() pace.Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := make(pace.Report)
+	sum := make(pace.Evidence)
 	for _, p := range t.peers {
 		sum.Add(p.digest.Pace)
 	}
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -308,7 +308,7 @@
 	d.Work, d.Demand = make(map[fleet.InstanceID]placement.Work), make(map[fleet.PoolName]float64)
 	addWork(d.Work, local.Work)
 	maps.Copy(d.Demand, local.Demand)
-	d.Pace = make(pace.Report, len(local.Pace))
+	d.Pace = make(pace.Evidence, len(local.Pace))
 	d.Pace.Add(local.Pace)
 	for _, p := range t.peers {
 		if include(p) {
--- a/pkg/pace/estimate.go
+++ b/pkg/pace/estimate.go
@@ -66,7 +66,7 @@
 // estimate returns the estimate of a pool that follows from the evidence of all nodes.
 // The pool was uneven before or not. It answers engines of different speeds that stall
 // from time to time: stalls hit all alike and cancel out against the usual speed.
-func estimate(pool fleet.PoolName, endpoints []serving.Endpoint, evidence Report, wasUneven bool) *Pool {
+func estimate(pool fleet.PoolName, endpoints []serving.Endpoint, evidence Evidence, wasUneven bool) *Pool {
 	p := &Pool{speeds: make(map[fleet.InstanceID]bornSpeed, len(endpoints))}
 	var means, all []float64
 	for _, e := range endpoints {
@@ -139,7 +139,7 @@
 
 // fitPrompts fits a line through the times to the first event by prompt size, weighted
 // by evidence and relative to the times. It returns 0 if the sizes differ too little.
-func fitPrompts(pool fleet.PoolName, evidence Report) (firstStep time.Duration, prefill float64) {
+func fitPrompts(pool fleet.PoolName, evidence Evidence) (firstStep time.Duration, prefill float64) {
 	var w, wx, wy, wxx, wxy float64
 	smallest, largest := math.Inf(1), 0.0
 	for bin := range promptBins {
--- a/pkg/pace/report.go
+++ b/pkg/pace/evidence.go
@@ -43,11 +43,11 @@
 // Mean returns the mean of the logarithms.
 func (s Sum) Mean() float64 { return s.Log / s.Weight }
 
-// Report holds sums by their key.
-type Report map[Key]Sum
+// Evidence holds sums by their key.
+type Evidence map[Key]Sum
 
 // Add adds the sums of another report.
-func (r Report) Add(other Report) {
+func (r Evidence) Add(other Evidence) {
 	for k, s := range other {
 		total := r[k]
 		r[k] = Sum{total.Weight + s.Weight, total.Log + s.Log}
@@ -76,7 +76,7 @@
 func decodeWeight(b byte) float64 { return (math.Exp2(float64(b)/weightScale) - 1) / weightUnit }
 
 // MarshalBinary encodes the sums with the largest weights, in the order of their keys.
-func (r Report) MarshalBinary() ([]byte, error) {
+func (r Evidence) MarshalBinary() ([]byte, error) {
 	keys := slices.Sorted(maps.Keys(r))
 	if len(keys) > maxEntries {
 		slices.SortStableFunc(keys, func(a, b Key) int { return int(encodeWeight(r[b].Weight)) - int(encodeWeight(r[a].Weight)) })
@@ -98,11 +98,11 @@
 }
 
 // UnmarshalBinary decodes a report.
-func (r *Report) UnmarshalBinary(data []byte) error {
+func (r *Evidence) UnmarshalBinary(data []byte) error {
 	if len(data)%entryBytes != 0 || len(data) > entryBytes*maxEntries {
 		return errors.Newf("a report of speeds has %d bytes", len(data))
 	}
-	*r = make(Report, len(data)/entryBytes)
+	*r = make(Evidence, len(data)/entryBytes)
 	for ; len(data) > 0; data = data[entryBytes:] {
 		weight := decodeWeight(data[6])
 		mean := float64(binary.LittleEndian.Uint16(data[4:]))/meanScale - meanOffset
--- a/pkg/pace/model.go
+++ b/pkg/pace/model.go
@@ -112,11 +112,11 @@
 	return math.Log(min(max(d.Seconds()*1000, minSample), maxSample))
 }
 
-// Report returns this node's own evidence.
-func (m *Model) Report(now clock.Instant) Report {
+// Evidence returns this node's own evidence.
+func (m *Model) Evidence(now clock.Instant) Evidence {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := make(Report, len(m.local))
+	r := make(Evidence, len(m.local))
 	for k, s := range m.local {
 		s.decay(now)
 		if s.Weight < forgetBelow {
@@ -130,7 +130,7 @@
 
 // Update estimates the speeds of a pool's endpoints anew. evidence is that of all nodes,
 // this one included.
-func (m *Model) Update(pool fleet.PoolName, endpoints []serving.Endpoint, evidence Report) {
+func (m *Model) Update(pool fleet.PoolName, endpoints []serving.Endpoint, evidence Evidence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.pools == nil {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -117,27 +117,24 @@
 // event, including penalties. Weighing the preferred endpoint's cache against its
 // backlog spreads a hot prompt: when the preferred endpoint falls behind, requests
 // go to engines with less of the prompt cached. Between engines of different speeds and
-// by a late view it draws among those of nearly the least cost.
+// by a late view it considers only some, so that nodes don't gather on one.
 func ChooseEngine(q Query, loads []Load) (c Choice, ok bool) {
 	best := math.Inf(1)
 	preferred := bestPreferenceRank(loads)
 	var cached fleet.Tokens
-	var drawn spread
-	for _, l := range loads {
-		if l.Draining {
+	considered := func(int) bool { return true }
+	if q.View.late() && len(loads) > 0 && loads[0].Speed > 0 {
+		considered = sampled(q.View, loads)
+	}
+	for i, l := range loads {
+		if l.Draining || !considered(i) {
 			continue
 		}
 		cost, choice := engineCost(q, l, l.PreferenceRank > 0 && l.PreferenceRank == preferred)
-		if l.Speed > 0 && q.View.late() {
-			drawn.add(cost, choice, l.CachedTokens)
-		}
 		if cost < best {
 			best, c, cached, ok = cost, choice, l.CachedTokens, true
 		}
 	}
-	if len(drawn) > 1 {
-		c, cached = drawn.draw(best, q.View.Draw)
-	}
 	if ok && q.FetchesKV {
 		c.KVSource = kvSource(q, c.Endpoint.ID, cached, loads)
 	}
--- a/pkg/placement/uneven.go
+++ b/pkg/placement/uneven.go
@@ -2,9 +2,8 @@
 
 import (
 	"math"
+	"slices"
 	"time"
-
-	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
 
 const (
@@ -15,11 +14,10 @@
 	streamDelayWeight = 0.02
 	// decodeWeight is the cost of a later last event relative to that of a later first one.
 	decodeWeight = 0.02
-	// spreadMargin is the difference in cost at which an engine is chosen e times less
-	// often than the best one, spreadShare that difference relative to the least cost.
-	spreadMargin, spreadShare = float64(8 * time.Millisecond), 0.06
-	// maxSpreadMargins is the number of these differences from which an engine isn't chosen.
-	maxSpreadMargins = 3
+	// sampledEngines is the number of engines that are drawn by a late view.
+	sampledEngines = 2
+	// drawnBits is the number of bits of a random number that draw one engine.
+	drawnBits = 17
 )
 
 // View is how well a node knows the load that the other nodes put on endpoints.
@@ -47,33 +45,24 @@
 // maxRelativeSpeed is the speed from which a stream counts as not slowed down.
 const maxRelativeSpeed = 2.0
 
-// candidate is an engine with the cost of a request there.
-type candidate struct {
-	cost   float64
-	choice Choice
-	cached fleet.Tokens
-}
-
-// spread collects the engines among which one is drawn. It answers many nodes that see
-// the same late loads and would all choose the same engine.
-type spread []candidate
-
-func (s *spread) add(cost float64, c Choice, cached fleet.Tokens) {
-	*s = append(*s, candidate{cost, c, cached})
-}
-
-// draw returns the engine at a random number in [0, 1). An engine is the less likely the
-// more its cost exceeds the best one.
-func (s spread) draw(best, random float64) (Choice, fleet.Tokens) {
-	margin := spreadMargin + spreadShare*best
-	weight := func(c candidate) float64 {
-		if excess := (c.cost - best) / margin; excess <= maxSpreadMargins {
-			return math.Exp(-excess)
+// sampled returns the engines that a node with a late view considers: the preferred ones
+// of the prompt, and some that are drawn in proportion to their speed. It answers many
+// nodes that see the same late loads and would all choose the same engine: whatever they
+// see, an engine gets at most sampledEngines times its share.
+func sampled(v View, loads []Load) func(i int) bool {
+	weight := func(i int) float64 {
+		if l := loads[i]; !l.Draining && !l.Avoid && !l.DataCentreUnreachable {
+			return l.relativeSpeed()
 		}
 		return 0
 	}
-	i := drawIndex(len(s), func(i int) float64 { return weight(s[i]) }, random)
-	return s[i].choice, s[i].cached
+	var drawn [sampledEngines]int
+	random := v.Draw
+	for k := range drawn {
+		drawn[k] = drawIndex(len(loads), weight, random)
+		_, random = math.Modf(random * (1 << drawnBits))
+	}
+	return func(i int) bool { return loads[i].PreferenceRank == 1 || slices.Contains(drawn[:], i) }
 }
 
 // drawIndex returns an index below n at a random number in [0, 1), in proportion to its
