Placement: draw one engine besides the preferred one

By a late view the cheaper of the preferred engine and one drawn by speed is taken, and others are drawn only while these cost four times the best of all.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -119,26 +119,34 @@
 // go to engines with less of the prompt cached. Between engines of different speeds and
 // by a late view it considers only some, so that nodes don't gather on one.
 func ChooseEngine(q Query, loads []Load) (c Choice, ok bool) {
-	best := math.Inf(1)
 	preferred := bestPreferenceRank(loads)
-	var cached fleet.Tokens
-	considered := func(int) bool { return true }
-	if q.View.late() && len(loads) > 0 && loads[0].Speed > 0 {
-		considered = sampled(q.View, loads)
-	}
+	isPreferred := func(l Load) bool { return l.PreferenceRank > 0 && l.PreferenceRank == preferred }
+	late := q.View.late() && len(loads) > 0 && loads[0].Speed > 0
+	var costs []float64
+	least, best := math.Inf(1), -1
 	for i, l := range loads {
-		if l.Draining || !considered(i) {
-			continue
+		cost := math.Inf(1)
+		if !l.Draining {
+			cost, _ = engineCost(q, l, isPreferred(l))
+		}
+		if late {
+			costs = append(costs, cost)
 		}
-		cost, choice := engineCost(q, l, l.PreferenceRank > 0 && l.PreferenceRank == preferred)
-		if cost < best {
-			best, c, cached, ok = cost, choice, l.CachedTokens, true
+		if cost < least {
+			least, best = cost, i
 		}
 	}
-	if ok && q.FetchesKV {
-		c.KVSource = kvSource(q, c.Endpoint.ID, cached, loads)
+	if best < 0 {
+		return c, false
+	}
+	if late {
+		best = sample(q.View, loads, costs, best)
+	}
+	_, c = engineCost(q, loads[best], isPreferred(loads[best]))
+	if q.FetchesKV {
+		c.KVSource = kvSource(q, c.Endpoint.ID, loads[best].CachedTokens, loads)
 	}
-	return c, ok
+	return c, true
 }
 
 // bestPreferenceRank returns the lowest rank of a preferred endpoint that accepts
--- a/pkg/placement/uneven.go
+++ b/pkg/placement/uneven.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"slices"
+	"math/rand/v2"
 	"time"
 )
 
@@ -14,10 +14,11 @@
 	streamDelayWeight = 0.02
 	// decodeWeight is the cost of a later last event relative to that of a later first one.
 	decodeWeight = 0.02
-	// sampledEngines is the number of engines that are drawn by a late view.
-	sampledEngines = 2
-	// drawnBits is the number of bits of a random number that draw one engine.
-	drawnBits = 17
+	// maxDrawn is the number of engines that are drawn at most by a late view.
+	maxDrawn = 12
+	// acceptFactor times the least cost of all engines is the cost up to which an engine is
+	// accepted.
+	acceptFactor = 4
 )
 
 // View is how well a node knows the load that the other nodes put on endpoints.
@@ -45,24 +46,37 @@
 // maxRelativeSpeed is the speed from which a stream counts as not slowed down.
 const maxRelativeSpeed = 2.0
 
-// sampled returns the engines that a node with a late view considers: the preferred ones
-// of the prompt, and some that are drawn in proportion to their speed. It answers many
-// nodes that see the same late loads and would all choose the same engine: whatever they
-// see, an engine gets at most sampledEngines times its share.
-func sampled(v View, loads []Load) func(i int) bool {
+// sample returns the index of the engine that a node with a late view chooses: the
+// cheaper of the preferred one and one that is drawn in proportion to its speed. It
+// answers many nodes that see the same late loads and would all choose the same engine.
+// Others are drawn while these cost far more than the best of all, which has the given
+// index.
+func sample(v View, loads []Load, costs []float64, best int) int {
 	weight := func(i int) float64 {
-		if l := loads[i]; !l.Draining && !l.Avoid && !l.DataCentreUnreachable {
+		if l := loads[i]; !l.Avoid && !l.DataCentreUnreachable && !math.IsInf(costs[i], 1) {
 			return l.relativeSpeed()
 		}
 		return 0
 	}
-	var drawn [sampledEngines]int
-	random := v.Draw
-	for k := range drawn {
-		drawn[k] = drawIndex(len(loads), weight, random)
-		_, random = math.Modf(random * (1 << drawnBits))
+	chosen := -1
+	consider := func(i int) {
+		if chosen < 0 || costs[i] < costs[chosen] {
+			chosen = i
+		}
+	}
+	for i, l := range loads {
+		if l.PreferenceRank == 1 {
+			consider(i)
+		}
+	}
+	random := rand.NewPCG(math.Float64bits(v.Draw), 0)
+	for range maxDrawn {
+		consider(drawIndex(len(loads), weight, float64(random.Uint64()>>11)/(1<<53)))
+		if costs[chosen] <= acceptFactor*costs[best] {
+			return chosen
+		}
 	}
-	return func(i int) bool { return loads[i].PreferenceRank == 1 || slices.Contains(drawn[:], i) }
+	return best
 }
 
 // drawIndex returns an index below n at a random number in [0, 1), in proportion to its
