Engines: order by the mean speed, and show the model

An engine of a pool with speeds 0.6, 1 and 1.6 serves on average 1.07 times what one of the usual (geometric mean) speed does; demand was counted in the latter. First events far from the predicted time count less, because prompts of other nodes go unnoticed. Metrics skylarkloom_front_speed_spread and _evidence, event 2601.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -57,6 +57,7 @@
 	entryEvents,
 	capacityEvents,
 	rolloutEvents,
+	paceEvents,
 	operatorEvents,
 	serveEvents,
 )
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -34,6 +34,8 @@
 	callersLeft       *prometheus.CounterVec
 	announcements     *prometheus.CounterVec
 	unread            *prometheus.CounterVec
+	speedSpread       *prometheus.GaugeVec
+	speedEvidence     *prometheus.GaugeVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -59,6 +61,12 @@
 		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_front_unread_total", Help: "Requests given up before the endpoint responded, by pool and cause (caller left, timeout).",
 		}, []string{"pool", "cause"}),
+		speedSpread: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "skylarkloom_front_speed_spread", Help: "Ratio of the speeds of fast and slow endpoints of a pool; 0 while unknown.",
+		}, []string{"pool"}),
+		speedEvidence: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "skylarkloom_front_speed_evidence", Help: "Recent streams and responses of all nodes by which the speeds of a pool's endpoints are known.",
+		}, []string{"pool"}),
 	}
 }
 
@@ -129,7 +137,7 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread, f.metrics.speedSpread, f.metrics.speedEvidence)
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
--- a/pkg/pace/estimate.go
+++ b/pkg/pace/estimate.go
@@ -14,6 +14,9 @@
 	maxLogSpeed = 1.1
 	// maxLogSample bounds how far a sample may lie from the usual one of its pool.
 	maxLogSample = 1.4
+	// maxLogPrompt bounds how far the time to a first event may lie from the predicted one.
+	// It is small, as prompts of other nodes that wait at the engine go unnoticed.
+	maxLogPrompt = 0.6
 	// priorWeight is the weight of the assumption that an endpoint has the usual speed.
 	priorWeight = 3.0
 	// minWeight is the evidence from which an endpoint counts for its pool's spread.
@@ -45,6 +48,10 @@
 	FirstStep time.Duration
 	Prefill   float64
 
+	// MeanSpeed is the mean of the relative speeds, 0 if unknown. The usual speed is their
+	// geometric mean, so that an engine serves MeanSpeed times what a usual one does.
+	MeanSpeed float64
+
 	usualLog float64
 	speeds   map[fleet.InstanceID]bornSpeed
 }
@@ -92,9 +99,12 @@
 	p.usualLog = clippedMean(means)
 	p.PerUnit = time.Duration(math.Exp(p.usualLog) * float64(time.Millisecond))
 	for _, e := range endpoints {
+		p.MeanSpeed += 1 / float64(len(endpoints))
 		if s := evidence[EndpointKey(e.ID, e.Born)]; s.Weight > 0 {
 			log := min(max(p.usualLog-s.Mean(), -maxLogSpeed), maxLogSpeed)
-			p.speeds[e.ID] = bornSpeed{e.Born, math.Exp(log * s.Weight / (s.Weight + priorWeight))}
+			speed := math.Exp(log * s.Weight / (s.Weight + priorWeight))
+			p.speeds[e.ID] = bornSpeed{e.Born, speed}
+			p.MeanSpeed += (speed - 1) / float64(len(endpoints))
 		}
 	}
 	p.FirstStep, p.Prefill = fitPrompts(pool, evidence)
--- a/pkg/pace/model.go
+++ b/pkg/pace/model.go
@@ -100,7 +100,7 @@
 		log += math.Log(p.Speed(e))
 		if p.Prefill > 0 {
 			usual := math.Log(p.FirstStep.Seconds()*1000 + float64(uncached)/p.Prefill)
-			log = min(max(log, usual-maxLogSample), usual+maxLogSample)
+			log = min(max(log, usual-maxLogPrompt), usual+maxLogPrompt)
 		}
 	}
 	size, t := promptKeys(e.Pool, promptBin(float64(uncached)))
--- a/pkg/provision/engine.go
+++ b/pkg/provision/engine.go
@@ -49,8 +49,8 @@
 // node. Medians keep single slow, cold or faulty engines from deciding. The zero value
 // is ready to use.
 type EngineModel struct {
-	// Usual, if set, returns the speeds of a pool's usual engine as measured by all nodes,
-	// or false if its engines don't differ clearly. They replace the estimate of this node.
+	// Usual, if set, returns the mean speeds of a pool's engines as measured by all nodes,
+	// or false if the engines don't differ clearly. They replace the estimate of this node.
 	Usual func(fleet.PoolName) (Speeds, bool)
 
 	mu    sync.Mutex
