--- a/pkg/pace/estimate.go
+++ b/pkg/pace/estimate.go
@@ -28,6 +28,9 @@
 	// unevenFrom and unevenUntil are the ratios of these speeds from which a pool counts
 	// as uneven and below which it no longer does. Load makes equal engines differ less.
 	unevenFrom, unevenUntil = 1.7, 1.35
+	// spreadNoise over the square root of a pool's evidence is how far the logarithm of the
+	// spread of equal endpoints may lie from 0 by chance.
+	spreadNoise = 3.0
 )
 
 // Pool is the estimate of a pool at one time. It is immutable. The zero value stands for
@@ -89,12 +92,13 @@
 		return p
 	}
 	if len(means) < minEndpoints {
-		means = all
+		means, p.Uneven = all, wasUneven
 	} else {
 		slices.Sort(means)
 		low, high := means[quantileIndex(len(means), lowQuantile)], means[quantileIndex(len(means), highQuantile)]
 		p.Spread = math.Exp(high - low)
-		p.Uneven = 2*len(means) >= len(all) && (p.Spread >= unevenFrom || wasUneven && p.Spread >= unevenUntil)
+		clearly := unevenFrom * math.Exp(spreadNoise/math.Sqrt(p.Evidence))
+		p.Uneven = 2*len(means) >= len(all) && p.Spread >= clearly || wasUneven && p.Spread >= unevenUntil
 	}
 	p.usualLog = clippedMean(means)
 	p.PerUnit = time.Duration(math.Exp(p.usualLog) * float64(time.Millisecond))
