--- a/pkg/pace/estimate.go
+++ b/pkg/pace/estimate.go
@@ -45,9 +45,9 @@
 	// PerUnit is the usual time for an output token of an engine or a request to a plain
 	// service, 0 if unknown.
 	PerUnit time.Duration
-	// FirstStep is the time to the first event of an empty prompt at an idle engine of
-	// usual speed, and Prefill the number of prompt tokens that it reads in a
-	// millisecond; 0 if unknown.
+	// FirstStep is the time to the first event of an empty prompt at an idle engine, and
+	// Prefill the number of prompt tokens that one of usual speed reads in a millisecond;
+	// 0 if unknown.
 	FirstStep time.Duration
 	Prefill   float64
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -252,7 +252,7 @@
 	cost := first + recomputeWeight(l)*recompute + penalty(l)
 	if l.Speed > 0 {
 		own := float64(uncached) / rate * float64(time.Millisecond)
-		choice.Elsewhere = time.Duration(l.Speed * (float64(l.FirstStep) + own))
+		choice.Elsewhere = l.FirstStep + time.Duration(l.Speed*own)
 		cost += besideCost(q, l, own)
 	}
 	return cost, choice
--- a/pkg/placement/rate.go
+++ b/pkg/placement/rate.go
@@ -47,10 +47,10 @@
 	}
 	s.speed = p.Speed(s.endpoint)
 	s.poolRate *= s.speed
-	s.firstStep = time.Duration(float64(idleFirstEventTime) / s.speed)
+	s.firstStep = idleFirstEventTime
 	if p.Prefill > 0 {
 		s.poolRate = p.Prefill * s.speed
-		s.firstStep = time.Duration(float64(p.FirstStep) / s.speed)
+		s.firstStep = p.FirstStep
 	}
 }
 
