--- a/pkg/pace/evidence.go
+++ b/pkg/pace/evidence.go
@@ -59,16 +59,13 @@
 	maxEntries = 800
 	// entryBytes is the size of an encoded sum: a key, a mean and a weight.
 	entryBytes = 4 + 2 + 1
-	// meanScale and meanOffset map the means from -8 to 12 to 16 bits, weightScale the
-	// weights up to maxWeight to 8 bits, by their logarithm.
+	// meanScale and meanOffset map the means from -8 to 12 to 16 bits. weightScale and
+	// weightUnit map the weights up to about 7,800 to 8 bits, by their logarithm.
 	meanScale, meanOffset = 65535 / 20.0, 8.0
 	weightScale           = 16.0
 	weightUnit            = 8.0
 )
 
-// maxWeight is the largest weight that can be encoded.
-var maxWeight = decodeWeight(math.MaxUint8)
-
 func encodeWeight(w float64) byte {
 	return byte(min(math.MaxUint8, math.Round(weightScale*math.Log2(1+weightUnit*max(0, w)))))
 }
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -207,15 +207,15 @@
 
 var _ = Describe("Gaps", func() {
 	It("leave out stalls and streams that were read late", func() {
-		usual := func(gaps ...time.Duration) time.Duration {
+		usual := func(milliseconds ...int) int64 {
 			var g Gaps
 			now := clock.Instant(time.Hour)
 			g.Add(now)
-			for _, d := range gaps {
-				now = now.Add(d * time.Millisecond)
+			for _, ms := range milliseconds {
+				now = now.Add(time.Duration(ms) * time.Millisecond)
 				g.Add(now)
 			}
-			return g.Usual() / time.Millisecond
+			return g.Usual().Milliseconds()
 		}
 		Expect(usual(22, 600, 23, 22)).To(BeEquivalentTo(22))
 		Expect(usual(22, 22)).To(BeZero())
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -12,7 +12,7 @@
 	defaultServiceSlots = 4
 )
 
-// slots returns the number of requests that a plain service handles at once.
+// serviceSlots returns the number of requests that a plain service handles at once.
 func (l Load) serviceSlots() int {
 	if l.Endpoint.Slots > 0 {
 		return l.Endpoint.Slots
@@ -58,10 +58,10 @@
 	return c, ok
 }
 
-// serviceWeight returns how often an endpoint is drawn: by the slots that it has for the
-// requests there and this one, and less often the longer the predicted response takes.
+// serviceWeight returns how often an endpoint is drawn: in proportion to its slots and less
+// often the longer the response is predicted to take.
 func serviceWeight(l Load) float64 {
 	_, c := serviceCost(l)
 	took := float64(c.TimeToFirstEvent) + penalty(l)
-	return float64(l.serviceSlots()) / (took * took)
+	return float64(l.serviceSlots()) / took
 }
