--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -115,6 +115,8 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	silent         bool
+	// paceAt is when a digest with evidence for speeds arrived.
+	paceAt clock.Instant
 	// consumed is the quota that the peer reported since its first digest.
 	consumed map[fleet.AccountName]float64
 }
@@ -173,6 +175,7 @@
 	if p.silent && t.OnLivenessChange != nil {
 		t.OnLivenessChange(name, true)
 	}
+	p.keepPace(&d, scope, now)
 	p.digest, p.scope, p.lastSeen, p.silent = d, scope, now, false
 }
 
@@ -447,18 +450,6 @@
 	return work
 }
 
-// Pace returns the evidence of the other nodes for the speeds of endpoints. A silent
-// node counts with its last report, because speeds outlast its silence.
-func (t *Table) Pace() pace.Evidence {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sum := make(pace.Evidence)
-	for _, p := range t.peers {
-		sum.Add(p.digest.Pace)
-	}
-	return sum
-}
-
 // addWork adds the load in added to sum.
 func addWork(sum, added map[fleet.InstanceID]placement.Work) {
 	for id, w := range added {
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -13,7 +13,6 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
-	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 )
 
@@ -308,8 +307,7 @@
 	d.Work, d.Demand = make(map[fleet.InstanceID]placement.Work), make(map[fleet.PoolName]float64)
 	addWork(d.Work, local.Work)
 	maps.Copy(d.Demand, local.Demand)
-	d.Pace = make(pace.Evidence, len(local.Pace))
-	d.Pace.Add(local.Pace)
+	d.Pace = summarisePace(local.Pace, t.peers, include, now)
 	for _, p := range t.peers {
 		if include(p) {
 			mergePeer(&d, p, now)
@@ -347,7 +345,6 @@
 	for pool, n := range p.digest.Demand {
 		d.Demand[pool] += n
 	}
-	d.Pace.Add(p.digest.Pace)
 	if p.silent {
 		return
 	}
