Provision: fewer engines on demand after a reclaim, reclaimable ones held

Change: after a loss the demand may use 0.8 of the engines that remain (Requirement.AfterLoss); growth counts from the first measurement on; reclaimable engines stay for 15 s after they were last required (Hold).

--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -130,10 +130,17 @@
 	if f.trends[p.Name] == nil {
 		f.trends[p.Name] = &provision.Trend{}
 	}
-	forecast := f.trends[p.Name].Forecast(demand, p.Scale.BootTime, now)
+	forecast := demand
+	if measured {
+		// The rise from nothing when callers arrive says nothing of the growth after it.
+		forecast = f.trends[p.Name].Forecast(demand, p.Scale.BootTime, now)
+	}
 	policy := provision.DefaultPolicy
-	required := policy.RequiredEngines(forecast, measured, initial)
-	targets := provision.Plan(policy, required, *p.Scale, supplies)
+	targets := provision.Plan(policy, policy.Require(forecast, measured, initial), *p.Scale, supplies)
+	if f.holds[p.Name] == nil {
+		f.holds[p.Name] = &provision.Hold{}
+	}
+	f.holds[p.Name].Apply(targets, supplies, *p.Scale, now)
 	desired := make([]duty.DesiredScale, 0, 2*len(targets))
 	for _, t := range targets {
 		for market, n := range map[fleet.Market]int{fleet.MarketOnDemand: t.OnDemand, fleet.MarketReclaimable: t.Reclaimable} {
--- a/pkg/provision/provision.go
+++ b/pkg/provision/provision.go
@@ -13,8 +13,10 @@
 
 // Policy balances the price of endpoints against the risk of lost work.
 type Policy struct {
-	// Utilisation is the fraction of an engine's time that demand may use.
-	Utilisation float64
+	// Utilisation is the fraction of an engine's time that demand may use, and
+	// LossUtilisation that once one data centre has lost its reclaimable engines, until
+	// others replace them.
+	Utilisation, LossUtilisation float64
 	// SpareEngines is the number of engines added to those that the demand requires.
 	SpareEngines float64
 	// Variation is the number of engines added for the variation of the demand, which
@@ -26,7 +28,7 @@
 }
 
 // DefaultPolicy is the policy for all pools.
-var DefaultPolicy = Policy{Utilisation: 0.6, SpareEngines: 1.2, Variation: 0.5, MinOnDemand: 1}
+var DefaultPolicy = Policy{Utilisation: 0.6, LossUtilisation: 0.8, SpareEngines: 1.2, Variation: 0.5, MinOnDemand: 1}
 
 // Supply is the present supply of a pool's reclaimable endpoints in a data centre.
 type Supply struct {
@@ -45,21 +47,43 @@
 	OnDemand, Reclaimable int
 }
 
-// RequiredEngines returns the number of engines that a demand requires. Before the
-// demand has been measured this is initial, the number that the deployment started
-// with, because all callers arrive at the same time.
+// Requirement is the number of engines that a demand requires.
+type Requirement struct {
+	// Usual is the number while nothing is lost, and AfterLoss the number that must remain
+	// if one data centre loses its reclaimable engines.
+	Usual, AfterLoss int
+}
+
+// RequiredEngines returns the number of engines that a demand requires while nothing is
+// lost. Before the demand has been measured this is initial, the number that the
+// deployment started with, because all callers arrive at the same time.
 func (p Policy) RequiredEngines(demand float64, measured bool, initial int) int {
 	if !measured {
 		return initial
 	}
-	return int(math.Ceil(demand/p.Utilisation + p.SpareEngines + p.Variation*math.Sqrt(demand)))
+	return p.engines(demand, p.Utilisation)
+}
+
+// Require returns the requirement of a demand. It answers reclaims that follow one
+// another: engines that remain may be used more until the lost ones are replaced.
+func (p Policy) Require(demand float64, measured bool, initial int) Requirement {
+	r := Requirement{Usual: p.RequiredEngines(demand, measured, initial), AfterLoss: initial}
+	if measured {
+		r.AfterLoss = p.engines(demand, max(p.Utilisation, p.LossUtilisation))
+	}
+	return r
+}
+
+// engines returns the number of engines that a demand uses to the given fraction.
+func (p Policy) engines(demand, utilisation float64) int {
+	return int(math.Ceil(demand/utilisation + p.SpareEngines + p.Variation*math.Sqrt(demand)))
 }
 
-// Plan returns the target of each data centre for a number of required engines. It
-// prepares for reclaims in one data centre after another: the reclaimable endpoints
-// are spread so that those of any one data centre can be lost, and on-demand
-// endpoints make up for missing ones before the next reclaim.
-func Plan(p Policy, required int, scale serving.Scale, supplies []Supply) []Target {
+// Plan returns the target of each data centre for a requirement. It prepares for
+// reclaims in one data centre after another: the reclaimable endpoints are spread so
+// that those of any one data centre can be lost, and on-demand endpoints make up for
+// missing ones before the next reclaim.
+func Plan(p Policy, required Requirement, scale serving.Scale, supplies []Supply) []Target {
 	if len(supplies) == 0 {
 		return nil
 	}
@@ -68,10 +92,10 @@
 		total += s.Reclaimable
 		largest = max(largest, s.Reclaimable)
 	}
-	targets := spreadOnDemand(p, required-(total-largest), scale, supplies)
-	perDataCentre := required
+	targets := spreadOnDemand(p, max(required.Usual-total, required.AfterLoss-(total-largest)), scale, supplies)
+	perDataCentre := required.Usual
 	if others := len(supplies) - 1; others > 0 {
-		perDataCentre = (required + others - 1) / others
+		perDataCentre = (required.Usual + others - 1) / others
 	}
 	for i, s := range supplies {
 		targets[i].Reclaimable = max(0, min(scale.Max-targets[i].OnDemand, perDataCentre))
