--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
@@ -134,16 +135,18 @@
 	crashes      quarantine.Detector
 	demand       provision.DemandMeter
 	engines      provision.EngineModel
-	// dutyMu guards lastPlans, initialCounts and trends.
+	// dutyMu guards lastPlans, initialCounts, trends and holds.
 	dutyMu        sync.Mutex
 	lastPlans     map[fleet.PoolName][]provision.Target
 	initialCounts map[fleet.PoolName]*provision.InitialCount
 	trends        map[fleet.PoolName]*provision.Trend
+	holds         map[fleet.PoolName]*provision.Hold
 
 	metrics     *requestMetrics
 	directory   directory.Directory
 	history     directory.History
 	tracker     placement.Tracker
+	pace        pace.Model
 	quotas      allotment.QuotaLimiter
 	retries     allotment.RetryBudget
 	connections forward.Pool
@@ -165,11 +168,14 @@
 	f.lastPlans = make(map[fleet.PoolName][]provision.Target)
 	f.initialCounts = make(map[fleet.PoolName]*provision.InitialCount)
 	f.trends = make(map[fleet.PoolName]*provision.Trend)
+	f.holds = make(map[fleet.PoolName]*provision.Hold)
 	f.peers.Self, f.peers.DataCentre = f.self.Name, f.Settings.DataCentre
 	f.peers.OnConsumed = f.quotas.AddPeerUsage
 	f.tracker.DataCentreSilent = func(name fleet.DataCentreName) bool { return f.peers.DataCentreSilent(name, clock.Now()) }
 	f.tracker.PoolPrefillRate = func(pool fleet.PoolName) float64 { return f.engines.Speeds(pool).Prefill }
 	f.tracker.OnPrefill = f.engines.AddPrefill
+	f.tracker.Pace = &f.pace
+	f.engines.Usual = f.usualSpeeds
 	f.directory.OnChange = f.logEndpointChange
 	f.peers.OnLivenessChange = f.logPeerLiveness
 	f.quarantine.OnQuarantined = func(q quarantine.Quarantine, found bool) { f.handleQuarantined(ctx, q, found) }
@@ -352,6 +358,7 @@
 	f.directory.Expire(clock.Now())
 	f.connections.CloseExpired(time.Now())
 	f.expireGossipState()
+	f.updatePace()
 	f.countInitialEndpoints()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
@@ -98,6 +99,8 @@
 	Leaving map[fleet.InstanceID]int64 `cbor:"21,keyasint,omitempty"`
 	// Speeds are the known speeds of engines, by pool, for nodes that have not measured any.
 	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
+	// Pace is the evidence of the covered nodes for the speeds of endpoints.
+	Pace pace.Evidence `cbor:"25,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
@@ -112,6 +115,8 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	silent         bool
+	// paceAt is when a digest with evidence for speeds arrived.
+	paceAt clock.Instant
 	// consumed is the quota that the peer reported since its first digest.
 	consumed map[fleet.AccountName]float64
 }
@@ -170,6 +175,7 @@
 	if p.silent && t.OnLivenessChange != nil {
 		t.OnLivenessChange(name, true)
 	}
+	p.keepPace(&d, scope, now)
 	p.digest, p.scope, p.lastSeen, p.silent = d, scope, now, false
 }
 
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -307,6 +307,7 @@
 	d.Work, d.Demand = make(map[fleet.InstanceID]placement.Work), make(map[fleet.PoolName]float64)
 	addWork(d.Work, local.Work)
 	maps.Copy(d.Demand, local.Demand)
+	d.Pace = summarisePace(local.Pace, t.peers, include, now)
 	for _, p := range t.peers {
 		if include(p) {
 			mergePeer(&d, p, now)
--- a/pkg/placement/tracker.go
+++ b/pkg/placement/tracker.go
@@ -5,21 +5,16 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
 const (
-	// maxCachedBlocks bounds the prefix blocks that are recorded for an endpoint.
-	maxCachedBlocks = 2048
-	// cachedBlockLifetime is how long a prefix block is assumed to stay in an
-	// engine's cache after its last use.
-	cachedBlockLifetime = 60 * time.Second
 	// failureWeight is the weight of one request in the moving average of the
 	// failure rate.
 	failureWeight = 0.25
@@ -32,15 +27,6 @@
 	// fullAvoidTime is how long a full endpoint is avoided while others may have
 	// free slots. Several requests end at an endpoint in this time.
 	fullAvoidTime = 150 * time.Millisecond
-	// prefillRateWeight is the weight of one observation in the moving average of
-	// the prefill rate.
-	prefillRateWeight = 0.15
-	// minRateTokens is the minimum number of queued prompt tokens from which the
-	// prefill rate is estimated.
-	minRateTokens = 1000
-	// minPrefillFactor and maxPrefillFactor bound the prefill rate of an engine relative
-	// to the usual one of its pool.
-	minPrefillFactor, maxPrefillFactor = 0.12, 2.4
 )
 
 // Work is the load that one node puts on an endpoint.
@@ -63,6 +49,10 @@
 	// which no other one waited at the engine.
 	OnPrefill func(pool fleet.PoolName, uncached fleet.Tokens, took time.Duration)
 
+	// Pace, if set, models the speed of each endpoint. Where the endpoints of a pool differ
+	// clearly, it replaces the rates that this node observed.
+	Pace *pace.Model
+
 	mu        sync.Mutex
 	endpoints map[fleet.InstanceID]*endpointState
 	// lastResponse is when any endpoint of a data centre last sent something.
@@ -110,9 +100,15 @@
 	pausedUntil  clock.Instant
 	pausedBorn   int64
 	measuredRate float64
-	// pool is the pool of the endpoint and poolRate the usual prefill rate there.
-	pool     fleet.PoolName
+	// endpoint is the incarnation that was last considered for a request.
+	endpoint serving.Endpoint
+	// poolRate is the prefill rate that is expected of the endpoint: the usual one of its
+	// pool or, with a speed, the one by that speed.
 	poolRate float64
+	// speed is the speed relative to the pool's usual, 0 in a pool of equal endpoints, and
+	// firstStep the time to the first event of an empty prompt, 0 for the default.
+	speed     float64
+	firstStep time.Duration
 	// prefills are the requests without a first event, oldest first.
 	prefills     []*Prefill
 	cachedBlocks *lru.Cache[serving.PrefixBlockID, clock.Instant]
@@ -141,16 +137,18 @@
 	// The endpoints usually belong to one pool.
 	var pool fleet.PoolName
 	poolRate := 0.0
-	ranked := preferredEndpoints(endpoints, blocks)
+	var estimate *pace.Pool
+	ranked := preferredEndpoints(endpoints, blocks, t.speedOf)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	unreachable := t.unreachableDataCentres(endpoints, local, now)
 	for _, e := range endpoints {
 		s := t.state(e.ID)
 		if e.Pool != pool || poolRate == 0 {
-			pool, poolRate = e.Pool, t.poolPrefillRate(e.Pool)
+			pool, poolRate, estimate = e.Pool, t.poolPrefillRate(e.Pool), t.estimate(e.Pool)
 		}
-		s.pool, s.poolRate = pool, poolRate
+		s.endpoint, s.poolRate = e, poolRate
+		s.applyEstimate(estimate)
 		loads = append(loads, Load{
 			Endpoint:              e,
 			Running:               s.localWork.Running + s.peerWork.Running,
@@ -159,6 +157,9 @@
 			PreferenceRank:        1 + slices.Index(ranked, e.ID),
 			Draining:              e.State == serving.StateDraining,
 			PrefillRate:           s.prefillRate(now),
+			Speed:                 s.speed,
+			FirstStep:             s.firstStep,
+			UnitTime:              estimate.PerUnit,
 			FailureRate:           s.failureRate,
 			Remote:                e.DataCentre != local,
 			DataCentreUnreachable: unreachable[e.DataCentre],
@@ -176,69 +177,11 @@
 	return t.PoolPrefillRate(pool)
 }
 
-// cachedTokens returns the number of leading tokens of a prompt that are recorded
-// as cached.
-func (s *endpointState) cachedTokens(blocks []serving.PrefixBlock, now clock.Instant) (tokens fleet.Tokens) {
-	for _, b := range blocks {
-		usedAt, ok := s.cachedBlocks.Peek(b.ID)
-		if !ok || now.Sub(usedAt) > cachedBlockLifetime {
-			break
-		}
-		tokens += b.Tokens
-	}
-	return tokens
-}
-
-// maxPreferred is the number of endpoints that are ranked as preferred for a prompt.
-const maxPreferred = 3
-
-// preferredEndpoints returns the preferred endpoints for the last prefix block that
-// a prompt shares with others, best first. Rendezvous hashing lets all nodes arrive
-// at the same ranking without exchanging messages.
-func preferredEndpoints(endpoints []serving.Endpoint, blocks []serving.PrefixBlock) (ranked []fleet.InstanceID) {
-	if len(blocks) == 0 {
-		return nil
-	}
-	key := blocks[max(0, len(blocks)-2)].ID
-	var topHashes [maxPreferred + 1]uint64
-	ranked = make([]fleet.InstanceID, 0, maxPreferred+1)
-	for _, e := range endpoints {
-		var h xxhash.Digest
-		h.Reset()
-		// Writes to an xxhash digest never fail.
-		_, _ = h.WriteString(string(key))
-		_, _ = h.WriteString(string(e.ID))
-		sum := h.Sum64()
-		position := len(ranked)
-		for position > 0 && sum > topHashes[position-1] {
-			position--
-		}
-		if position == maxPreferred {
-			continue
-		}
-		copy(topHashes[position+1:], topHashes[position:])
-		topHashes[position] = sum
-		ranked = slices.Insert(ranked, position, e.ID)
-		ranked = ranked[:min(len(ranked), maxPreferred)]
-	}
-	return ranked
-}
-
-// SharedTokens returns the number of leading tokens of a prompt that other requests
-// share: those of all prefix blocks but the last.
-func SharedTokens(blocks []serving.PrefixBlock) (tokens fleet.Tokens) {
-	for i, b := range blocks {
-		if i < len(blocks)-1 {
-			tokens += b.Tokens
-		}
-	}
-	return tokens
-}
-
 // Prefill is a request at an endpoint, from its start to its end. Its prompt counts
 // towards the endpoint's backlog until the first event.
 type Prefill struct {
 	id        fleet.InstanceID
+	endpoint  serving.Endpoint
 	startedAt clock.Instant
 	// uncached is the number of tokens to prefill for the request, queued the
 	// endpoint's backlog including them at the start.
@@ -253,7 +196,7 @@
 	s := t.state(id)
 	s.localWork.Running++
 	s.localWork.Backlog += uncached
-	p := &Prefill{id: id, startedAt: now, uncached: uncached, queued: s.localWork.Backlog + s.peerWork.Backlog}
+	p := &Prefill{id: id, endpoint: s.endpoint, startedAt: now, uncached: uncached, queued: s.localWork.Backlog + s.peerWork.Backlog}
 	s.prefills = append(s.prefills, p)
 	return p
 }
@@ -270,8 +213,13 @@
 	for _, b := range blocks {
 		s.cachedBlocks.Add(b.ID, now)
 	}
-	if t.OnPrefill != nil && p.uncached > 0 && p.queued == p.uncached {
-		t.OnPrefill(s.pool, p.uncached, now.Sub(p.startedAt))
+	if p.uncached > 0 && p.queued == p.uncached {
+		if t.OnPrefill != nil {
+			t.OnPrefill(p.endpoint.Pool, p.uncached, now.Sub(p.startedAt))
+		}
+		if t.Pace != nil {
+			t.Pace.AddPrompt(p.endpoint, p.uncached, now.Sub(p.startedAt), now)
+		}
 	}
 	if rate, ok := s.observedRate(p, now); ok {
 		if s.measuredRate == 0 {
@@ -301,41 +249,6 @@
 	return true
 }
 
-// usualRate returns the usual prefill rate of the endpoint's pool.
-func (s *endpointState) usualRate() float64 {
-	if s.poolRate <= 0 {
-		return provision.DefaultSpeeds.Prefill
-	}
-	return s.poolRate
-}
-
-// observedRate returns the prefill rate that follows from a first event at now. It
-// reports false if too few tokens were queued or too little time has passed.
-func (s *endpointState) observedRate(p *Prefill, now clock.Instant) (rate float64, ok bool) {
-	took := now.Sub(p.startedAt) - idleFirstEventTime
-	if p.queued < minRateTokens || took <= 0 {
-		return 0, false
-	}
-	rate = float64(p.queued) / (float64(took) / float64(time.Millisecond))
-	return min(max(rate, minPrefillFactor*s.usualRate()), maxPrefillFactor*s.usualRate()), true
-}
-
-// prefillRate returns the lower of the average rate and the rate that the longest
-// waiting request implies so far. The latter shows that an engine has become slow
-// before its first event arrives.
-func (s *endpointState) prefillRate(now clock.Instant) float64 {
-	rate := s.measuredRate
-	if rate == 0 {
-		rate = s.usualRate()
-	}
-	if len(s.prefills) > 0 {
-		if bound, ok := s.observedRate(s.prefills[0], now); ok {
-			rate = min(rate, bound)
-		}
-	}
-	return rate
-}
-
 // RecordOutcome records whether a request to an endpoint succeeded.
 func (t *Tracker) RecordOutcome(id fleet.InstanceID, ok bool) {
 	t.mu.Lock()
@@ -376,49 +289,6 @@
 	s.avoidUntil = max(s.avoidUntil, now.Add(fullAvoidTime))
 }
 
-// RecordPause records that an endpoint wants no requests of this node until an instant.
-// This holds for its incarnations born up to newest, in Unix milliseconds, which is that
-// of e at least. A shorter pause does not end a longer one, unless e is newer.
-func (t *Tracker) RecordPause(e serving.Endpoint, newest int64, until clock.Instant) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.state(e.ID)
-	if e.Born <= s.pausedBorn {
-		until = max(until, s.pausedUntil)
-	}
-	s.pausedUntil, s.pausedBorn = until, max(s.pausedBorn, e.Born, newest)
-}
-
-// Paused reports whether an incarnation of an endpoint wants no requests now.
-func (t *Tracker) Paused(e serving.Endpoint, now clock.Instant) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.endpoints[e.ID]
-	return s != nil && s.wantsPause(e, now)
-}
-
-// wantsPause reports whether the incarnation of the endpoint wants no requests now.
-func (s *endpointState) wantsPause(e serving.Endpoint, now clock.Instant) bool {
-	return e.Born <= s.pausedBorn && now < s.pausedUntil
-}
-
-// Available returns the endpoints without a pause, and when the first pause of the
-// others that are ready ends; 0 if there is none. It reuses the slice.
-func (t *Tracker) Available(endpoints []serving.Endpoint, now clock.Instant) (available []serving.Endpoint, firstEnd clock.Instant) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	available = endpoints[:0]
-	for _, e := range endpoints {
-		s := t.endpoints[e.ID]
-		if s == nil || !s.wantsPause(e, now) {
-			available = append(available, e)
-		} else if e.State == serving.StateReady && (firstEnd == 0 || s.pausedUntil < firstEnd) {
-			firstEnd = s.pausedUntil
-		}
-	}
-	return available, firstEnd
-}
-
 // SetPeerWork replaces the load from the other nodes.
 func (t *Tracker) SetPeerWork(work map[fleet.InstanceID]Work) {
 	t.mu.Lock()
