Waiting: stream requests wait at their node for room at the engines

Cause: a node sent or refused each stream request by its own prediction, with a limit above the objective. Under overload the engines' queues grew up to that limit, whatever the rank or account of a request. Change: pkg/waiting decides whether there is room, who goes next (rank, received work of the account, latest start), how much of the freed room the node may use and whether there is hope; the gateway waits by it. Digest field 24 carries waiting and received work.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -32,6 +32,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/usage"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
@@ -146,6 +147,7 @@
 	tracker     placement.Tracker
 	quotas      allotment.QuotaLimiter
 	retries     allotment.RetryBudget
+	waiting     waiting.Queues
 	connections forward.Pool
 	// shutdown is the state of a planned stop.
 	shutdown       gateway.Shutdown
@@ -325,7 +327,9 @@
 		OnCallerLeft:   f.metrics.countCallerLeft,
 		OnAnnouncement: f.metrics.countAnnouncement,
 		OnUnread:       f.metrics.countUnread,
+		OnWait:         f.metrics.observeWait,
 		Tracker:        &f.tracker,
+		Waiting:        &f.waiting,
 		Engines:        &f.engines,
 		Quotas:         &f.quotas,
 		Retries:        &f.retries,
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -34,6 +34,7 @@
 	callersLeft       *prometheus.CounterVec
 	announcements     *prometheus.CounterVec
 	unread            *prometheus.CounterVec
+	waitMetrics
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -59,6 +60,7 @@
 		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_front_unread_total", Help: "Requests given up before the endpoint responded, by pool and cause (caller left, timeout).",
 		}, []string{"pool", "cause"}),
+		waitMetrics: newWaitMetrics(),
 	}
 }
 
@@ -129,7 +131,8 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread, f.metrics.waits)
+	registry.MustRegister(f.newWaitingCollector())
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -191,6 +191,7 @@
 		Leaving:    f.directory.Announced(),
 		Speeds:     f.engines.Known(),
 		Clock:      f.wallClock(),
+		Shortage:   f.shortage(),
 	}
 	if f.holdsDuties.Load() {
 		d.DutyHolder, d.DutyHolderAddress = f.self.Name, f.internalAddress()
@@ -218,6 +219,7 @@
 		f.directory.MarkLeaving(id, born, clock.Now())
 	}
 	f.tracker.SetPeerWork(f.peers.Work())
+	f.applyShortage()
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
 }
 
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -144,6 +144,8 @@
 // send sends the request to an endpoint and waits for the response header.
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
 	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
+	// The next waiting request may look for room now that the load counts this one.
+	p.wakeWaiting()
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
@@ -310,9 +312,11 @@
 // recordFirstEvent records that the endpoint has processed the prompt. Only the
 // first call has an effect.
 func (a *attempt) recordFirstEvent() {
-	a.started.Store(true)
 	a.proxy.recordStart()
 	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, clock.Now())
+	if !a.started.Swap(true) {
+		a.proxy.wakeWaiting()
+	}
 }
 
 // finish closes the response and removes the attempt from the endpoint's load.
@@ -326,6 +330,7 @@
 	}
 	a.cancel()
 	a.proxy.handler.Tracker.End(a.prefill)
+	a.proxy.wakeWaiting()
 }
 
 // takeAttempt reports whether the request may be sent to another endpoint, and
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
@@ -38,6 +39,7 @@
 	ReasonBodyTooLarge        Reason = "body too large"
 	ReasonNoEndpoint          Reason = "no endpoint"
 	ReasonOverload            Reason = "cannot be served in time"
+	ReasonNoRoom              Reason = "waited without room"
 	ReasonEndpointsFull       Reason = "endpoints are full"
 	ReasonEndpointsPaused     Reason = "endpoints ask for a pause"
 	ReasonEndpointUnreachable Reason = "endpoint unreachable"
@@ -134,7 +136,12 @@
 	// the head of its response was read, if set.
 	OnUnread func(fleet.PoolName, UnreadCause)
 
+	// OnWait is called at the end of each wait for room at the engines of a pool, if set.
+	OnWait func(fleet.PoolName, Wait)
+
 	Tracker *placement.Tracker
+	// Waiting holds the requests that wait for room.
+	Waiting *waiting.Queues
 	// Engines holds the measured speeds of the engines.
 	Engines *provision.EngineModel
 	Quotas  *allotment.QuotaLimiter
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 )
 
 // newHandler returns the handler of a node with endpoints at the given addresses. The
@@ -59,6 +60,7 @@
 		RecordStart:   func(fleet.AccountName) {},
 		RecordDemand:  func(fleet.PoolName, float64) {},
 		Tracker:       &placement.Tracker{},
+		Waiting:       &waiting.Queues{},
 		Engines:       &provision.EngineModel{},
 		Quotas:        &allotment.QuotaLimiter{},
 		Retries:       &allotment.RetryBudget{Ratio: 1, Slack: 50, Window: 10 * time.Second},
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -23,6 +23,8 @@
 	mu       sync.Mutex
 	begun    bool
 	refusing bool
+	// refused is closed when the node begins to refuse all requests.
+	refused  chan struct{}
 	deadline time.Time
 	end      context.Context
 	endNow   context.CancelFunc
@@ -46,7 +48,26 @@
 func (s *Shutdown) Refuse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refusing = true
+	if !s.refusing {
+		s.refusing = true
+		close(s.refusedChannel())
+	}
+}
+
+// Refused returns a channel that is closed when the node begins to refuse all further
+// requests.
+func (s *Shutdown) Refused() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedChannel()
+}
+
+// refusedChannel makes the channel of Refused. The caller holds the lock.
+func (s *Shutdown) refusedChannel() chan struct{} {
+	if s.refused == nil {
+		s.refused = make(chan struct{})
+	}
+	return s.refused
 }
 
 // Begun reports whether a planned stop has begun.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,10 +28,6 @@
 	stallPredictedFactor = 3
 	minStallObjectives   = 0.5
 	maxStallObjectives   = 1.6
-	// lateStartFactor times the route's objective is the highest predicted time to
-	// the first event that is admitted. It exceeds 1 because predictions err and a
-	// late response still has some value.
-	lateStartFactor = 1.5
 	// servedTime is the time after the start of its response after which a stream is not
 	// taken for the cause of a crash any more.
 	servedTime = time.Second
@@ -67,9 +63,7 @@
 	}
 	if c, ok := p.chooseEndpoint(clock.Now(), nil); ok {
 		p.recordDemand(c.UncachedTokens)
-		if !p.canStartInTime(c) {
-			p.refundQuota()
-			p.refuse(http.StatusServiceUnavailable, ReasonOverload, p.retryAfter)
+		if !p.awaitRoom(c, s.hasLastEvent) {
 			return
 		}
 		if !p.canFinishBeforeStop(p.expectedDuration(c)) {
@@ -83,18 +77,6 @@
 	}
 }
 
-// canStartInTime reports whether the first event is predicted to come in time.
-// It sheds load that exceeds the capacity of the engines: if all requests were
-// admitted, none would be in time.
-func (p *proxyRequest) canStartInTime(c placement.Choice) bool {
-	maxWait := min(time.Duration(lateStartFactor*float64(p.route.Objective)), p.remaining())
-	if c.Idle || c.TimeToFirstEvent < maxWait {
-		return true
-	}
-	p.retryAfter = c.TimeToFirstEvent - maxWait
-	return false
-}
-
 // finishExhausted ends a stream that has no further attempt. If the header was
 // sent, it aborts the connection so that the stream cannot look complete.
 func (s *streamRequest) finishExhausted(reason Reason) {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -98,6 +98,9 @@
 	Leaving map[fleet.InstanceID]int64 `cbor:"21,keyasint,omitempty"`
 	// Speeds are the known speeds of engines, by pool, for nodes that have not measured any.
 	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
+	// Shortage is what the covered nodes report of requests that wait, refusals and
+	// promised returns; nil while there is room for all.
+	Shortage *Shortage `cbor:"24,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -348,6 +348,7 @@
 		return
 	}
 	addWork(d.Work, p.digest.Work)
+	d.Shortage = d.Shortage.add(p.digest.Shortage)
 	if d.DutyHolder == "" {
 		d.DutyHolder, d.DutyHolderAddress = p.digest.DutyHolder, p.digest.DutyHolderAddress
 	}
--- /dev/null
+++ b/pkg/waiting/waiting.go
@@ -0,0 +1,151 @@
+// Package waiting decides which stream requests wait at a node for room at the engines of
+// a pool, in which order they leave, and which ones have no hope to begin in time. The
+// nodes of a fleet decide alone, from what they know of each other. The package performs
+// no I/O.
+package waiting
+
+import (
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+)
+
+// Rank is the rank of a request; 0 goes first.
+type Rank int
+
+const (
+	// roomShare is the part of an objective that the queue at the best engine may take
+	// while there is room. The rest is for the prompt itself.
+	roomShare = 0.5
+	// yieldShare is the part of that for a request while higher ranks wait at other nodes.
+	yieldShare = 0.5
+	// hopeFactor times the objective is the predicted time to the first event from which
+	// on a request that waits is refused. It exceeds 1 because predictions err and a late
+	// response still has some value.
+	hopeFactor = 1.5
+	// headroom is the factor by which what all nodes may send exceeds the engine time that
+	// the engines have. The predictions for each engine bound it more closely.
+	headroom = 1.25
+	// allowanceTime is the time for which a node's allowance is saved up: an exchange round.
+	allowanceTime = 300 * time.Millisecond
+)
+
+// Conditions are what a node knows about a request when it decides about it.
+type Conditions struct {
+	// Queue is the predicted wait at the best engine before the request's own prompt,
+	// Prediction the time to the first event there including it.
+	Queue, Prediction time.Duration
+	// Idle reports whether the best engine has free capacity.
+	Idle bool
+	// Objective is the objective of the request, Tightest the shortest one among the
+	// routes of the pool.
+	Objective, Tightest time.Duration
+	// Spent is the time since the request arrived and Remaining the time until its
+	// deadline.
+	Spent, Remaining time.Duration
+	// Contended reports whether requests wait at any node, Outranked whether requests of
+	// a higher rank wait at other nodes.
+	Contended, Outranked bool
+}
+
+// Room reports whether the engines have room for the request.
+//
+// It answers a burst of a low rank with a long objective: while requests wait, all ranks
+// keep the engines' queues as short as the tightest objective needs them, so that the low
+// rank does not use the room of the others.
+func (c Conditions) Room() bool {
+	if c.Idle {
+		return true
+	}
+	limit := roomShare * float64(c.Objective)
+	if c.Contended && c.Tightest > 0 {
+		limit = roomShare * float64(min(c.Objective, c.Tightest))
+	}
+	if c.Outranked {
+		limit *= yieldShare
+	}
+	return float64(c.Queue) <= limit
+}
+
+// MayWait reports whether a request that has to wait for the given time may begin within
+// its objective. An engine with free capacity is always worth a try.
+//
+// It answers load beyond the capacity of the engines: if all requests waited, all would
+// be late, so the ones that would be late are refused on arrival.
+func (c Conditions) MayWait(wait time.Duration) bool {
+	return c.Idle || c.Spent+wait+c.Prediction <= c.Objective && wait+c.Prediction < c.Remaining
+}
+
+// Hopeful reports whether a request may still be of use if it is sent after a wait.
+func (c Conditions) Hopeful(wait time.Duration) bool {
+	return c.Idle || float64(c.Spent+wait+c.Prediction) < hopeFactor*float64(c.Objective) && wait+c.Prediction < c.Remaining
+}
+
+// Nodes are the nodes that share the room.
+type Nodes struct {
+	// Total is their number, this one included, and Silent the number of those without a
+	// recent report.
+	Total, Silent int
+}
+
+// Share returns the part of the room that frees up which a node may use: that of the
+// reporting nodes in proportion to the waiting work, where each counts with at least a
+// mean request. own and all are the waiting work of this node and of all. Without
+// reports it is an even share.
+//
+// It answers a sudden shortage that many nodes see at once: without it, all of them
+// would send their requests to the first engine that is free.
+func Share(own, all, mean float64, n Nodes) float64 {
+	total := max(1, n.Total)
+	reporting := max(1, total-n.Silent)
+	sum := max(own, all) + float64(reporting)*mean
+	if sum <= 0 {
+		return 1 / float64(total)
+	}
+	return float64(reporting) / float64(total) * (own + mean) / sum
+}
+
+// Report is what nodes tell each other about the requests that wait, by pool.
+type Report map[fleet.PoolName]PoolReport
+
+// PoolReport describes the requests to one pool at the covered nodes.
+type PoolReport struct {
+	// Waiting is the engine time of the waiting requests by rank, in milliseconds.
+	Waiting map[Rank]float64 `cbor:"1,keyasint,omitempty"`
+	// Received is the engine time that each account received lately.
+	Received map[fleet.AccountName]float64 `cbor:"2,keyasint,omitempty"`
+}
+
+// maxReported is the maximum number of accounts in the report of a pool.
+const maxReported = 64
+
+// total returns the waiting work of ranks up to a limit.
+func (p PoolReport) total(limit Rank) (sum float64) {
+	for rank, work := range p.Waiting {
+		if rank <= limit {
+			sum += work
+		}
+	}
+	return sum
+}
+
+// Add returns the sum of two reports, and leaves both as they are.
+func (r Report) Add(other Report) Report {
+	if len(other) == 0 {
+		return r
+	}
+	sum := make(Report, len(r)+len(other))
+	for _, report := range []Report{r, other} {
+		for pool, p := range report {
+			total := sum[pool]
+			total.Waiting = addTo(total.Waiting, p.Waiting)
+			total.Received = addTo(total.Received, p.Received)
+			sum[pool] = total
+		}
+	}
+	for pool, p := range sum {
+		p.Received = largest(p.Received, maxReported)
+		sum[pool] = p
+	}
+	return sum
+}
