--- a/pkg/front/shortage.go
+++ b/pkg/front/shortage.go
@@ -23,7 +23,7 @@
 // applyShortage takes over what the other nodes report of too little room.
 func (f *Front) applyShortage() {
 	s := f.peers.Shortage()
-	f.waiting.SetPeers(s.Waiting)
+	f.waiting.SetPeers(s.Waiting, clock.Now())
 }
 
 // waitMetrics are the metrics of requests that wait for room.
--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/waiting"
@@ -50,7 +51,7 @@
 // wakeWaiting makes the first request that waits for the pool look again for room.
 func (p *proxyRequest) wakeWaiting() {
 	if p.pool.Engine != nil {
-		p.handler.Waiting.Of(p.pool.Name).Wake()
+		p.handler.Waiting.Of(p.pool.Name).Wake(clock.Now())
 	}
 }
 
@@ -70,10 +71,10 @@
 		q.RecordSent(r, now)
 		return true
 	}
-	wait := q.Wait(&r, p.capacity(), now)
+	wait := q.Wait(&r, p.capacity(conditions), now)
 	mayBeSent := wait == 0 && conditions.Room() && conditions.Hopeful(0)
 	if !mayBeSent && !conditions.MayWait(wait) {
-		q.RecordRefusal(now)
+		q.RecordRefusal(r, now)
 		p.retryAfter = time.Duration(max(0, wait+conditions.Prediction-p.route.Objective))
 		return p.refuseLate(ReasonOverload)
 	}
@@ -113,7 +114,8 @@
 		}
 		if !q.IsFirst(t, now) {
 			timer.Reset(waitCheckInterval)
-			if p.conditions(q, c).Hopeful(q.Wait(&t.Request, p.capacity(), now)) {
+			conditions := p.conditions(q, c)
+			if conditions.Hopeful(q.Wait(&t.Request, p.capacity(conditions), now)) {
 				continue
 			}
 		} else if latest, ok := p.chooseEndpoint(now, nil); ok {
@@ -121,7 +123,7 @@
 			c = latest
 			conditions := p.conditions(q, c)
 			hopeful := conditions.Hopeful(0)
-			if hopeful && conditions.Room() && q.Take(t, p.capacity(), now) {
+			if hopeful && conditions.Room() && q.Take(t, p.capacity(conditions), now) {
 				return true
 			}
 			if hopeful {
@@ -196,11 +198,10 @@
 
 // conditions returns what the node knows about the request at its chosen engine.
 func (p *proxyRequest) conditions(q *waiting.Queue, c placement.Choice) waiting.Conditions {
-	own := idleFirstEventTime + time.Duration(float64(c.UncachedTokens)/p.handler.Engines.Speeds(p.pool.Name).Prefill*float64(time.Millisecond))
 	conditions := waiting.Conditions{
-		Queue: max(0, c.TimeToFirstEvent-own), Prediction: c.TimeToFirstEvent, Idle: c.Idle,
+		Queue: max(0, c.TimeToFirstEvent-idleFirstEventTime-p.prefillTime(c.UncachedTokens)), Prediction: c.TimeToFirstEvent, Idle: c.Idle,
 		Objective: p.route.Objective, Spent: time.Since(p.started), Remaining: p.remaining(),
-		Contended: q.Contended(),
+		Contended: q.Contended(clock.Now()),
 	}
 	if conditions.Contended {
 		conditions.Tightest = p.tightestObjective()
@@ -209,6 +210,11 @@
 	return conditions
 }
 
+// prefillTime returns how long the pool's engines usually take to prefill a prompt.
+func (p *proxyRequest) prefillTime(uncached fleet.Tokens) time.Duration {
+	return time.Duration(float64(uncached) / p.handler.Engines.Speeds(p.pool.Name).Prefill * float64(time.Millisecond))
+}
+
 // tightestObjective returns the shortest objective among the streams of the pool.
 func (p *proxyRequest) tightestObjective() time.Duration {
 	shortest := p.route.Objective
@@ -222,14 +228,10 @@
 	return shortest
 }
 
-// capacity returns the number of engines and of the nodes that share them.
-func (p *proxyRequest) capacity() waiting.Capacity {
+// capacity returns what the engines can do and the nodes that share them.
+func (p *proxyRequest) capacity(c waiting.Conditions) waiting.Capacity {
+	ready := slices.DeleteFunc(slices.Clone(p.handler.Endpoints(p.pool.Name)), func(e serving.Endpoint) bool { return e.State != serving.StateReady })
+	c.MeanQueue = p.prefillTime(p.handler.Tracker.Backlog(ready)) / time.Duration(max(1, len(ready)))
 	nodes := p.handler.Nodes()
-	ready := 0
-	for _, e := range p.handler.Endpoints(p.pool.Name) {
-		if e.State == serving.StateReady {
-			ready++
-		}
-	}
-	return waiting.Capacity{Engines: ready, Nodes: waiting.Nodes{Total: nodes.Total, Silent: nodes.Silent}}
+	return waiting.Capacity{Engines: len(ready), Fill: c.Fill(), Nodes: waiting.Nodes{Total: nodes.Total, Silent: nodes.Silent}}
 }
--- a/pkg/waiting/queue.go
+++ b/pkg/waiting/queue.go
@@ -13,10 +13,14 @@
 const (
 	// meanWeight is the weight of a request in the mean of the engine time.
 	meanWeight = 0.05
-	// reportTime is how long after the last wait or refusal a queue is reported.
-	reportTime = 2 * time.Second
-	// minReported is the received engine time below which an account is not reported, in
-	// milliseconds.
+	// receivedTime is the time constant of the work that an account received lately. It
+	// spans several exchanges, so that what the account receives on all nodes is seen.
+	receivedTime = 2 * time.Second
+	// wantedTime is the time constant of the work that found no room lately.
+	wantedTime = 500 * time.Millisecond
+	// shortTime is how long after the last wait or refusal there is a shortage.
+	shortTime = 2 * time.Second
+	// minReported is the engine time below which a sum is not reported, in milliseconds.
 	minReported = 1
 )
 
@@ -60,18 +64,8 @@
 	}
 }
 
-// Capacity is what the pool can do.
-type Capacity struct {
-	// Engines is the number of engines that accept requests.
-	Engines int
-	Nodes   Nodes
-}
-
-// rate returns the engine time that all nodes together may send, in milliseconds a second.
-func (c Capacity) rate() float64 { return headroom * 1000 * float64(max(1, c.Engines)) }
-
 // Queue holds the requests that wait at a node for the engines of a pool. They leave by
-// rank, then by how far their account is behind its fair share, then those whose callers
+// whether they can still begin within their objective, then by rank, then by how far their account is behind its fair share, then those whose callers
 // came back at the time they were told, then by their latest start. The zero value is an
 // empty queue.
 //
@@ -80,37 +74,46 @@
 // start tag of fair queueing, so that within a rank no account gets more than its share
 // while others wait.
 type Queue struct {
+	// Random returns a number in [0, 1), and nil stands for 0. The allowances of nodes
+	// start at different amounts by it.
+	Random func() float64
+
 	mu      sync.Mutex
 	waiting []*Ticket
-	// received is the engine time that this node sent lately for each account while
-	// requests waited, peers what the other nodes report.
-	received map[fleet.AccountName]*recent
-	peers    PoolReport
+	// received is the engine time that this node sent lately for each account during the
+	// shortage, wanted that of the requests that found no room when they arrived, by rank.
+	received recents[fleet.AccountName]
+	wanted   recents[Rank]
+	// peers is what the other nodes report.
+	peers PoolReport
 	// meanWork is the moving average of the engine time of requests.
-	meanWork float64
-	// allowance is the engine time that this node may send, as of allowedAt.
-	allowance float64
-	allowedAt clock.Instant
+	meanWork   float64
+	allowances map[Rank]*allowance
 	// shortAt is when a request last waited or was refused.
 	shortAt clock.Instant
 }
 
 // SetPeers sets what the other nodes report, and makes the first request look again.
-func (q *Queue) SetPeers(p PoolReport) {
+func (q *Queue) SetPeers(p PoolReport, now clock.Instant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.peers = p
-	q.wakeFirst()
+	q.wakeFirst(now)
 }
 
-// Contended reports whether requests wait at any node.
-func (q *Queue) Contended() bool {
+// Contended reports whether requests found no room lately at any node.
+func (q *Queue) Contended(now clock.Instant) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) > 0 || len(q.peers.Waiting) > 0
+	return q.contended(now)
 }
 
-// Outranked reports whether requests of a higher rank wait at other nodes.
+// contended implements Contended. The caller holds the lock.
+func (q *Queue) contended(now clock.Instant) bool {
+	return len(q.waiting) > 0 || len(q.peers.Wanted) > 0 || q.shortAt != 0 && now.Sub(q.shortAt) <= shortTime
+}
+
+// Outranked reports whether requests of a higher rank found no room lately at other nodes.
 func (q *Queue) Outranked(rank Rank) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -121,14 +124,21 @@
 func (q *Queue) Add(r Request, now clock.Instant) *Ticket {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.recordWanted(&r, now)
+	t := &Ticket{Request: r, wake: make(chan struct{}, 1)}
+	q.waiting = append(q.waiting, t)
+	return t
+}
+
+// recordWanted records a request that found no room when it arrived. The caller holds the
+// lock.
+func (q *Queue) recordWanted(r *Request, now clock.Instant) {
 	if q.meanWork == 0 {
 		q.meanWork = r.Work
 	}
 	q.meanWork += meanWeight * (r.Work - q.meanWork)
 	q.shortAt = now
-	t := &Ticket{Request: r, wake: make(chan struct{}, 1)}
-	q.waiting = append(q.waiting, t)
-	return t
+	q.wanted.add(r.Rank, r.Work, now, wantedTime)
 }
 
 // Remove removes a request that is not sent.
@@ -137,7 +147,7 @@
 	defer q.mu.Unlock()
 	q.shortAt = now
 	q.remove(t)
-	q.wakeFirst()
+	q.wakeFirst(now)
 }
 
 // remove removes a request. The caller holds the lock.
@@ -147,42 +157,33 @@
 	}
 }
 
-// RecordRefusal records that a request was refused for lack of room.
-func (q *Queue) RecordRefusal(now clock.Instant) {
+// RecordRefusal records that a request was refused on arrival for lack of room.
+func (q *Queue) RecordRefusal(r Request, now clock.Instant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.shortAt = now
+	q.recordWanted(&r, now)
 }
 
 // Wake makes the first request look again whether there is room.
-func (q *Queue) Wake() {
+func (q *Queue) Wake(now clock.Instant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.wakeFirst()
+	q.wakeFirst(now)
 }
 
 // wakeFirst implements Wake. The caller holds the lock.
-func (q *Queue) wakeFirst() {
+func (q *Queue) wakeFirst(now clock.Instant) {
 	if len(q.waiting) > 0 {
-		q.first(q.latest()).signal()
+		q.first(now).signal()
 	}
 }
 
-// latest returns a time at which the received work may be compared. All of it decays
-// alike, so the order does not depend on it. The caller holds the lock.
-func (q *Queue) latest() (now clock.Instant) {
-	for _, r := range q.received {
-		now = max(now, r.updatedAt)
-	}
-	return now
-}
-
 // tag returns the engine time that an account received lately in proportion to its weight.
 // The caller holds the lock.
 func (q *Queue) tag(r *Request, now clock.Instant) float64 {
 	received := q.peers.Received[r.Account]
 	if own := q.received[r.Account]; own != nil {
-		received += own.at(now)
+		received += own.at(now, receivedTime)
 	}
 	return received / r.weight()
 }
@@ -190,7 +191,7 @@
 // first returns the request that leaves next. The caller holds the lock.
 func (q *Queue) first(now clock.Instant) *Ticket {
 	return slices.MinFunc(q.waiting, func(a, b *Ticket) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), q.compareTags(a, b, now), compareWithin(&a.Request, &b.Request))
+		return cmp.Or(compareLate(&a.Request, &b.Request, now), cmp.Compare(a.Rank, b.Rank), q.compareTags(a, b, now), compareWithin(&a.Request, &b.Request))
 	})
 }
 
@@ -204,13 +205,25 @@
 
 // compareWithin orders two requests of the same rank and account.
 func compareWithin(a, b *Request) int {
-	if a.Returning != b.Returning {
-		if a.Returning {
-			return -1
-		}
+	return cmp.Or(compareBools(b.Returning, a.Returning), cmp.Compare(a.LatestStart, b.LatestStart))
+}
+
+// compareLate orders requests that can no longer begin within their objective after
+// those that can.
+func compareLate(a, b *Request, now clock.Instant) int {
+	return compareBools(a.LatestStart < now, b.LatestStart < now)
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
 		return 1
 	}
-	return cmp.Compare(a.LatestStart, b.LatestStart)
 }
 
 // Wait returns how long a request, which may be that of a ticket, is predicted to wait at
@@ -222,7 +235,7 @@
 	if ahead == 0 && q.peers.total(r.Rank) == 0 {
 		return 0
 	}
-	local := ahead / max(1, c.rate()*q.share(r.Rank, c))
+	local := ahead / max(1, c.rate()*q.share(r, c, now))
 	higher := (ahead + q.peers.total(r.Rank-1)) / c.rate()
 	return time.Duration(max(local, higher) * float64(time.Second))
 }
@@ -235,7 +248,7 @@
 	others := make(map[fleet.AccountName]backlog)
 	for _, t := range q.waiting {
 		switch {
-		case &t.Request == r:
+		case &t.Request == r, compareLate(&t.Request, r, now) > 0:
 		case t.Rank < r.Rank:
 			work += t.Work
 		case t.Rank > r.Rank:
@@ -253,15 +266,15 @@
 	return work + own
 }
 
-// share returns this node's part of the room for a rank. The caller holds the lock.
-func (q *Queue) share(rank Rank, c Capacity) float64 {
+// share returns this node's part of the room for a request. The caller holds the lock.
+func (q *Queue) share(request *Request, c Capacity, now clock.Instant) float64 {
 	own := 0.0
-	for _, t := range q.waiting {
-		if t.Rank <= rank {
-			own += t.Work
+	for wanted, r := range q.wanted {
+		if wanted <= request.Rank {
+			own += r.at(now, wantedTime)
 		}
 	}
-	return Share(own, own+q.peers.total(rank), q.meanWork, c.Nodes)
+	return Share(own, own+q.peers.total(request.Rank), min(q.meanWork, request.Work), c.Nodes)
 }
 
 // IsFirst reports whether a request leaves next.
@@ -278,70 +291,80 @@
 func (q *Queue) Take(t *Ticket, c Capacity, now clock.Instant) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	rate := c.rate() * q.share(t.Rank, c)
-	saved := rate * allowanceTime.Seconds()
-	if q.allowedAt == 0 {
-		q.allowance = saved
-	} else {
-		q.allowance = min(saved, q.allowance+rate*now.Sub(q.allowedAt).Seconds())
-	}
-	q.allowedAt = now
-	if q.allowance <= 0 {
+	if q.allowance(t, c, now).amount <= 0 {
 		return false
 	}
-	q.allowance -= t.Work
+	for rank, a := range q.allowances {
+		if rank >= t.Rank {
+			a.amount -= t.Work
+		}
+	}
 	q.recordSent(&t.Request, now)
 	q.remove(t)
 	return true
 }
 
+// allowance is the engine time that a node may send for requests up to a rank.
+type allowance struct {
+	amount float64
+	at     clock.Instant
+}
+
+// allowance returns the allowance of the rank of a request. What lower ranks use does not
+// count against it. The caller holds the lock.
+func (q *Queue) allowance(t *Ticket, c Capacity, now clock.Instant) *allowance {
+	rank := t.Rank
+	rate := c.rate() * q.share(&t.Request, c, now)
+	a := q.allowances[rank]
+	if a == nil {
+		if q.allowances == nil {
+			q.allowances = make(map[Rank]*allowance)
+		}
+		a = &allowance{}
+		q.allowances[rank] = a
+	}
+	if a.at == 0 || now.Sub(a.at) > shortTime {
+		// The last shortage is over. The nodes must not send a request each at once now.
+		a.amount = -q.phase() * t.Work
+	} else {
+		a.amount = min(rate*allowanceTime.Seconds(), a.amount+rate*now.Sub(a.at).Seconds())
+	}
+	a.at = now
+	return a
+}
+
+// phase returns a number from 0 to 1 by which the node differs from others.
+func (q *Queue) phase() float64 {
+	if q.Random == nil {
+		return 0
+	}
+	return q.Random()
+}
+
 // RecordSent records that a request is sent without a wait. It counts while there was
 // too little room lately.
 func (q *Queue) RecordSent(r Request, now clock.Instant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.shortLately(now) || len(q.peers.Waiting) > 0 {
+	if q.contended(now) {
 		q.recordSent(&r, now)
 	}
 }
 
 // recordSent adds a request to what its account received. The caller holds the lock.
 func (q *Queue) recordSent(r *Request, now clock.Instant) {
-	if r.Account == "" {
-		return
-	}
-	if q.received == nil {
-		q.received = make(map[fleet.AccountName]*recent)
-	}
-	if q.received[r.Account] == nil {
-		q.received[r.Account] = &recent{}
+	if r.Account != "" {
+		q.received.add(r.Account, r.Work, now, receivedTime)
 	}
-	q.received[r.Account].add(r.Work, now)
 }
 
-// shortLately reports whether a request waited or was refused lately. The caller holds
-// the lock.
-func (q *Queue) shortLately(now clock.Instant) bool {
-	return len(q.waiting) > 0 || q.shortAt != 0 && now.Sub(q.shortAt) <= reportTime
-}
-
-// Report returns what this node reports, or false if there was room for all lately. It
-// forgets what accounts received long ago.
+// Report returns what this node reports, or false if there was room for all lately.
 func (q *Queue) Report(now clock.Instant) (p PoolReport, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, t := range q.waiting {
-		p.Waiting = addTo(p.Waiting, map[Rank]float64{t.Rank: t.Work})
-	}
-	for account, r := range q.received {
-		if amount := r.at(now); amount >= minReported {
-			p.Received = addTo(p.Received, map[fleet.AccountName]float64{account: amount})
-		} else {
-			delete(q.received, account)
-		}
-	}
-	p.Received = largest(p.Received, maxReported)
-	return p, q.shortLately(now)
+	p.Wanted = q.wanted.report(now, wantedTime)
+	p.Received = largest(q.received.report(now, receivedTime), maxReported)
+	return p, len(q.waiting) > 0 || q.shortAt != 0 && now.Sub(q.shortAt) <= shortTime
 }
 
 // Waiting returns the number of waiting requests by rank.
--- a/pkg/waiting/queues.go
+++ b/pkg/waiting/queues.go
@@ -9,6 +9,9 @@
 
 // Queues holds a node's queues by pool. The zero value is ready to use.
 type Queues struct {
+	// Random is that of each Queue.
+	Random func() float64
+
 	mu    sync.Mutex
 	pools map[fleet.PoolName]*Queue
 }
@@ -22,7 +25,7 @@
 		if qs.pools == nil {
 			qs.pools = make(map[fleet.PoolName]*Queue)
 		}
-		q = &Queue{}
+		q = &Queue{Random: qs.Random}
 		qs.pools[pool] = q
 	}
 	return q
@@ -40,12 +43,12 @@
 }
 
 // SetPeers sets what the other nodes report.
-func (qs *Queues) SetPeers(r Report) {
+func (qs *Queues) SetPeers(r Report, now clock.Instant) {
 	for pool := range r {
 		qs.Of(pool)
 	}
 	for pool, q := range qs.all() {
-		q.SetPeers(r[pool])
+		q.SetPeers(r[pool], now)
 	}
 }
 
--- a/pkg/waiting/sums.go
+++ b/pkg/waiting/sums.go
@@ -35,20 +35,43 @@
 	return values
 }
 
-// recent is a sum in which older amounts count less.
+// recent is a sum in which older amounts count less, by a time constant.
 type recent struct {
 	amount    float64
 	updatedAt clock.Instant
 }
 
-// recentTime is the time constant of the decay. It spans several exchanges, so that what
-// an account receives on all nodes is seen, and is short against a burst.
-const recentTime = 2 * time.Second
+func (r recent) at(now clock.Instant, constant time.Duration) float64 {
+	return r.amount * math.Exp(-now.Sub(r.updatedAt).Seconds()/constant.Seconds())
+}
 
-func (r recent) at(now clock.Instant) float64 {
-	return r.amount * math.Exp(-now.Sub(r.updatedAt).Seconds()/recentTime.Seconds())
+func (r *recent) add(amount float64, now clock.Instant, constant time.Duration) {
+	r.amount, r.updatedAt = r.at(now, constant)+amount, now
 }
 
-func (r *recent) add(amount float64, now clock.Instant) {
-	r.amount, r.updatedAt = r.at(now)+amount, now
+// recents holds recent sums by key.
+type recents[K comparable] map[K]*recent
+
+// add adds an amount to the sum of a key.
+func (rs *recents[K]) add(key K, amount float64, now clock.Instant, constant time.Duration) {
+	if *rs == nil {
+		*rs = make(recents[K])
+	}
+	if (*rs)[key] == nil {
+		(*rs)[key] = &recent{}
+	}
+	(*rs)[key].add(amount, now, constant)
+}
+
+// report returns the sums that are worth a report and removes the others.
+func (rs recents[K]) report(now clock.Instant, constant time.Duration) map[K]float64 {
+	sums := make(map[K]float64, len(rs))
+	for key, r := range rs {
+		if amount := r.at(now, constant); amount >= minReported {
+			sums[key] = amount
+		} else {
+			delete(rs, key)
+		}
+	}
+	return sums
 }
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -16,16 +16,18 @@
 const (
 	// roomShare is the part of an objective that the queue at the best engine may take
 	// while there is room. The rest is for the prompt itself.
-	roomShare = 0.5
-	// yieldShare is the part of that for a request while higher ranks wait at other nodes.
+	roomShare = 0.4
+	// yieldShare is the part of that for a request while higher ranks find no room elsewhere.
 	yieldShare = 0.5
 	// hopeFactor times the objective is the predicted time to the first event from which
 	// on a request that waits is refused. It exceeds 1 because predictions err and a late
 	// response still has some value.
 	hopeFactor = 1.5
-	// headroom is the factor by which what all nodes may send exceeds the engine time that
-	// the engines have. The predictions for each engine bound it more closely.
-	headroom = 1.25
+	// maxFlow is the factor by which what all nodes may send exceeds the engine time that
+	// the engines have while their queues are empty. It falls by fullFlow until the queues
+	// leave just enough room, and on to minFlow. So the queues settle in between, also if
+	// the measured engine time is somewhat wrong.
+	maxFlow, fullFlow, minFlow = 1.5, 1.0, 0.1
 	// allowanceTime is the time for which a node's allowance is saved up: an exchange round.
 	allowanceTime = 300 * time.Millisecond
 )
@@ -35,6 +37,8 @@
 	// Queue is the predicted wait at the best engine before the request's own prompt,
 	// Prediction the time to the first event there including it.
 	Queue, Prediction time.Duration
+	// MeanQueue is the mean wait at the engines of the pool.
+	MeanQueue time.Duration
 	// Idle reports whether the best engine has free capacity.
 	Idle bool
 	// Objective is the objective of the request, Tightest the shortest one among the
@@ -43,20 +47,24 @@
 	// Spent is the time since the request arrived and Remaining the time until its
 	// deadline.
 	Spent, Remaining time.Duration
-	// Contended reports whether requests wait at any node, Outranked whether requests of
-	// a higher rank wait at other nodes.
+	// Contended reports whether requests found no room lately at any node, Outranked
+	// whether such requests of a higher rank did at other nodes.
 	Contended, Outranked bool
 }
 
 // Room reports whether the engines have room for the request.
 //
-// It answers a burst of a low rank with a long objective: while requests wait, all ranks
+// It answers a burst of a low rank with a long objective: during a shortage all ranks
 // keep the engines' queues as short as the tightest objective needs them, so that the low
 // rank does not use the room of the others.
-func (c Conditions) Room() bool {
-	if c.Idle {
-		return true
-	}
+func (c Conditions) Room() bool { return c.Idle || float64(c.Queue) <= c.limit() }
+
+// Fill returns how much of the queue that leaves room is taken, on average over the
+// engines. Unlike the best engine, the average is not chosen for an error in its favour.
+func (c Conditions) Fill() float64 { return float64(c.MeanQueue) / max(1, c.limit()) }
+
+// limit returns the queue at an engine that leaves room for the request.
+func (c Conditions) limit() float64 {
 	limit := roomShare * float64(c.Objective)
 	if c.Contended && c.Tightest > 0 {
 		limit = roomShare * float64(min(c.Objective, c.Tightest))
@@ -64,7 +72,7 @@
 	if c.Outranked {
 		limit *= yieldShare
 	}
-	return float64(c.Queue) <= limit
+	return limit
 }
 
 // MayWait reports whether a request that has to wait for the given time may begin within
@@ -89,8 +97,8 @@
 }
 
 // Share returns the part of the room that frees up which a node may use: that of the
-// reporting nodes in proportion to the waiting work, where each counts with at least a
-// mean request. own and all are the waiting work of this node and of all. Without
+// reporting nodes in proportion to the work that found no room lately, where each counts
+// with at least a mean request. own and all are that work at this node and at all. Without
 // reports it is an even share.
 //
 // It answers a sudden shortage that many nodes see at once: without it, all of them
@@ -105,13 +113,28 @@
 	return float64(reporting) / float64(total) * (own + mean) / sum
 }
 
+// Capacity is what the pool can do.
+type Capacity struct {
+	// Engines is the number of engines that accept requests, Fill that of the Conditions.
+	Engines int
+	Fill    float64
+	Nodes   Nodes
+}
+
+// rate returns the engine time that all nodes together may send, in milliseconds a second.
+func (c Capacity) rate() float64 {
+	flow := max(minFlow, maxFlow-fullFlow*c.Fill)
+	return flow * 1000 * float64(max(1, c.Engines))
+}
+
 // Report is what nodes tell each other about the requests that wait, by pool.
 type Report map[fleet.PoolName]PoolReport
 
 // PoolReport describes the requests to one pool at the covered nodes.
 type PoolReport struct {
-	// Waiting is the engine time of the waiting requests by rank, in milliseconds.
-	Waiting map[Rank]float64 `cbor:"1,keyasint,omitempty"`
+	// Wanted is the engine time of the requests that found no room lately when they
+	// arrived, by rank, in milliseconds.
+	Wanted map[Rank]float64 `cbor:"1,keyasint,omitempty"`
 	// Received is the engine time that each account received lately.
 	Received map[fleet.AccountName]float64 `cbor:"2,keyasint,omitempty"`
 }
@@ -119,9 +142,9 @@
 // maxReported is the maximum number of accounts in the report of a pool.
 const maxReported = 64
 
-// total returns the waiting work of ranks up to a limit.
+// total returns the wanted work of ranks up to a limit.
 func (p PoolReport) total(limit Rank) (sum float64) {
-	for rank, work := range p.Waiting {
+	for rank, work := range p.Wanted {
 		if rank <= limit {
 			sum += work
 		}
@@ -138,7 +161,7 @@
 	for _, report := range []Report{r, other} {
 		for pool, p := range report {
 			total := sum[pool]
-			total.Waiting = addTo(total.Waiting, p.Waiting)
+			total.Wanted = addTo(total.Wanted, p.Wanted)
 			total.Received = addTo(total.Received, p.Received)
 			sum[pool] = total
 		}
