--- a/pkg/waiting/replay_test.go
+++ b/pkg/waiting/replay_test.go
@@ -43,6 +43,8 @@
 // load is a load of 20 accounts with equal weights on a pool that loses engines.
 type load struct {
 	nodes, engines, left int
+	// scale multiplies the rates of the classes.
+	scale float64
 	// hot is the factor of the load of the first account during the shortage.
 	hot float64
 }
@@ -117,7 +119,7 @@
 		}
 		for _, c := range classes {
 			for account := range 20 {
-				rate := c.perSecond / 20
+				rate := r.scale * c.perSecond / 20
 				if short {
 					rate *= c.burst
 					if account == 0 {
@@ -282,6 +284,8 @@
 		Expect(before.others[0].share()).To(BeNumerically("<", 0.8), "the load is no shortage")
 		Expect(after.others[0].share()).To(BeNumerically(">=", 0.95), "rank 0 of accounts within their share\n%v", after)
 		Expect(after.others[1].share()).To(BeNumerically(">=", 0.9), "rank 1 of accounts within their share\n%v", after)
+		fair := float64(after.others[2].inTime) / 19
+		Expect(float64(after.hot[2].inTime)).To(BeNumerically("~", fair, fair/2), "the hot account has a share like the others\n%v", after)
 		inTime, answered := 0, 0
 		for rank := range after.others {
 			for _, c := range []counts{after.hot[rank], after.others[rank]} {
@@ -291,7 +295,7 @@
 		}
 		Expect(float64(inTime)).To(BeNumerically(">=", 0.9*float64(answered)), "who is answered is answered in time\n%v", after)
 	},
-	Entry("with few nodes", load{nodes: 4, engines: 16, left: 8, hot: 6}),
-	Entry("with as many nodes as engines", load{nodes: 16, engines: 16, left: 8, hot: 6}),
-	Entry("with four times as many nodes", load{nodes: 64, engines: 16, left: 8, hot: 6}),
+	Entry("with few nodes", load{nodes: 4, engines: 16, left: 8, scale: 1, hot: 6}),
+	Entry("with twice as many nodes as engines", load{nodes: 16, engines: 16, left: 8, scale: 1, hot: 6}),
+	Entry("with many nodes and engines", load{nodes: 64, engines: 64, left: 32, scale: 4, hot: 6}),
 )
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -27,7 +27,7 @@
 	// the engines have while their queues are empty. It falls by fullFlow until the queues
 	// leave just enough room, and on to minFlow. So the queues settle in between, also if
 	// the measured engine time is somewhat wrong.
-	maxFlow, fullFlow, minFlow = 1.5, 1.0, 0.1
+	maxFlow, fullFlow, minFlow = 1.2, 0.8, 0.1
 	// allowanceTime is the time for which a node's allowance is saved up: an exchange round.
 	allowanceTime = 300 * time.Millisecond
 )
@@ -57,7 +57,13 @@
 // It answers a burst of a low rank with a long objective: during a shortage all ranks
 // keep the engines' queues as short as the tightest objective needs them, so that the low
 // rank does not use the room of the others.
-func (c Conditions) Room() bool { return c.Idle || float64(c.Queue) <= c.limit() }
+func (c Conditions) Room() bool {
+	limit := c.limit()
+	if c.Outranked {
+		limit *= yieldShare
+	}
+	return c.Idle || float64(c.Queue) <= limit
+}
 
 // Fill returns how much of the queue that leaves room is taken, on average over the
 // engines. Unlike the best engine, the average is not chosen for an error in its favour.
@@ -65,14 +71,10 @@
 
 // limit returns the queue at an engine that leaves room for the request.
 func (c Conditions) limit() float64 {
-	limit := roomShare * float64(c.Objective)
 	if c.Contended && c.Tightest > 0 {
-		limit = roomShare * float64(min(c.Objective, c.Tightest))
-	}
-	if c.Outranked {
-		limit *= yieldShare
+		return roomShare * float64(min(c.Objective, c.Tightest))
 	}
-	return limit
+	return roomShare * float64(c.Objective)
 }
 
 // MayWait reports whether a request that has to wait for the given time may begin within
