--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -67,12 +67,12 @@
 	r := p.waitingRequest(c, now)
 	r.Returning = resumed
 	conditions := p.conditions(q, c)
-	if !conditions.Contended && conditions.Room() && conditions.Hopeful(0) {
+	if !conditions.Contended && conditions.Room() && (c.Idle || conditions.Hopeful(0)) {
 		q.RecordSent(r, now)
 		return true
 	}
 	wait := q.Wait(&r, p.capacity(conditions), now)
-	mayBeSent := wait == 0 && conditions.Room() && conditions.Hopeful(0)
+	mayBeSent := wait == 0 && conditions.Room() && (c.Idle || conditions.Hopeful(0))
 	if !mayBeSent && !conditions.MayWait(wait) {
 		q.RecordRefusal(r, now)
 		p.retryAfter = time.Duration(max(0, wait+conditions.Prediction-p.route.Objective))
@@ -122,7 +122,7 @@
 			timer.Reset(roomCheckInterval)
 			c = latest
 			conditions := p.conditions(q, c)
-			hopeful := conditions.Hopeful(0)
+			hopeful := c.Idle && conditions.Spent < p.route.Objective || conditions.Hopeful(0)
 			if hopeful && conditions.Room() && q.Take(t, p.capacity(conditions), now) {
 				return true
 			}
@@ -231,7 +231,11 @@
 // capacity returns what the engines can do and the nodes that share them.
 func (p *proxyRequest) capacity(c waiting.Conditions) waiting.Capacity {
 	ready := slices.DeleteFunc(slices.Clone(p.handler.Endpoints(p.pool.Name)), func(e serving.Endpoint) bool { return e.State != serving.StateReady })
-	c.MeanQueue = p.prefillTime(p.handler.Tracker.Backlog(ready)) / time.Duration(max(1, len(ready)))
+	capacity := waiting.Capacity{Limit: c.Limit()}
+	for _, tokens := range p.handler.Tracker.Backlogs(ready) {
+		capacity.Queues = append(capacity.Queues, p.prefillTime(tokens))
+	}
 	nodes := p.handler.Nodes()
-	return waiting.Capacity{Engines: len(ready), Fill: c.Fill(), Nodes: waiting.Nodes{Total: nodes.Total, Silent: nodes.Silent}}
+	capacity.Nodes = waiting.Nodes{Total: nodes.Total, Silent: nodes.Silent}
+	return capacity
 }
--- a/pkg/placement/backlog.go
+++ b/pkg/placement/backlog.go
@@ -5,14 +5,15 @@
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
-// Backlog returns the number of prompt tokens that are yet to be prefilled at endpoints,
-// as known to this node.
-func (t *Tracker) Backlog(endpoints []serving.Endpoint) (tokens fleet.Tokens) {
+// Backlogs returns for each endpoint the number of prompt tokens that are yet to be
+// prefilled there, as known to this node.
+func (t *Tracker) Backlogs(endpoints []serving.Endpoint) []fleet.Tokens {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range endpoints {
+	tokens := make([]fleet.Tokens, len(endpoints))
+	for i, e := range endpoints {
 		if s := t.endpoints[e.ID]; s != nil {
-			tokens += s.localWork.Backlog + s.peerWork.Backlog
+			tokens[i] = s.localWork.Backlog + s.peerWork.Backlog
 		}
 	}
 	return tokens
--- a/pkg/waiting/replay_test.go
+++ b/pkg/waiting/replay_test.go
@@ -173,19 +173,18 @@
 }
 
 func (r *replay) conditions(n *node, a *arrival, queue time.Duration, now clock.Instant) waiting.Conditions {
-	total := time.Duration(0)
-	for e := range r.present {
-		total += n.peers[e] + n.own[e]
-	}
 	return waiting.Conditions{
-		MeanQueue: total / time.Duration(r.present),
-		Queue:     queue, Prediction: queue + firstEventTime + a.work, Objective: a.objective, Tightest: classes[0].objective,
+		Queue: queue, Prediction: queue + firstEventTime + a.work, Objective: a.objective, Tightest: classes[0].objective,
 		Spent: now.Sub(a.at), Remaining: 4 * time.Second, Contended: n.queue.Contended(now), Outranked: n.queue.Outranked(a.rank),
 	}
 }
 
-func (r *replay) capacity(c waiting.Conditions) waiting.Capacity {
-	return waiting.Capacity{Engines: r.present, Fill: c.Fill(), Nodes: waiting.Nodes{Total: len(r.nodes)}}
+func (r *replay) capacity(n *node, c waiting.Conditions) waiting.Capacity {
+	capacity := waiting.Capacity{Limit: c.Limit(), Nodes: waiting.Nodes{Total: len(r.nodes)}}
+	for e := range r.present {
+		capacity.Queues = append(capacity.Queues, n.peers[e]+n.own[e])
+	}
+	return capacity
 }
 
 // arrive decides about a new request.
@@ -213,7 +212,7 @@
 		r.send(n, a, now)
 		return
 	}
-	if wait := n.queue.Wait(&request, r.capacity(c), now); !c.MayWait(wait) && (wait > 0 || !c.Room()) {
+	if wait := n.queue.Wait(&request, r.capacity(n, c), now); !c.MayWait(wait) && (wait > 0 || !c.Room()) {
 		n.queue.RecordRefusal(request, now)
 		r.count(a).refused++
 		return
@@ -235,7 +234,7 @@
 			case !c.Hopeful(0):
 				n.queue.Remove(a.ticket, now)
 				r.count(a).refused++
-			case first && c.Room() && n.queue.Take(a.ticket, r.capacity(c), now):
+			case first && c.Room() && n.queue.Take(a.ticket, r.capacity(n, c), now):
 				r.send(n, a, now)
 				again = true
 			default:
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -16,16 +16,19 @@
 const (
 	// roomShare is the part of an objective that the queue at the best engine may take
 	// while there is room. The rest is for the prompt itself.
-	roomShare = 0.4
+	roomShare = 0.5
+	// maxTightest times the tightest objective of the pool is the largest objective that
+	// counts for this during a shortage.
+	maxTightest = 2
 	// yieldShare is the part of that for a request while higher ranks find no room elsewhere.
 	yieldShare = 0.5
 	// hopeFactor times the objective is the predicted time to the first event from which
 	// on a request that waits is refused. It exceeds 1 because predictions err and a late
 	// response still has some value.
-	hopeFactor = 1.5
-	// maxFlow is the factor by which what all nodes may send exceeds the engine time that
-	// the engines have while their queues are empty. It falls by fullFlow until the queues
-	// leave just enough room, and on to minFlow. So the queues settle in between, also if
+	hopeFactor = 1.0
+	// maxFlow is the factor by which what all nodes may send to an engine exceeds its engine
+	// time while its queue is empty. It falls by fullFlow until the queue leaves just enough
+	// room, and on to minFlow. So the queues settle in between, also if
 	// the measured engine time is somewhat wrong.
 	maxFlow, fullFlow, minFlow = 1.2, 0.8, 0.1
 	// allowanceTime is the time for which a node's allowance is saved up: an exchange round.
@@ -37,8 +40,6 @@
 	// Queue is the predicted wait at the best engine before the request's own prompt,
 	// Prediction the time to the first event there including it.
 	Queue, Prediction time.Duration
-	// MeanQueue is the mean wait at the engines of the pool.
-	MeanQueue time.Duration
 	// Idle reports whether the best engine has free capacity.
 	Idle bool
 	// Objective is the objective of the request, Tightest the shortest one among the
@@ -58,37 +59,35 @@
 // keep the engines' queues as short as the tightest objective needs them, so that the low
 // rank does not use the room of the others.
 func (c Conditions) Room() bool {
-	limit := c.limit()
+	limit := c.Limit()
 	if c.Outranked {
-		limit *= yieldShare
+		limit = time.Duration(yieldShare * float64(limit))
 	}
-	return c.Idle || float64(c.Queue) <= limit
+	return c.Idle || c.Queue <= limit
 }
 
-// Fill returns how much of the queue that leaves room is taken, on average over the
-// engines. Unlike the best engine, the average is not chosen for an error in its favour.
-func (c Conditions) Fill() float64 { return float64(c.MeanQueue) / max(1, c.limit()) }
-
-// limit returns the queue at an engine that leaves room for the request.
-func (c Conditions) limit() float64 {
+// Limit returns the queue at an engine that leaves room for the request, before it yields
+// to higher ranks.
+func (c Conditions) Limit() time.Duration {
+	objective := c.Objective
 	if c.Contended && c.Tightest > 0 {
-		return roomShare * float64(min(c.Objective, c.Tightest))
+		objective = min(objective, maxTightest*c.Tightest)
 	}
-	return roomShare * float64(c.Objective)
+	return time.Duration(roomShare * float64(objective))
 }
 
 // MayWait reports whether a request that has to wait for the given time may begin within
-// its objective. An engine with free capacity is always worth a try.
+// its objective.
 //
 // It answers load beyond the capacity of the engines: if all requests waited, all would
 // be late, so the ones that would be late are refused on arrival.
 func (c Conditions) MayWait(wait time.Duration) bool {
-	return c.Idle || c.Spent+wait+c.Prediction <= c.Objective && wait+c.Prediction < c.Remaining
+	return c.Spent+wait+c.Prediction <= c.Objective && wait+c.Prediction < c.Remaining
 }
 
 // Hopeful reports whether a request may still be of use if it is sent after a wait.
 func (c Conditions) Hopeful(wait time.Duration) bool {
-	return c.Idle || float64(c.Spent+wait+c.Prediction) < hopeFactor*float64(c.Objective) && wait+c.Prediction < c.Remaining
+	return float64(c.Spent+wait+c.Prediction) < hopeFactor*float64(c.Objective) && wait+c.Prediction < c.Remaining
 }
 
 // Nodes are the nodes that share the room.
@@ -117,16 +116,21 @@
 
 // Capacity is what the pool can do.
 type Capacity struct {
-	// Engines is the number of engines that accept requests, Fill that of the Conditions.
-	Engines int
-	Fill    float64
-	Nodes   Nodes
+	// Queues are the predicted waits at the engines that accept requests, and Limit the one
+	// that leaves room.
+	Queues []time.Duration
+	Limit  time.Duration
+	Nodes  Nodes
 }
 
 // rate returns the engine time that all nodes together may send, in milliseconds a second.
-func (c Capacity) rate() float64 {
-	flow := max(minFlow, maxFlow-fullFlow*c.Fill)
-	return flow * 1000 * float64(max(1, c.Engines))
+// An engine with a long queue adds little, so that load that gathered on some engines does
+// not keep requests from the others.
+func (c Capacity) rate() (rate float64) {
+	for _, queue := range c.Queues {
+		rate += 1000 * max(minFlow, maxFlow-fullFlow*float64(queue)/float64(max(1, c.Limit)))
+	}
+	return max(1, rate)
 }
 
 // Report is what nodes tell each other about the requests that wait, by pool.
--- a/pkg/waiting/waiting_test.go
+++ b/pkg/waiting/waiting_test.go
@@ -46,7 +46,7 @@
 	add := func(q *waiting.Queue, account fleet.AccountName, rank waiting.Rank, work float64, latest time.Duration) *waiting.Ticket {
 		return q.Add(waiting.Request{Account: account, Weight: 1, Rank: rank, Work: work, LatestStart: now.Add(latest)}, now)
 	}
-	capacity := waiting.Capacity{Engines: 100, Nodes: waiting.Nodes{Total: 1}}
+	capacity := waiting.Capacity{Queues: make([]time.Duration, 100), Nodes: waiting.Nodes{Total: 1}}
 
 	It("orders by who is in time and rank, then by what accounts received on all nodes, then by who returns and by time", func() {
 		q := &waiting.Queue{}
@@ -72,7 +72,7 @@
 	It("sends no more than its share and one request, and the whole share in time", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			q := &waiting.Queue{}
-			c := waiting.Capacity{Engines: rapid.IntRange(1, 50).Draw(t, "engines"), Nodes: waiting.Nodes{Total: rapid.IntRange(1, 80).Draw(t, "nodes")}}
+			c := waiting.Capacity{Queues: make([]time.Duration, rapid.IntRange(1, 50).Draw(t, "engines")), Nodes: waiting.Nodes{Total: rapid.IntRange(1, 80).Draw(t, "nodes")}}
 			c.Nodes.Silent = c.Nodes.Total - 1
 			at, sent, largest := now, 0.0, 0.0
 			for range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -86,7 +86,7 @@
 					q.Remove(ticket, at)
 				}
 			}
-			rate := 1.5 * 1000 * float64(c.Engines) / float64(c.Nodes.Total)
+			rate := 1.2 * 1000 * float64(len(c.Queues)) / float64(c.Nodes.Total)
 			if bound := rate*(at.Sub(now).Seconds()+0.3) + largest; sent > bound+1e-6 {
 				t.Fatalf("sent %v, bound %v", sent, bound)
 			}
