--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// lateStartFactor times the route's objective is the highest predicted time to
-	// the first event that is admitted at endpoints without a queue at the node. It exceeds
-	// 1 because predictions err and a late response still has some value.
+	// lateStartFactor times the route's objective is the highest predicted time to the
+	// first event of a stream whose requests do not wait at the node.
 	lateStartFactor = 1.5
 	// roomCheckInterval is the pause between looks of the first waiting request for room,
 	// waitCheckInterval that between looks of the others for their hope and their callers.
@@ -67,13 +66,13 @@
 	r := p.waitingRequest(c, now)
 	r.Returning = resumed
 	conditions := p.conditions(q, c)
-	if !conditions.Contended && conditions.Room() && (c.Idle || conditions.Hopeful(0)) {
+	mayStart := conditions.Room() && conditions.MayStart()
+	if mayStart && !conditions.Contended {
 		q.RecordSent(r, now)
 		return true
 	}
 	wait := q.Wait(&r, p.capacity(conditions), now)
-	mayBeSent := wait == 0 && conditions.Room() && (c.Idle || conditions.Hopeful(0))
-	if !mayBeSent && !conditions.MayWait(wait) {
+	if !(mayStart && wait == 0) && !conditions.MayWait(wait) {
 		q.RecordRefusal(r, now)
 		p.retryAfter = time.Duration(max(0, wait+conditions.Prediction-p.route.Objective))
 		return p.refuseLate(ReasonOverload)
@@ -115,18 +114,17 @@
 		if !q.IsFirst(t, now) {
 			timer.Reset(waitCheckInterval)
 			conditions := p.conditions(q, c)
-			if conditions.Hopeful(q.Wait(&t.Request, p.capacity(conditions), now)) {
+			if conditions.MayWait(q.Wait(&t.Request, p.capacity(conditions), now)) {
 				continue
 			}
 		} else if latest, ok := p.chooseEndpoint(now, nil); ok {
 			timer.Reset(roomCheckInterval)
 			c = latest
 			conditions := p.conditions(q, c)
-			hopeful := c.Idle && conditions.Spent < p.route.Objective || conditions.Hopeful(0)
-			if hopeful && conditions.Room() && q.Take(t, p.capacity(conditions), now) {
+			if conditions.Room() && conditions.MayStart() && q.Take(t, p.capacity(conditions), now) {
 				return true
 			}
-			if hopeful {
+			if conditions.MayWait(0) {
 				continue
 			}
 		} else {
--- a/pkg/waiting/replay_test.go
+++ b/pkg/waiting/replay_test.go
@@ -196,7 +196,7 @@
 	_, queue := r.choose(n)
 	c := r.conditions(n, a, queue, now)
 	if !r.waits {
-		if c.Hopeful(0) {
+		if c.MayStart() {
 			r.send(n, a, now)
 		} else {
 			r.count(a).refused++
@@ -207,7 +207,7 @@
 		Account: fleet.AccountName(fmt.Sprint(a.account)), Weight: 1, Rank: a.rank,
 		Work: a.work.Seconds() * 1000, LatestStart: now.Add(a.objective - c.Prediction),
 	}
-	if !c.Contended && c.Room() && c.Hopeful(0) {
+	if !c.Contended && c.Room() && c.MayStart() {
 		n.queue.RecordSent(request, now)
 		r.send(n, a, now)
 		return
@@ -231,10 +231,10 @@
 			c := r.conditions(n, a, queue, now)
 			first := n.queue.IsFirst(a.ticket, now)
 			switch {
-			case !c.Hopeful(0):
+			case !c.MayWait(0):
 				n.queue.Remove(a.ticket, now)
 				r.count(a).refused++
-			case first && c.Room() && n.queue.Take(a.ticket, r.capacity(n, c), now):
+			case first && c.Room() && c.MayStart() && n.queue.Take(a.ticket, r.capacity(n, c), now):
 				r.send(n, a, now)
 				again = true
 			default:
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -17,15 +17,12 @@
 	// roomShare is the part of an objective that the queue at the best engine may take
 	// while there is room. The rest is for the prompt itself.
 	roomShare = 0.5
-	// maxTightest times the tightest objective of the pool is the largest objective that
-	// counts for this during a shortage.
-	maxTightest = 2
 	// yieldShare is the part of that for a request while higher ranks find no room elsewhere.
 	yieldShare = 0.5
-	// hopeFactor times the objective is the predicted time to the first event from which
-	// on a request that waits is refused. It exceeds 1 because predictions err and a late
-	// response still has some value.
-	hopeFactor = 1.0
+	// lateStartFactor times the objective is the highest predicted time to the first event
+	// with which a request is sent. It exceeds 1 because predictions err and a late response
+	// still has some value.
+	lateStartFactor = 1.5
 	// maxFlow is the factor by which what all nodes may send to an engine exceeds its engine
 	// time while its queue is empty. It falls by fullFlow until the queue leaves just enough
 	// room, and on to minFlow. So the queues settle in between, also if
@@ -71,25 +68,25 @@
 func (c Conditions) Limit() time.Duration {
 	objective := c.Objective
 	if c.Contended && c.Tightest > 0 {
-		objective = min(objective, maxTightest*c.Tightest)
+		objective = min(objective, c.Tightest)
 	}
 	return time.Duration(roomShare * float64(objective))
 }
 
-// MayWait reports whether a request that has to wait for the given time may begin within
-// its objective.
+// MayStart reports whether the request may be sent if there is room.
+func (c Conditions) MayStart() bool {
+	return c.Idle || float64(c.Spent+c.Prediction) < lateStartFactor*float64(c.Objective) && c.Prediction < c.Remaining
+}
+
+// MayWait reports whether a request that has to wait for the given time may still begin
+// within its objective.
 //
 // It answers load beyond the capacity of the engines: if all requests waited, all would
-// be late, so the ones that would be late are refused on arrival.
+// be late, so the ones that would be late are refused at once.
 func (c Conditions) MayWait(wait time.Duration) bool {
 	return c.Spent+wait+c.Prediction <= c.Objective && wait+c.Prediction < c.Remaining
 }
 
-// Hopeful reports whether a request may still be of use if it is sent after a wait.
-func (c Conditions) Hopeful(wait time.Duration) bool {
-	return float64(c.Spent+wait+c.Prediction) < hopeFactor*float64(c.Objective) && wait+c.Prediction < c.Remaining
-}
-
 // Nodes are the nodes that share the room.
 type Nodes struct {
 	// Total is their number, this one included, and Silent the number of those without a
