Returning: one schedule of returns over all nodes

Cause: Retry-After was what the refused request would have waited itself, with jitter; nobody added up whom all nodes told to come back when.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/usage"
 	"github.com/skylarkloom/skylarkloom/pkg/waiting"
@@ -141,13 +142,17 @@
 	initialCounts map[fleet.PoolName]*provision.InitialCount
 	trends        map[fleet.PoolName]*provision.Trend
 
-	metrics     *requestMetrics
-	directory   directory.Directory
-	history     directory.History
-	tracker     placement.Tracker
-	quotas      allotment.QuotaLimiter
-	retries     allotment.RetryBudget
-	waiting     waiting.Queues
+	metrics   *requestMetrics
+	directory directory.Directory
+	history   directory.History
+	tracker   placement.Tracker
+	quotas    allotment.QuotaLimiter
+	retries   allotment.RetryBudget
+	waiting   waiting.Queues
+	returns   returning.Schedule
+	visitors  returning.Visitors
+	// short is whether housekeep last found too little room for the requests.
+	short       bool
 	connections forward.Pool
 	// shutdown is the state of a planned stop.
 	shutdown       gateway.Shutdown
@@ -185,6 +190,7 @@
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
+	f.waiting.Random, f.returns.Random = rand.Float64, rand.Float64
 	f.quotas.Slack = bounds.QuotaSlack
 	if !f.Settings.FirstStart {
 		f.quotas.Started = f.startInstant
@@ -328,8 +334,11 @@
 		OnAnnouncement: f.metrics.countAnnouncement,
 		OnUnread:       f.metrics.countUnread,
 		OnWait:         f.metrics.observeWait,
+		OnReturn:       f.metrics.countReturn,
 		Tracker:        &f.tracker,
 		Waiting:        &f.waiting,
+		Returns:        &f.returns,
+		Visitors:       &f.visitors,
 		Engines:        &f.engines,
 		Quotas:         &f.quotas,
 		Retries:        &f.retries,
@@ -357,6 +366,7 @@
 	f.connections.CloseExpired(time.Now())
 	f.expireGossipState()
 	f.countInitialEndpoints()
+	f.logShortage()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
 		return ok
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -131,7 +131,7 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread, f.metrics.waits)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread, f.metrics.waits, f.metrics.returns)
 	registry.MustRegister(f.newWaitingCollector())
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 	"github.com/skylarkloom/skylarkloom/platform"
@@ -138,10 +139,17 @@
 
 	// OnWait is called at the end of each wait for room at the engines of a pool, if set.
 	OnWait func(fleet.PoolName, Wait)
+	// OnReturn is called for each caller that is told to come back for a pool, and for each
+	// that does, if set.
+	OnReturn func(fleet.PoolName, Return)
 
 	Tracker *placement.Tracker
 	// Waiting holds the requests that wait for room.
 	Waiting *waiting.Queues
+	// Returns is the schedule of the callers that are told to come back, and Visitors
+	// recognises those that do.
+	Returns  *returning.Schedule
+	Visitors *returning.Visitors
 	// Engines holds the measured speeds of the engines.
 	Engines *provision.EngineModel
 	Quotas  *allotment.QuotaLimiter
@@ -392,6 +400,13 @@
 func (p *proxyRequest) refuse(status int, reason Reason, retryAfter time.Duration) bool {
 	if retryAfter > 0 {
 		retryAfter += time.Duration(p.handler.Random() * retryJitter * float64(retryAfter))
+	}
+	return p.refuseUntil(status, reason, retryAfter)
+}
+
+// refuseUntil is like refuse, but adds no jitter to the Retry-After time.
+func (p *proxyRequest) refuseUntil(status int, reason Reason, retryAfter time.Duration) bool {
+	if retryAfter > 0 {
 		p.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	p.reason = reason
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -24,6 +24,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 )
@@ -61,6 +62,8 @@
 		RecordDemand:  func(fleet.PoolName, float64) {},
 		Tracker:       &placement.Tracker{},
 		Waiting:       &waiting.Queues{},
+		Returns:       &returning.Schedule{Random: func() float64 { return 0 }},
+		Visitors:      &returning.Visitors{},
 		Engines:       &provision.EngineModel{},
 		Quotas:        &allotment.QuotaLimiter{},
 		Retries:       &allotment.RetryBudget{Ratio: 1, Slack: 50, Window: 10 * time.Second},
--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -8,6 +8,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 )
@@ -20,6 +21,9 @@
 	// waitCheckInterval that between looks of the others for their hope and their callers.
 	roomCheckInterval = 50 * time.Millisecond
 	waitCheckInterval = 200 * time.Millisecond
+	// maxReturnPart is the part of its remaining time up to which a caller honours a
+	// Retry-After time.
+	maxReturnPart = 3
 	// idleFirstEventTime is the time to the first event on an idle engine that has the
 	// prompt cached.
 	idleFirstEventTime = 60 * time.Millisecond
@@ -54,17 +58,35 @@
 	}
 }
 
+// Return is what a caller was told, or did, about coming back.
+type Return string
+
+// The returns. Their values are labels of metrics.
+const (
+	// ReturnPromised means that a caller was told when to come back.
+	ReturnPromised Return = "promised"
+	// ReturnKept and ReturnEarly mean that a caller came back at its time or later, or
+	// before it.
+	ReturnKept  Return = "kept"
+	ReturnEarly Return = "early"
+)
+
 // awaitRoom waits until the engines have room for the request, for which c was chosen. It
 // responds to a request that it does not admit. A stream that the caller resumes does not
 // wait behind new ones of its account.
 func (p *proxyRequest) awaitRoom(c placement.Choice, resumed bool) bool {
 	if p.pool.Engine == nil || p.route.Objective <= 0 {
-		return p.canStartInTime(c) || p.refuseLate(ReasonOverload)
+		if p.canStartInTime(c) {
+			return true
+		}
+		p.refundQuota()
+		return p.refuse(http.StatusServiceUnavailable, ReasonOverload, p.retryAfter)
 	}
 	q := p.handler.Waiting.Of(p.pool.Name)
 	now := clock.Now()
+	w := &roomWait{proxyRequest: p, queue: q, choice: c, begunAt: now}
 	r := p.waitingRequest(c, now)
-	r.Returning = resumed
+	r.Returning = resumed || p.returns(now)
 	conditions := p.conditions(q, c)
 	mayStart := conditions.Room() && conditions.MayStart()
 	if mayStart && !conditions.Contended {
@@ -74,74 +96,141 @@
 	wait := q.Wait(&r, p.capacity(conditions), now)
 	if !(mayStart && wait == 0) && !conditions.MayWait(wait) {
 		q.RecordRefusal(r, now)
-		p.retryAfter = time.Duration(max(0, wait+conditions.Prediction-p.route.Objective))
-		return p.refuseLate(ReasonOverload)
+		return w.refuse(ReasonOverload, wait+conditions.Prediction-p.route.Objective)
+	}
+	w.ticket = q.Add(r, now)
+	result := w.run()
+	if p.handler.OnWait != nil {
+		p.handler.OnWait(p.pool.Name, Wait{Rank: r.Rank, Result: result, Duration: clock.Now().Sub(w.begunAt)})
+	}
+	switch result {
+	case WaitSent:
+		return true
+	case WaitLeft:
+		p.refundQuota()
+		p.abandon()
+		p.abort()
+	case WaitStopped:
+		p.refundQuota()
+		p.refuseStopping()
+	case WaitRefused:
+		return w.refuse(ReasonNoRoom, 0)
 	}
-	return p.wait(q, q.Add(r, now), c)
+	return false
 }
 
-// wait waits with a ticket until the request, for which c was chosen, may be sent.
-func (p *proxyRequest) wait(q *waiting.Queue, t *waiting.Ticket, c placement.Choice) bool {
-	begunAt := clock.Now()
-	result := WaitSent
-	defer func() {
-		if p.handler.OnWait != nil {
-			p.handler.OnWait(p.pool.Name, Wait{Rank: t.Rank, Result: result, Duration: clock.Now().Sub(begunAt)})
-		}
-	}()
+// roomWait is a request's wait for room.
+type roomWait struct {
+	*proxyRequest
+	queue   *waiting.Queue
+	ticket  *waiting.Ticket
+	choice  placement.Choice
+	begunAt clock.Instant
+}
+
+// run waits until the request may be sent or has to be refused. Its ticket is no longer
+// in the queue then.
+func (w *roomWait) run() WaitResult {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		stopped := false
 		select {
-		case <-t.Wake():
+		case <-w.ticket.Wake():
 		case <-timer.C:
-		case <-p.httpRequest.Context().Done():
-		case <-p.handler.Shutdown.Refused():
-			result = WaitStopped
-			q.Remove(t, clock.Now())
-			p.refundQuota()
-			p.refuseStopping()
-			return false
+		case <-w.httpRequest.Context().Done():
+			// The caller left, or the node ends.
+			stopped = true
+		case <-w.handler.Shutdown.Refused():
+			stopped = true
 		}
 		now := clock.Now()
-		if p.callerGone() {
-			result = WaitLeft
-			q.Remove(t, now)
-			p.refundQuota()
-			p.abandon()
-			p.abort()
+		if w.callerGone() {
+			w.queue.Remove(w.ticket, now)
+			return WaitLeft
 		}
-		if !q.IsFirst(t, now) {
-			timer.Reset(waitCheckInterval)
-			conditions := p.conditions(q, c)
-			if conditions.MayWait(q.Wait(&t.Request, p.capacity(conditions), now)) {
-				continue
-			}
-		} else if latest, ok := p.chooseEndpoint(now, nil); ok {
+		if stopped {
+			w.queue.Remove(w.ticket, now)
+			return WaitStopped
+		}
+		if w.queue.IsFirst(w.ticket, now) {
 			timer.Reset(roomCheckInterval)
-			c = latest
-			conditions := p.conditions(q, c)
-			if conditions.Room() && conditions.MayStart() && q.Take(t, p.capacity(conditions), now) {
-				return true
-			}
-			if conditions.MayWait(0) {
-				continue
+			if w.tryRoom(now) {
+				return WaitSent
 			}
 		} else {
-			// The attempts find no endpoint either, and respond accordingly.
-			q.Remove(t, now)
-			return true
+			timer.Reset(waitCheckInterval)
+		}
+		if !w.mayWait(now) {
+			w.queue.Remove(w.ticket, now)
+			return WaitRefused
 		}
-		result = WaitRefused
-		q.Remove(t, now)
-		return p.refuseLate(ReasonNoRoom)
 	}
 }
 
-// refuseLate refuses a request that cannot begin in time, as not run.
-func (p *proxyRequest) refuseLate(reason Reason) bool {
-	p.refundQuota()
-	return p.refuse(http.StatusServiceUnavailable, reason, max(retryAfterTransient, p.retryAfter))
+// tryRoom takes the first request from the queue if there is room for it.
+func (w *roomWait) tryRoom(now clock.Instant) bool {
+	c, ok := w.chooseEndpoint(now, nil)
+	if !ok {
+		// The attempts find no endpoint either, and respond accordingly.
+		w.queue.Remove(w.ticket, now)
+		return true
+	}
+	w.choice = c
+	conditions := w.conditions(w.queue, c)
+	return conditions.Room() && conditions.MayStart() && w.queue.Take(w.ticket, w.capacity(conditions), now)
+}
+
+// mayWait reports whether the request may still begin in time after those before it.
+func (w *roomWait) mayWait(now clock.Instant) bool {
+	conditions := w.conditions(w.queue, w.choice)
+	return conditions.MayWait(w.queue.Wait(&w.ticket.Request, w.capacity(conditions), now))
+}
+
+// refuse refuses a request for lack of room, as not run, with the time at which there is
+// expected to be some, but not before the given time.
+func (w *roomWait) refuse(reason Reason, earliest time.Duration) bool {
+	w.refundQuota()
+	at := clock.Now()
+	now := time.UnixMilli(w.handler.UnixTime(at))
+	nodes := w.handler.Nodes()
+	after := w.handler.Returns.Promise(returning.Query{
+		Pool:     w.pool.Name,
+		Work:     w.waitingRequest(w.choice, at).Work,
+		Rate:     w.capacity(w.conditions(w.queue, w.choice)).Rate(),
+		Known:    float64(nodes.Total-nodes.Silent) / float64(max(1, nodes.Total)),
+		Earliest: max(retryAfterTransient, earliest),
+		Latest:   max(retryAfterTransient, w.remaining()/maxReturnPart),
+	}, now)
+	w.handler.Visitors.Record(w.content(), now.Add(after))
+	w.countReturn(ReturnPromised)
+	return w.refuseUntil(http.StatusServiceUnavailable, reason, after)
+}
+
+// content identifies what the caller sends.
+func (p *proxyRequest) content() returning.Content {
+	return returning.Content(p.subjects[len(p.subjects)-1])
+}
+
+// returns reports whether the caller was told to come back, and does so not before its
+// time.
+func (p *proxyRequest) returns(now clock.Instant) bool {
+	switch p.handler.Visitors.Standing(p.content(), time.UnixMilli(p.handler.UnixTime(now))) {
+	case returning.StandingKept:
+		p.countReturn(ReturnKept)
+		return true
+	case returning.StandingEarly:
+		p.countReturn(ReturnEarly)
+	case returning.StandingNew:
+	}
+	return false
+}
+
+// countReturn calls OnReturn.
+func (p *proxyRequest) countReturn(what Return) {
+	if p.handler.OnReturn != nil {
+		p.handler.OnReturn(p.pool.Name, what)
+	}
 }
 
 // canStartInTime reports whether the first event of a stream is predicted to come in time
--- a/pkg/waiting/queue.go
+++ b/pkg/waiting/queue.go
@@ -235,8 +235,8 @@
 	if ahead == 0 && q.peers.total(r.Rank) == 0 {
 		return 0
 	}
-	local := ahead / max(1, c.rate()*q.share(r, c, now))
-	higher := (ahead + q.peers.total(r.Rank-1)) / c.rate()
+	local := ahead / max(1, c.Rate()*q.share(r, c, now))
+	higher := (ahead + q.peers.total(r.Rank-1)) / c.Rate()
 	return time.Duration(max(local, higher) * float64(time.Second))
 }
 
@@ -314,7 +314,7 @@
 // count against it. The caller holds the lock.
 func (q *Queue) allowance(t *Ticket, c Capacity, now clock.Instant) *allowance {
 	rank := t.Rank
-	rate := c.rate() * q.share(&t.Request, c, now)
+	rate := c.Rate() * q.share(&t.Request, c, now)
 	a := q.allowances[rank]
 	if a == nil {
 		if q.allowances == nil {
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -120,10 +120,10 @@
 	Nodes  Nodes
 }
 
-// rate returns the engine time that all nodes together may send, in milliseconds a second.
+// Rate returns the engine time that all nodes together may send, in milliseconds a second.
 // An engine with a long queue adds little, so that load that gathered on some engines does
 // not keep requests from the others.
-func (c Capacity) rate() (rate float64) {
+func (c Capacity) Rate() (rate float64) {
 	for _, queue := range c.Queues {
 		rate += 1000 * max(minFlow, maxFlow-fullFlow*float64(queue)/float64(max(1, c.Limit)))
 	}
