--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -88,13 +88,12 @@
 	r := p.waitingRequest(c, now)
 	r.Returning = resumed || p.returns(now)
 	conditions := p.conditions(q, c)
-	mayStart := conditions.Room() && conditions.MayStart()
-	if mayStart && !conditions.Contended {
+	if !conditions.Contended && conditions.Room() && conditions.MayStart() {
 		q.RecordSent(r, now)
 		return true
 	}
 	wait := q.Wait(&r, p.capacity(conditions), now)
-	if !(mayStart && wait == 0) && !conditions.MayWait(wait) {
+	if !conditions.Idle && !conditions.MayWait(wait) {
 		q.RecordRefusal(r, now)
 		return w.refuse(ReasonOverload, wait+conditions.Prediction-p.route.Objective)
 	}
@@ -178,7 +177,7 @@
 	}
 	w.choice = c
 	conditions := w.conditions(w.queue, c)
-	return conditions.Room() && conditions.MayStart() && w.queue.Take(w.ticket, w.capacity(conditions), now)
+	return conditions.Room() && (c.Idle || conditions.MayWait(0)) && w.queue.Take(w.ticket, w.capacity(conditions), now)
 }
 
 // mayWait reports whether the request may still begin in time after those before it.
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -20,7 +20,7 @@
 	// yieldShare is the part of that for a request while higher ranks find no room elsewhere.
 	yieldShare = 0.5
 	// lateStartFactor times the objective is the highest predicted time to the first event
-	// with which a request is sent. It exceeds 1 because predictions err and a late response
+	// with which a request is sent in calm. It exceeds 1 because predictions err and a late response
 	// still has some value.
 	lateStartFactor = 1.5
 	// maxFlow is the factor by which what all nodes may send to an engine exceeds its engine
@@ -73,7 +73,7 @@
 	return time.Duration(roomShare * float64(objective))
 }
 
-// MayStart reports whether the request may be sent if there is room.
+// MayStart reports whether the request may be sent in calm.
 func (c Conditions) MayStart() bool {
 	return c.Idle || float64(c.Spent+c.Prediction) < lateStartFactor*float64(c.Objective) && c.Prediction < c.Remaining
 }
