--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -211,6 +211,8 @@
 	// limit, or how long all endpoints want a pause. A refusal sends it as Retry-After
 	// time.
 	retryAfter time.Duration
+	// spentBefore is how long a caller that came back has waited since its first attempt.
+	spentBefore time.Duration
 	// paused reports whether the last choice found only endpoints that want a pause.
 	paused bool
 	reason Reason
--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -85,8 +85,9 @@
 	q := p.handler.Waiting.Of(p.pool.Name)
 	now := clock.Now()
 	w := &roomWait{proxyRequest: p, queue: q, choice: c, begunAt: now}
+	kept := p.returns(now)
 	r := p.waitingRequest(c, now)
-	r.Returning = resumed || p.returns(now)
+	r.Returning = resumed || kept
 	conditions := p.conditions(q, c)
 	if !conditions.Contended && conditions.Room() && conditions.MayStart() {
 		q.RecordSent(r, now)
@@ -214,15 +215,20 @@
 // returns reports whether the caller was told to come back, and does so not before its
 // time.
 func (p *proxyRequest) returns(now clock.Instant) bool {
-	switch p.handler.Visitors.Standing(p.content(), time.UnixMilli(p.handler.UnixTime(now))) {
-	case returning.StandingKept:
-		p.countReturn(ReturnKept)
-		return true
-	case returning.StandingEarly:
+	standing := p.handler.Visitors.Standing(p.content(), time.UnixMilli(p.handler.UnixTime(now)))
+	if standing == returning.StandingNew {
+		return false
+	}
+	if p.request.Deadline > 0 {
+		// Callers give the rest of their time.
+		p.spentBefore = max(0, p.route.Timeout-p.request.Deadline)
+	}
+	if standing == returning.StandingEarly {
 		p.countReturn(ReturnEarly)
-	case returning.StandingNew:
+		return false
 	}
-	return false
+	p.countReturn(ReturnKept)
+	return true
 }
 
 // countReturn calls OnReturn.
@@ -249,7 +255,7 @@
 	r := waiting.Request{
 		Rank:        waiting.Rank(p.priority()),
 		Work:        max(1, speeds.EngineTime(c.UncachedTokens, p.request.MaxOutputTokens)),
-		LatestStart: now.Add(p.route.Objective - time.Since(p.started) - c.TimeToFirstEvent),
+		LatestStart: now.Add(p.route.Objective - p.spentBefore - time.Since(p.started) - c.TimeToFirstEvent),
 	}
 	if p.account != nil {
 		r.Account, r.Weight = p.account.Name, p.accountWeight(p.account)
@@ -291,7 +297,8 @@
 	}
 	if conditions.Contended {
 		conditions.Tightest = p.tightestObjective()
-		conditions.Outranked = q.Outranked(waiting.Rank(p.priority()))
+		late := p.spentBefore+conditions.Spent+conditions.Prediction > conditions.Objective
+		conditions.Outranked = q.Outranked(waiting.Rank(p.priority()), late)
 	}
 	return conditions
 }
--- a/pkg/returning/returning.go
+++ b/pkg/returning/returning.go
@@ -15,8 +15,8 @@
 	// BucketTime is the length of a bucket of the schedule.
 	BucketTime = 250 * time.Millisecond
 	// returnShare is the part of the engine time that is promised to returning callers. The
-	// rest is for callers that come for the first time.
-	returnShare = 0.5
+	// rest is for callers that come for the first time, who can still be answered in time.
+	returnShare = 0.25
 	// settleTime is the time after the start of a node in which it promises all times alike:
 	// callers of all nodes may have been refused at once, and it does not yet know what the
 	// others promise.
@@ -51,7 +51,7 @@
 }
 
 // choose returns the first bucket from first to last in which the promises leave room for
-// the work, or the one with the fewest promises.
+// the work, or the one with the fewest promises, the last of several.
 //
 // It answers a shortage in which many callers are refused at once: they come back at the
 // rate at which room frees up, not all together.
@@ -62,7 +62,7 @@
 		if amount == 0 || amount+work <= room {
 			return b
 		}
-		if amount < least {
+		if amount <= least {
 			best, least = b, amount
 		}
 	}
--- a/pkg/waiting/queue.go
+++ b/pkg/waiting/queue.go
@@ -113,10 +113,14 @@
 	return len(q.waiting) > 0 || len(q.peers.Wanted) > 0 || q.shortAt != 0 && now.Sub(q.shortAt) <= shortTime
 }
 
-// Outranked reports whether requests of a higher rank found no room lately at other nodes.
-func (q *Queue) Outranked(rank Rank) bool {
+// Outranked reports whether requests that go before one of a rank found no room lately at
+// other nodes: those of a higher rank, and all if the request is late anyway.
+func (q *Queue) Outranked(rank Rank, late bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if late {
+		return len(q.peers.Wanted) > 0
+	}
 	return q.peers.total(rank-1) > 0
 }
 
--- a/pkg/waiting/replay_test.go
+++ b/pkg/waiting/replay_test.go
@@ -175,7 +175,7 @@
 func (r *replay) conditions(n *node, a *arrival, queue time.Duration, now clock.Instant) waiting.Conditions {
 	return waiting.Conditions{
 		Queue: queue, Prediction: queue + firstEventTime + a.work, Objective: a.objective, Tightest: classes[0].objective,
-		Spent: now.Sub(a.at), Remaining: 4 * time.Second, Contended: n.queue.Contended(now), Outranked: n.queue.Outranked(a.rank),
+		Spent: now.Sub(a.at), Remaining: 4 * time.Second, Contended: n.queue.Contended(now), Outranked: n.queue.Outranked(a.rank, false),
 	}
 }
 
