--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -184,6 +184,9 @@
 // mayWait reports whether the request may still begin in time after those before it.
 func (w *roomWait) mayWait(now clock.Instant) bool {
 	conditions := w.conditions(w.queue, w.choice)
+	if conditions.Idle && conditions.Spent < conditions.Objective {
+		return true
+	}
 	return conditions.MayWait(w.queue.Wait(&w.ticket.Request, w.capacity(conditions), now))
 }
 
--- a/pkg/gossip/shortage_test.go
+++ b/pkg/gossip/shortage_test.go
@@ -45,7 +45,9 @@
 			}
 		}
 		for _, n := range f.nodes {
-			n.Describe = func() Digest { return Digest{Node: fleet.NodeRef{Name: n.name(), Incarnation: 1}, DataCentre: n.dataCentre, Address: n.address.String()} }
+			n.Describe = func() Digest {
+				return Digest{Node: fleet.NodeRef{Name: n.name(), Incarnation: 1}, DataCentre: n.dataCentre, Address: n.address.String()}
+			}
 		}
 		f.run(3 * time.Second)
 		Expect(f.nodes[len(f.nodes)-1].table.Shortage().Waiting).To(BeEmpty())
