--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -89,7 +89,7 @@
 	r := p.waitingRequest(c, now)
 	r.Returning = resumed || kept
 	conditions := p.conditions(q, c)
-	if !conditions.Contended && conditions.Room() && conditions.MayStart() {
+	if q.Empty() && !conditions.Short && conditions.Room() && conditions.MayStart() {
 		q.RecordSent(r, now)
 		return true
 	}
@@ -296,9 +296,9 @@
 	conditions := waiting.Conditions{
 		Queue: max(0, c.TimeToFirstEvent-idleFirstEventTime-p.prefillTime(c.UncachedTokens)), Prediction: c.TimeToFirstEvent, Idle: c.Idle,
 		Objective: p.route.Objective, Spent: time.Since(p.started), Remaining: p.remaining(),
-		Contended: q.Contended(clock.Now()),
+		Short: q.Short(len(p.handler.Endpoints(p.pool.Name)), clock.Now()),
 	}
-	if conditions.Contended {
+	if conditions.Short {
 		conditions.Tightest = p.tightestObjective()
 		late := p.spentBefore+conditions.Spent+conditions.Prediction > conditions.Objective
 		conditions.Outranked = q.Outranked(waiting.Rank(p.priority()), late)
--- a/pkg/waiting/queue.go
+++ b/pkg/waiting/queue.go
@@ -18,7 +18,10 @@
 	receivedTime = 2 * time.Second
 	// wantedTime is the time constant of the work that found no room lately.
 	wantedTime = 500 * time.Millisecond
-	// shortTime is how long after the last wait or refusal there is a shortage.
+	// shortShare is the part of the engines' time by which requests have to lack room for
+	// a shortage to begin, endShare the part of that at which it ends.
+	shortShare, endShare = 0.02, 0.1
+	// shortTime is how long after the last wait or refusal a queue is reported.
 	shortTime = 2 * time.Second
 	// minReported is the engine time below which a sum is not reported, in milliseconds.
 	minReported = 1
@@ -89,6 +92,8 @@
 	// meanWork is the moving average of the engine time of requests.
 	meanWork   float64
 	allowances map[Rank]*allowance
+	// short is whether there was a shortage at the last look.
+	short bool
 	// shortAt is when a request last waited or was refused.
 	shortAt clock.Instant
 }
@@ -101,15 +106,37 @@
 	q.wakeFirst(now)
 }
 
-// Contended reports whether requests found no room lately at any node.
-func (q *Queue) Contended(now clock.Instant) bool {
+// Empty reports whether no request waits at this node.
+func (q *Queue) Empty() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.contended(now)
+	return len(q.waiting) == 0
 }
 
-// contended implements Contended. The caller holds the lock.
-func (q *Queue) contended(now clock.Instant) bool {
+// Short reports whether there is a shortage: it begins when the requests that found no
+// room lately at any node are more than single ones, for the number of engines, and ends
+// when there are next to none.
+func (q *Queue) Short(engines int, now clock.Instant) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	wanted := 0.0
+	for _, work := range q.peers.Wanted {
+		wanted += work
+	}
+	for _, r := range q.wanted {
+		wanted += r.at(now, wantedTime)
+	}
+	limit := shortShare * wantedTime.Seconds() * 1000 * float64(engines)
+	if q.short {
+		limit *= endShare
+	}
+	q.short = wanted > limit
+	return q.short
+}
+
+// shortLately reports whether a request found no room lately at any node. The caller holds
+// the lock.
+func (q *Queue) shortLately(now clock.Instant) bool {
 	return len(q.waiting) > 0 || len(q.peers.Wanted) > 0 || q.shortAt != 0 && now.Sub(q.shortAt) <= shortTime
 }
 
@@ -350,7 +377,7 @@
 func (q *Queue) RecordSent(r Request, now clock.Instant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.contended(now) {
+	if q.shortLately(now) {
 		q.recordSent(&r, now)
 	}
 }
--- a/pkg/waiting/replay_test.go
+++ b/pkg/waiting/replay_test.go
@@ -175,7 +175,7 @@
 func (r *replay) conditions(n *node, a *arrival, queue time.Duration, now clock.Instant) waiting.Conditions {
 	return waiting.Conditions{
 		Queue: queue, Prediction: queue + firstEventTime + a.work, Objective: a.objective, Tightest: classes[0].objective,
-		Spent: now.Sub(a.at), Remaining: 4 * time.Second, Contended: n.queue.Contended(now), Outranked: n.queue.Outranked(a.rank, false),
+		Spent: now.Sub(a.at), Remaining: 4 * time.Second, Short: n.queue.Short(r.present, now), Outranked: n.queue.Outranked(a.rank, false),
 	}
 }
 
@@ -207,7 +207,7 @@
 		Account: fleet.AccountName(fmt.Sprint(a.account)), Weight: 1, Rank: a.rank,
 		Work: a.work.Seconds() * 1000, LatestStart: now.Add(a.objective - c.Prediction),
 	}
-	if !c.Contended && c.Room() && c.MayStart() {
+	if n.queue.Empty() && !c.Short && c.Room() && c.MayStart() {
 		n.queue.RecordSent(request, now)
 		r.send(n, a, now)
 		return
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -16,7 +16,7 @@
 const (
 	// roomShare is the part of an objective that the queue at the best engine may take
 	// while there is room. The rest is for the prompt itself.
-	roomShare = 0.5
+	roomShare = 0.4
 	// yieldShare is the part of that for a request while higher ranks find no room elsewhere.
 	yieldShare = 0.5
 	// lateStartFactor times the objective is the highest predicted time to the first event
@@ -45,9 +45,9 @@
 	// Spent is the time since the request arrived and Remaining the time until its
 	// deadline.
 	Spent, Remaining time.Duration
-	// Contended reports whether requests found no room lately at any node, Outranked
-	// whether such requests of a higher rank did at other nodes.
-	Contended, Outranked bool
+	// Short reports whether there is a shortage, Outranked whether requests that go before
+	// this one found no room lately at other nodes.
+	Short, Outranked bool
 }
 
 // Room reports whether the engines have room for the request.
@@ -67,7 +67,7 @@
 // to higher ranks.
 func (c Conditions) Limit() time.Duration {
 	objective := c.Objective
-	if c.Contended && c.Tightest > 0 {
+	if c.Short && c.Tightest > 0 {
 		objective = min(objective, c.Tightest)
 	}
 	return time.Duration(roomShare * float64(objective))
