Waiting: requests that higher ranks go before are held back first

Cause: with long queues at all engines the flow fell to a tenth for every rank, and the highest one was refused at its node. Change: the lowest flow applies only to requests that others go before; the pool's size is taken from the choice, so that calm requests do not list the endpoints again; the schedule of returns settles from the node's start.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -190,7 +190,7 @@
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
-	f.waiting.Random, f.returns.Random = rand.Float64, rand.Float64
+	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
 	f.quotas.Slack = bounds.QuotaSlack
 	if !f.Settings.FirstStart {
 		f.quotas.Started = f.startInstant
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -45,6 +45,17 @@
 	ReadAbandoned ReadStage = "abandoned"
 )
 
+// Announcement is what an endpoint may announce of itself in a response.
+type Announcement string
+
+// The announcements. Their values are labels of metrics.
+const (
+	// AnnounceLeaving means that the endpoint is about to leave.
+	AnnounceLeaving Announcement = "leaving"
+	// AnnouncePause means that the endpoint wants no requests for some time.
+	AnnouncePause Announcement = "pause"
+)
+
 // UnreadCause is why a request was given up before the endpoint responded.
 type UnreadCause string
 
@@ -81,6 +92,7 @@
 // engines.
 func (p *proxyRequest) chooseEndpoint(now clock.Instant, unreachable []fleet.InstanceID) (c placement.Choice, ok bool) {
 	endpoints := p.handler.Endpoints(p.pool.Name)
+	p.poolSize = len(endpoints)
 	candidates := make([]serving.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
 		if (e.State == serving.StateReady || p.pool.Engine != nil) && !slices.Contains(p.tried, e.ID) && !slices.Contains(unreachable, e.ID) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -64,17 +64,6 @@
 	LeaveSent LeaveStage = "sent"
 )
 
-// Announcement is what an endpoint may announce of itself in a response.
-type Announcement string
-
-// The announcements. Their values are labels of metrics.
-const (
-	// AnnounceLeaving means that the endpoint is about to leave.
-	AnnounceLeaving Announcement = "leaving"
-	// AnnouncePause means that the endpoint wants no requests for some time.
-	AnnouncePause Announcement = "pause"
-)
-
 const (
 	// retryAfterTransient is the Retry-After time for a transient failure.
 	retryAfterTransient = 100 * time.Millisecond
@@ -211,6 +200,8 @@
 	// limit, or how long all endpoints want a pause. A refusal sends it as Retry-After
 	// time.
 	retryAfter time.Duration
+	// poolSize is the number of endpoints in the pool.
+	poolSize int
 	// spentBefore is how long a caller that came back has waited since its first attempt.
 	spentBefore time.Duration
 	// paused reports whether the last choice found only endpoints that want a pause.
--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -296,7 +296,7 @@
 	conditions := waiting.Conditions{
 		Queue: max(0, c.TimeToFirstEvent-idleFirstEventTime-p.prefillTime(c.UncachedTokens)), Prediction: c.TimeToFirstEvent, Idle: c.Idle,
 		Objective: p.route.Objective, Spent: time.Since(p.started), Remaining: p.remaining(),
-		Short: q.Short(len(p.handler.Endpoints(p.pool.Name)), clock.Now()),
+		Short: q.Short(p.poolSize, clock.Now()),
 	}
 	if conditions.Short {
 		conditions.Tightest = p.tightestObjective()
@@ -327,7 +327,7 @@
 // capacity returns what the engines can do and the nodes that share them.
 func (p *proxyRequest) capacity(c waiting.Conditions) waiting.Capacity {
 	ready := slices.DeleteFunc(slices.Clone(p.handler.Endpoints(p.pool.Name)), func(e serving.Endpoint) bool { return e.State != serving.StateReady })
-	capacity := waiting.Capacity{Limit: c.Limit()}
+	capacity := waiting.Capacity{Limit: c.Limit(), Outranked: c.Outranked}
 	for _, tokens := range p.handler.Tracker.Backlogs(ready) {
 		capacity.Queues = append(capacity.Queues, p.prefillTime(tokens))
 	}
--- a/pkg/returning/returning.go
+++ b/pkg/returning/returning.go
@@ -72,28 +72,34 @@
 // Schedule holds the returns that this node promised, and those that the others report.
 // The zero value is ready to use.
 type Schedule struct {
-	// Random returns a number in [0, 1).
+	// Random returns a number in [0, 1); nil stands for 0.
 	Random func() float64
+	// Started is when the node started.
+	Started time.Time
 
 	mu  sync.Mutex
 	own map[fleet.PoolName]Promises
 	// peers is what the other nodes report.
-	peers   map[fleet.PoolName]Promises
-	started time.Time
+	peers map[fleet.PoolName]Promises
+}
+
+// random calls Random if it is set.
+func (s *Schedule) random() float64 {
+	if s.Random == nil {
+		return 0
+	}
+	return s.Random()
 }
 
 // Promise returns the time after which a refused caller is told to come back.
 func (s *Schedule) Promise(q Query, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.started.IsZero() {
-		s.started = now
-	}
 	earliest := min(q.Earliest, q.Latest)
 	first, last := BucketAt(now.Add(earliest)), BucketAt(now.Add(q.Latest))
 	last = min(last, first+maxBuckets-1)
-	bucket := first + Bucket(s.Random()*float64(last-first+1))
-	if now.Sub(s.started) >= settleTime {
+	bucket := first + Bucket(s.random()*float64(last-first+1))
+	if now.Sub(s.Started) >= settleTime {
 		own, peers := s.own[q.Pool], s.peers[q.Pool]
 		room := returnShare * q.Rate * BucketTime.Seconds() * q.Known
 		bucket = choose(func(b Bucket) float64 { return own[b] + peers[b] }, q.Work, room, first, last)
@@ -105,7 +111,7 @@
 		s.own[q.Pool] = make(Promises)
 	}
 	s.own[q.Pool][bucket] += q.Work
-	after := bucket.start().Sub(now) + time.Duration(s.Random()*float64(BucketTime))
+	after := bucket.start().Sub(now) + time.Duration(s.random()*float64(BucketTime))
 	return min(max(after, earliest), q.Latest).Truncate(time.Millisecond)
 }
 
--- a/pkg/returning/returning_test.go
+++ b/pkg/returning/returning_test.go
@@ -28,9 +28,8 @@
 	query := returning.Query{Pool: "pool", Work: 50, Rate: 10_000, Known: known, Earliest: 100 * time.Millisecond, Latest: 2 * time.Second}
 	for i := range schedules {
 		schedules[i] = &returning.Schedule{Random: random.Float64}
-		if known == 1 {
-			// The nodes have been running for a while.
-			schedules[i].Promise(query, now.Add(-time.Hour))
+		if known < 1 {
+			schedules[i].Started = now
 		}
 	}
 	returns := make(map[returning.Bucket]int)
--- a/pkg/waiting/replay_test.go
+++ b/pkg/waiting/replay_test.go
@@ -180,7 +180,7 @@
 }
 
 func (r *replay) capacity(n *node, c waiting.Conditions) waiting.Capacity {
-	capacity := waiting.Capacity{Limit: c.Limit(), Nodes: waiting.Nodes{Total: len(r.nodes)}}
+	capacity := waiting.Capacity{Limit: c.Limit(), Outranked: c.Outranked, Nodes: waiting.Nodes{Total: len(r.nodes)}}
 	for e := range r.present {
 		capacity.Queues = append(capacity.Queues, n.peers[e]+n.own[e])
 	}
--- a/pkg/waiting/waiting.go
+++ b/pkg/waiting/waiting.go
@@ -18,16 +18,19 @@
 	// while there is room. The rest is for the prompt itself.
 	roomShare = 0.4
 	// yieldShare is the part of that for a request while higher ranks find no room elsewhere.
-	yieldShare = 0.5
+	yieldShare = 0.35
 	// lateStartFactor times the objective is the highest predicted time to the first event
-	// with which a request is sent in calm. It exceeds 1 because predictions err and a late response
-	// still has some value.
+	// with which a request is sent in calm. It exceeds 1 because predictions err and a late
+	// response still has some value.
 	lateStartFactor = 1.5
 	// maxFlow is the factor by which what all nodes may send to an engine exceeds its engine
 	// time while its queue is empty. It falls by fullFlow until the queue leaves just enough
-	// room, and on to minFlow. So the queues settle in between, also if
-	// the measured engine time is somewhat wrong.
+	// room, and on to minFlow. So the queues settle in between, also if the measured engine
+	// time is somewhat wrong.
 	maxFlow, fullFlow, minFlow = 1.2, 0.8, 0.1
+	// minTopFlow is the lowest factor for requests that are not outranked. Those of others are
+	// held back first.
+	minTopFlow = 0.6
 	// allowanceTime is the time for which a node's allowance is saved up: an exchange round.
 	allowanceTime = 300 * time.Millisecond
 )
@@ -117,15 +120,21 @@
 	// that leaves room.
 	Queues []time.Duration
 	Limit  time.Duration
-	Nodes  Nodes
+	// Outranked is that of the request's Conditions.
+	Outranked bool
+	Nodes     Nodes
 }
 
 // Rate returns the engine time that all nodes together may send, in milliseconds a second.
 // An engine with a long queue adds little, so that load that gathered on some engines does
 // not keep requests from the others.
 func (c Capacity) Rate() (rate float64) {
+	lowest := minTopFlow
+	if c.Outranked {
+		lowest = minFlow
+	}
 	for _, queue := range c.Queues {
-		rate += 1000 * max(minFlow, maxFlow-fullFlow*float64(queue)/float64(max(1, c.Limit)))
+		rate += 1000 * max(lowest, maxFlow-fullFlow*float64(queue)/float64(max(1, c.Limit)))
 	}
 	return max(1, rate)
 }
