--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -60,6 +60,7 @@
 	paceEvents,
 	operatorEvents,
 	serveEvents,
+	waitingEvents,
 )
 
 func sortByID(tables ...[]Definition) []Definition {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -31,8 +31,10 @@
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/usage"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
@@ -142,13 +144,18 @@
 	trends        map[fleet.PoolName]*provision.Trend
 	holds         map[fleet.PoolName]*provision.Hold
 
-	metrics     *requestMetrics
-	directory   directory.Directory
-	history     directory.History
-	tracker     placement.Tracker
-	pace        pace.Model
-	quotas      allotment.QuotaLimiter
-	retries     allotment.RetryBudget
+	metrics   *requestMetrics
+	directory directory.Directory
+	history   directory.History
+	tracker   placement.Tracker
+	pace      pace.Model
+	quotas    allotment.QuotaLimiter
+	retries   allotment.RetryBudget
+	waiting   waiting.Queues
+	returns   returning.Schedule
+	visitors  returning.Visitors
+	// short is whether housekeep last found too little room for the requests.
+	short       bool
 	connections forward.Pool
 	// shutdown is the state of a planned stop.
 	shutdown       gateway.Shutdown
@@ -189,6 +196,7 @@
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
+	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
 	f.quotas.Slack = bounds.QuotaSlack
 	if !f.Settings.FirstStart {
 		f.quotas.Started = f.startInstant
@@ -331,7 +339,12 @@
 		OnCallerLeft:   f.metrics.countCallerLeft,
 		OnAnnouncement: f.metrics.countAnnouncement,
 		OnUnread:       f.metrics.countUnread,
+		OnWait:         f.metrics.observeWait,
+		OnReturn:       f.metrics.countReturn,
 		Tracker:        &f.tracker,
+		Waiting:        &f.waiting,
+		Returns:        &f.returns,
+		Visitors:       &f.visitors,
 		Engines:        &f.engines,
 		Quotas:         &f.quotas,
 		Retries:        &f.retries,
@@ -360,6 +373,7 @@
 	f.expireGossipState()
 	f.updatePace()
 	f.countInitialEndpoints()
+	f.logShortage()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
 		return ok
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -36,6 +36,7 @@
 	unread            *prometheus.CounterVec
 	speedSpread       *prometheus.GaugeVec
 	speedEvidence     *prometheus.GaugeVec
+	waitMetrics
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -67,6 +68,7 @@
 		speedEvidence: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "skylarkloom_front_speed_evidence", Help: "Recent streams and responses of all nodes by which the speeds of a pool's endpoints are known.",
 		}, []string{"pool"}),
+		waitMetrics: newWaitMetrics(),
 	}
 }
 
@@ -137,7 +139,9 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread, f.metrics.speedSpread, f.metrics.speedEvidence)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread,
+		f.metrics.speedSpread, f.metrics.speedEvidence, f.metrics.waits, f.metrics.returns)
+	registry.MustRegister(f.newWaitingCollector())
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -192,6 +192,7 @@
 		Speeds:     f.engines.Known(),
 		Pace:       f.pace.Evidence(clock.Now()),
 		Clock:      f.wallClock(),
+		Shortage:   f.shortage(),
 	}
 	if f.holdsDuties.Load() {
 		d.DutyHolder, d.DutyHolderAddress = f.self.Name, f.internalAddress()
@@ -219,6 +220,7 @@
 		f.directory.MarkLeaving(id, born, clock.Now())
 	}
 	f.tracker.SetPeerWork(f.peers.Work())
+	f.applyShortage()
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
 }
 
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -46,6 +46,17 @@
 	ReadAbandoned ReadStage = "abandoned"
 )
 
+// Announcement is what an endpoint may announce of itself in a response.
+type Announcement string
+
+// The announcements. Their values are labels of metrics.
+const (
+	// AnnounceLeaving means that the endpoint is about to leave.
+	AnnounceLeaving Announcement = "leaving"
+	// AnnouncePause means that the endpoint wants no requests for some time.
+	AnnouncePause Announcement = "pause"
+)
+
 // UnreadCause is why a request was given up before the endpoint responded.
 type UnreadCause string
 
@@ -86,6 +97,7 @@
 // engines.
 func (p *proxyRequest) chooseEndpoint(now clock.Instant, unreachable []fleet.InstanceID) (c placement.Choice, ok bool) {
 	endpoints := p.handler.Endpoints(p.pool.Name)
+	p.poolSize = len(endpoints)
 	candidates := make([]serving.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
 		if (e.State == serving.StateReady || p.pool.Engine != nil) && !slices.Contains(p.tried, e.ID) && !slices.Contains(unreachable, e.ID) {
@@ -158,6 +170,8 @@
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
 	now := clock.Now()
 	a := &attempt{proxy: p, choice: c, sentAt: now, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, now)}
+	// The next waiting request may look for room now that the load counts this one.
+	p.wakeWaiting()
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
@@ -325,12 +339,16 @@
 // has processed the prompt.
 func (a *attempt) recordEvent() {
 	now := clock.Now()
-	if !a.started.Swap(true) {
+	first := !a.started.Swap(true)
+	if first {
 		a.firstAt = now
 	}
 	a.gaps.Add(now)
 	a.proxy.recordStart()
 	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, now)
+	if first {
+		a.proxy.wakeWaiting()
+	}
 }
 
 // recordPace records how fast the endpoint served the request. A response of a plain
@@ -358,6 +376,7 @@
 	}
 	a.cancel()
 	a.proxy.handler.Tracker.End(a.prefill)
+	a.proxy.wakeWaiting()
 }
 
 // takeAttempt reports whether the request may be sent to another endpoint, and
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,7 +21,9 @@
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
@@ -38,6 +40,7 @@
 	ReasonBodyTooLarge        Reason = "body too large"
 	ReasonNoEndpoint          Reason = "no endpoint"
 	ReasonOverload            Reason = "cannot be served in time"
+	ReasonNoRoom              Reason = "waited without room"
 	ReasonEndpointsFull       Reason = "endpoints are full"
 	ReasonEndpointsPaused     Reason = "endpoints ask for a pause"
 	ReasonEndpointUnreachable Reason = "endpoint unreachable"
@@ -61,17 +64,6 @@
 	LeaveSent LeaveStage = "sent"
 )
 
-// Announcement is what an endpoint may announce of itself in a response.
-type Announcement string
-
-// The announcements. Their values are labels of metrics.
-const (
-	// AnnounceLeaving means that the endpoint is about to leave.
-	AnnounceLeaving Announcement = "leaving"
-	// AnnouncePause means that the endpoint wants no requests for some time.
-	AnnouncePause Announcement = "pause"
-)
-
 const (
 	// retryAfterTransient is the Retry-After time for a transient failure.
 	retryAfterTransient = 100 * time.Millisecond
@@ -134,7 +126,19 @@
 	// the head of its response was read, if set.
 	OnUnread func(fleet.PoolName, UnreadCause)
 
+	// OnWait is called at the end of each wait for room at the engines of a pool, if set.
+	OnWait func(fleet.PoolName, Wait)
+	// OnReturn is called for each caller that is told to come back for a pool, and for each
+	// that does, if set.
+	OnReturn func(fleet.PoolName, Return)
+
 	Tracker *placement.Tracker
+	// Waiting holds the requests that wait for room.
+	Waiting *waiting.Queues
+	// Returns is the schedule of the callers that are told to come back, and Visitors
+	// recognises those that do.
+	Returns  *returning.Schedule
+	Visitors *returning.Visitors
 	// Engines holds the measured speeds of the engines.
 	Engines *provision.EngineModel
 	Quotas  *allotment.QuotaLimiter
@@ -196,6 +200,10 @@
 	// limit, or how long all endpoints want a pause. A refusal sends it as Retry-After
 	// time.
 	retryAfter time.Duration
+	// poolSize is the number of endpoints in the pool.
+	poolSize int
+	// spentBefore is how long a caller that came back has waited since its first attempt.
+	spentBefore time.Duration
 	// paused reports whether the last choice found only endpoints that want a pause.
 	paused bool
 	reason Reason
@@ -385,6 +393,13 @@
 func (p *proxyRequest) refuse(status int, reason Reason, retryAfter time.Duration) bool {
 	if retryAfter > 0 {
 		retryAfter += time.Duration(p.handler.Random() * retryJitter * float64(retryAfter))
+	}
+	return p.refuseUntil(status, reason, retryAfter)
+}
+
+// refuseUntil is like refuse, but adds no jitter to the Retry-After time.
+func (p *proxyRequest) refuseUntil(status int, reason Reason, retryAfter time.Duration) bool {
+	if retryAfter > 0 {
 		p.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	p.reason = reason
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -101,6 +101,9 @@
 	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
 	// Pace is the evidence of the covered nodes for the speeds of endpoints.
 	Pace pace.Evidence `cbor:"25,keyasint,omitempty"`
+	// Shortage is what the covered nodes report of requests that wait, refusals and
+	// promised returns; nil while there is room for all.
+	Shortage *Shortage `cbor:"24,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
