--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -171,17 +171,23 @@
 // firstEventTimeout returns how long an attempt may take until the first event.
 func (s *streamRequest) firstEventTimeout(c placement.Choice) time.Duration {
 	if s.hasMoreAttempts() {
-		objective := float64(s.route.Objective)
-		least := minStallObjectives * objective
-		if c.Elsewhere > 0 {
-			// An engine that stalls for a moment is given as long as another one needs not.
-			least = max(least, objective-elsewhereFactor*float64(c.Elsewhere))
-		}
-		return time.Duration(min(max(stallPredictedFactor*float64(c.TimeToFirstEvent), least), maxStallObjectives*objective))
+		return stallTimeout(s.route.Objective, c)
 	}
 	return s.remaining()
 }
 
+// stallTimeout returns the time without a first event after which a stream is sent to
+// another engine, if the route allows it. Where engines differ, one that stalls for a
+// moment may take until just before another one has to start for the objective: to cancel
+// it sooner would waste its work.
+func stallTimeout(objective time.Duration, c placement.Choice) time.Duration {
+	least := minStallObjectives * float64(objective)
+	if c.Elsewhere > 0 {
+		least = max(least, float64(objective)-elsewhereFactor*float64(c.Elsewhere))
+	}
+	return time.Duration(min(max(stallPredictedFactor*float64(c.TimeToFirstEvent), least), maxStallObjectives*float64(objective)))
+}
+
 // eventGapTimeout returns how long an attempt may pause between events.
 func (s *streamRequest) eventGapTimeout() time.Duration {
 	if s.hasMoreAttempts() && s.route.MaxEventGap > 0 {
