--- a/pkg/gateway/stall_test.go
+++ b/pkg/gateway/stall_test.go
@@ -10,13 +10,14 @@
 )
 
 var _ = DescribeTable("A first event is awaited",
-	func(predicted, elsewhere, expected time.Duration) {
-		c := placement.Choice{TimeToFirstEvent: predicted * time.Millisecond, Elsewhere: elsewhere * time.Millisecond}
-		Expect(stallTimeout(600*time.Millisecond, c)).To(Equal(expected * time.Millisecond))
+	func(predicted, elsewhere, expected int) {
+		milliseconds := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+		c := placement.Choice{TimeToFirstEvent: milliseconds(predicted), Elsewhere: milliseconds(elsewhere)}
+		Expect(stallTimeout(600*time.Millisecond, c)).To(Equal(milliseconds(expected)))
 	},
-	Entry("for half the objective at least, among equal engines", time.Duration(80), time.Duration(0), time.Duration(300)),
-	Entry("for three times the predicted time", time.Duration(150), time.Duration(0), time.Duration(450)),
-	Entry("for 1.6 times the objective at most", time.Duration(900), time.Duration(0), time.Duration(960)),
-	Entry("until another engine has to start, among uneven ones", time.Duration(110), time.Duration(100), time.Duration(450)),
-	Entry("no shorter where all engines are slow", time.Duration(80), time.Duration(500), time.Duration(300)),
+	Entry("for half the objective at least, among equal engines", 80, 0, 300),
+	Entry("for three times the predicted time", 150, 0, 450),
+	Entry("for 1.6 times the objective at most", 900, 0, 960),
+	Entry("until another engine has to start, among uneven ones", 110, 100, 450),
+	Entry("no shorter where all engines are slow", 80, 500, 300),
 )
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -53,15 +53,28 @@
 	if !v.late() || slots >= v.Nodes || len(loads) < 2 {
 		return c, ok
 	}
-	i := drawIndex(len(loads), func(i int) float64 { return serviceWeight(loads[i]) }, v.Draw)
+	shortest := math.Inf(1)
+	for _, l := range loads {
+		shortest = min(shortest, serviceTotal(l))
+	}
+	i := drawIndex(len(loads), func(i int) float64 { return serviceWeight(loads[i], shortest) }, v.Draw)
 	_, c = serviceCost(loads[i])
 	return c, ok
 }
 
-// serviceWeight returns how often an endpoint is drawn: in proportion to its slots and less
-// often the longer the response is predicted to take.
-func serviceWeight(l Load) float64 {
+// serviceTotal returns the predicted time to the response and the penalties, in
+// nanoseconds.
+func serviceTotal(l Load) float64 {
 	_, c := serviceCost(l)
-	took := float64(c.TimeToFirstEvent) + penalty(l)
-	return float64(l.serviceSlots()) / took
+	return float64(c.TimeToFirstEvent) + penalty(l)
+}
+
+// serviceWeight returns how often an endpoint is drawn: in proportion to its slots and less
+// often the longer the response is predicted to take. One whose condition costs far more
+// than the shortest response isn't drawn.
+func serviceWeight(l Load, shortest float64) float64 {
+	if penalty(l) > acceptFactor*shortest {
+		return 0
+	}
+	return float64(l.serviceSlots()) / serviceTotal(l)
 }
--- a/pkg/placement/service_test.go
+++ b/pkg/placement/service_test.go
@@ -95,3 +95,17 @@
 	Expect(after).To(BeNumerically("<", 0.08))
 	Expect(after).To(BeNumerically("<", before/2))
 })
+
+var _ = It("doesn't draw a service that fails or may be unreachable while another is well", func() {
+	loads := []placement.Load{
+		{Endpoint: serving.Endpoint{ID: "unreachable"}, DataCentreUnreachable: true},
+		{Endpoint: serving.Endpoint{ID: "failing"}, FailureRate: 0.25},
+		{Endpoint: serving.Endpoint{ID: "avoided"}, Avoid: true},
+		{Endpoint: serving.Endpoint{ID: "well"}, Running: 6},
+	}
+	for i := range 100 {
+		c, ok := placement.ChooseService(placement.View{Lag: time.Second, Nodes: 100, Draw: float64(i) / 100}, loads)
+		Expect(ok).To(BeTrue())
+		Expect(c.Endpoint.ID).To(Equal(fleet.InstanceID("well")))
+	}
+})
