Provision: a demand that reports miss is not planned for as if it had gone

Change: the demand to plan for falls no faster than an average over 4 s can (ReportedDemand). Result: a test that plans through five rounds of missing reports; it has no counterpart before, as the sum went straight into the forecast.

--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -128,8 +128,9 @@
 		}
 	}
 	if f.trends[p.Name] == nil {
-		f.trends[p.Name] = &provision.Trend{}
+		f.trends[p.Name], f.reported[p.Name], f.holds[p.Name] = &provision.Trend{}, &provision.ReportedDemand{}, &provision.Hold{}
 	}
+	demand = f.reported[p.Name].Observe(demand, now)
 	forecast := demand
 	if measured {
 		// The rise from nothing when callers arrive says nothing of the growth after it.
@@ -137,9 +138,6 @@
 	}
 	policy := provision.DefaultPolicy
 	targets := provision.Plan(policy, policy.Require(forecast, measured, initial), *p.Scale, supplies)
-	if f.holds[p.Name] == nil {
-		f.holds[p.Name] = &provision.Hold{}
-	}
 	f.holds[p.Name].Apply(targets, supplies, *p.Scale, now)
 	desired := make([]duty.DesiredScale, 0, 2*len(targets))
 	for _, t := range targets {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -135,11 +135,12 @@
 	crashes      quarantine.Detector
 	demand       provision.DemandMeter
 	engines      provision.EngineModel
-	// dutyMu guards lastPlans, initialCounts, trends and holds.
+	// dutyMu guards lastPlans, initialCounts, reported, trends and holds.
 	dutyMu        sync.Mutex
 	lastPlans     map[fleet.PoolName][]provision.Target
 	initialCounts map[fleet.PoolName]*provision.InitialCount
 	trends        map[fleet.PoolName]*provision.Trend
+	reported      map[fleet.PoolName]*provision.ReportedDemand
 	holds         map[fleet.PoolName]*provision.Hold
 
 	metrics     *requestMetrics
@@ -168,6 +169,7 @@
 	f.lastPlans = make(map[fleet.PoolName][]provision.Target)
 	f.initialCounts = make(map[fleet.PoolName]*provision.InitialCount)
 	f.trends = make(map[fleet.PoolName]*provision.Trend)
+	f.reported = make(map[fleet.PoolName]*provision.ReportedDemand)
 	f.holds = make(map[fleet.PoolName]*provision.Hold)
 	f.peers.Self, f.peers.DataCentre = f.self.Name, f.Settings.DataCentre
 	f.peers.OnConsumed = f.quotas.AddPeerUsage
--- a/pkg/provision/demand.go
+++ b/pkg/provision/demand.go
@@ -1,6 +1,7 @@
 package provision
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -87,3 +88,21 @@
 	}
 	return demand
 }
+
+// ReportedDemand follows the demand that the nodes report on a pool. It answers relays that
+// are replaced: until the nodes report to the next one, their demand is missing from the
+// sum. An average over averagingTime can't fall faster than this time allows, so what falls
+// faster is missing. The zero value is ready to use.
+type ReportedDemand struct {
+	last    float64
+	updated clock.Instant
+}
+
+// Observe returns the demand to plan for, given the sum of what the nodes report now.
+func (r *ReportedDemand) Observe(sum float64, now clock.Instant) float64 {
+	if r.updated != 0 {
+		sum = max(sum, r.last*math.Exp(-now.Sub(r.updated).Seconds()/averagingTime.Seconds()))
+	}
+	r.last, r.updated = sum, now
+	return sum
+}
--- a/pkg/provision/provision_test.go
+++ b/pkg/provision/provision_test.go
@@ -202,6 +202,19 @@
 		Expect(now.Sub(clock.Instant(time.Hour))).To(BeNumerically("<=", 5*time.Second))
 	})
 
+	It("outlasts reports that are missing while a relay is replaced, and follows a fall", func() {
+		var r provision.ReportedDemand
+		now := clock.Instant(time.Hour)
+		Expect(r.Observe(48, now)).To(Equal(48.0))
+		for range 5 {
+			now = now.Add(200 * time.Millisecond)
+			Expect(r.Observe(0.7, now)).To(BeNumerically(">", 36))
+		}
+		Expect(r.Observe(49, now)).To(Equal(49.0))
+		now = now.Add(20 * time.Second)
+		Expect(r.Observe(3, now)).To(Equal(3.0))
+	})
+
 	It("falls when the requests end", func() {
 		var d provision.DemandMeter
 		now := clock.Instant(time.Hour)
