Waiting: the queue at an engine from its own model

Cause: the wait for others was taken as the prediction less 60 ms and the prefill at the pool's usual speed, so a pool whose first step takes longer looked as if a queue stood there, and a fast engine as if it had one. Change: Choice.Queue comes with the prediction.

--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -24,9 +24,6 @@
 	// maxReturnPart is the part of its remaining time up to which a caller honours a
 	// Retry-After time.
 	maxReturnPart = 3
-	// idleFirstEventTime is the time to the first event on an idle engine that has the
-	// prompt cached.
-	idleFirstEventTime = 60 * time.Millisecond
 )
 
 // WaitResult is how a wait for room ended.
@@ -294,7 +291,7 @@
 // conditions returns what the node knows about the request at its chosen engine.
 func (p *proxyRequest) conditions(q *waiting.Queue, c placement.Choice) waiting.Conditions {
 	conditions := waiting.Conditions{
-		Queue: max(0, c.TimeToFirstEvent-idleFirstEventTime-p.prefillTime(c.UncachedTokens)), Prediction: c.TimeToFirstEvent, Idle: c.Idle,
+		Queue: c.Queue, Prediction: c.TimeToFirstEvent, Idle: c.Idle,
 		Objective: p.route.Objective, Spent: time.Since(p.started), Remaining: p.remaining(),
 		Short: q.Short(p.poolSize, clock.Now()),
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -99,6 +99,8 @@
 	// TimeToFirstEvent is the predicted time to the first event of a stream, or to
 	// the response of a plain service.
 	TimeToFirstEvent time.Duration
+	// Queue is the part of TimeToFirstEvent for which other requests are served.
+	Queue time.Duration
 	// UncachedTokens is the predicted number of prompt tokens to prefill.
 	UncachedTokens fleet.Tokens
 	// KVSource is another engine that probably has prefix blocks cached that the
@@ -242,16 +244,17 @@
 	if excess := l.Running + 1 - slots; excess > 0 {
 		first += float64(excess) * float64(fullBatchWait) / l.relativeSpeed()
 	}
+	own := float64(uncached) / rate * float64(time.Millisecond)
 	recompute := float64(max(0, q.SharedTokens-cached)) / rate * float64(time.Millisecond)
 	choice := Choice{
 		Endpoint:         l.Endpoint,
 		TimeToFirstEvent: time.Duration(first),
 		UncachedTokens:   uncached,
+		Queue:            time.Duration(max(0, first-float64(l.firstStep())-own)),
 		Idle:             l.Running < slots/2 && l.Backlog == 0,
 	}
 	cost := first + recomputeWeight(l)*recompute + penalty(l)
 	if l.Speed > 0 {
-		own := float64(uncached) / rate * float64(time.Millisecond)
 		choice.Elsewhere = l.FirstStep + time.Duration(l.Speed*own)
 		cost += besideCost(q, l, own)
 	}
