quarantine: count crashes separately whose requests were sent one after the other

The spacing is there for endpoints that are lost together; what was in flight at all of them had been sent before. A run now carries when its request was sent, on this node and in reports, and a crash counts separately if its request was sent after the crash before it. Where that isn't known, as in the report of an older node, the spacing decides as before.

The new spec fails with the old rule.

--- a/pkg/front/quarantine.go
+++ b/pkg/front/quarantine.go
@@ -28,13 +28,12 @@
 	Count int       `json:"count"`
 }
 
-// recordCrash records that an endpoint crashed while it had a request with the given
-// subjects.
-func (f *Front) recordCrash(e serving.Endpoint, subjects []quarantine.Subject, at clock.Instant) {
+// recordCrash records that an endpoint crashed while it ran a request.
+func (f *Front) recordCrash(e serving.Endpoint, r quarantine.Run) {
 	f.tracker.RecordUnreachable(e.ID, clock.Now())
-	f.quarantine.RecordCrash(e.ID, subjects, at)
-	texts := make([]string, len(subjects))
-	for i, s := range subjects {
+	f.quarantine.RecordCrash(e.ID, r)
+	texts := make([]string, len(r.Subjects))
+	for i, s := range r.Subjects {
 		texts[i] = formatSubject(s)
 	}
 	f.Logs.Emit(event.EndpointCrashed, zap.String("endpoint", string(e.ID)), zap.Strings("subjects", texts))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -62,8 +63,8 @@
 	choice   placement.Choice
 	prefill  *placement.Prefill
 	response *forward.Response
-	// begunAt is when the response header arrived, 0 before.
-	begunAt clock.Instant
+	// sentAt is when the attempt began, begunAt when the response header arrived, 0 before.
+	sentAt, begunAt clock.Instant
 	// servedRecorded reports whether the attempt was recorded as served.
 	servedRecorded bool
 	// cancel ends the exchange.
@@ -143,7 +144,8 @@
 
 // send sends the request to an endpoint and waits for the response header.
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
-	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
+	now := clock.Now()
+	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, now), sentAt: now}
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
@@ -294,7 +296,7 @@
 // cause or the attempt counts as served already.
 func (a *attempt) recordBrokenOff(err error) {
 	if forward.BrokeOff(err) && !a.servedRecorded {
-		a.proxy.handler.RecordBroken(a.choice.Endpoint, a.proxy.subjects, clock.Now())
+		a.proxy.handler.RecordBroken(a.choice.Endpoint, quarantine.Run{Subjects: a.proxy.subjects, Sent: a.sentAt, Broke: clock.Now()})
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -115,7 +115,7 @@
 	IsQuarantined func([]quarantine.Subject) bool
 	// RecordBroken records that an endpoint broke off a request that it had just begun to
 	// answer, or not yet.
-	RecordBroken func(serving.Endpoint, []quarantine.Subject, clock.Instant)
+	RecordBroken func(serving.Endpoint, quarantine.Run)
 	// RecordServed records that an endpoint served a request which it began to answer at
 	// the given instant.
 	RecordServed func(subjects []quarantine.Subject, begunAt clock.Instant)
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -54,7 +54,7 @@
 		UnixTime:      func(at clock.Instant) int64 { return time.Now().Add(at.Sub(clock.Now())).UnixMilli() },
 		Nodes:         func() allotment.Nodes { return allotment.Nodes{Total: 1} },
 		IsQuarantined: func([]quarantine.Subject) bool { return false },
-		RecordBroken:  func(serving.Endpoint, []quarantine.Subject, clock.Instant) {},
+		RecordBroken:  func(serving.Endpoint, quarantine.Run) {},
 		RecordServed:  func([]quarantine.Subject, clock.Instant) {},
 		RecordStart:   func(fleet.AccountName) {},
 		RecordDemand:  func(fleet.PoolName, float64) {},
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -14,20 +14,33 @@
 	// quarantined.
 	minCrashes = 3
 	// crashSpacing is the time by which crashes have to differ in order to count
-	// separately. Endpoints that are lost together, because their instances are reclaimed,
-	// had many subjects in common; those that are served elsewhere meanwhile are cleared.
+	// separately, unless the later one is of a request that was sent after the earlier one.
+	// Endpoints that are lost together, because their instances are reclaimed, had many
+	// subjects in common, but those were sent before; those that are served elsewhere
+	// meanwhile are cleared.
 	crashSpacing = 400 * time.Millisecond
 	// settleTime is the age from which a crash counts. By then the other nodes have
 	// reported which of their requests were in flight, and what they served meanwhile.
 	settleTime = 700 * time.Millisecond
 )
 
-// Crash is the crash of an endpoint. Subjects are those of the requests that may have
-// caused it, each with its rank in its request: a larger rank is more specific.
+// Crash is the crash of an endpoint. Suspects are the subjects of the requests that may
+// have caused it.
 type Crash struct {
 	Instance fleet.InstanceID
 	At       clock.Instant
-	Subjects map[Subject]int
+	Suspects map[Subject]Suspect
+}
+
+// Suspect is what is known about a subject in a crash.
+type Suspect struct {
+	// Rank is its rank in its request: a larger one is more specific.
+	Rank int
+	// Sent is when the first of its requests was sent to the endpoint, Broke when the
+	// endpoint broke it off.
+	Sent, Broke clock.Instant
+	// Local reports whether this node sent that request.
+	Local bool
 }
 
 // groupCrashes groups suspicions, which are sorted by time, by the crash that they
@@ -39,15 +52,27 @@
 		if !ok || s.at.Sub(crashes[i].At) >= sameCrashTime {
 			i = len(crashes)
 			latest[s.instance] = i
-			crashes = append(crashes, Crash{Instance: s.instance, At: s.at, Subjects: make(map[Subject]int)})
+			crashes = append(crashes, Crash{Instance: s.instance, At: s.at, Suspects: make(map[Subject]Suspect)})
 		}
 		for rank, subject := range s.subjects {
-			crashes[i].Subjects[subject] = max(crashes[i].Subjects[subject], rank)
+			crashes[i].add(subject, Suspect{Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local})
 		}
 	}
 	return crashes
 }
 
+// add adds a subject of a request. Of several requests the first one decides when the
+// subject was sent: if it is the culprit, the endpoint had it that long.
+func (c *Crash) add(subject Subject, s Suspect) {
+	if known, ok := c.Suspects[subject]; ok {
+		s.Rank = max(s.Rank, known.Rank)
+		if known.Sent <= s.Sent {
+			s.Sent, s.Broke, s.Local = known.Sent, known.Broke, known.Local
+		}
+	}
+	c.Suspects[subject] = s
+}
+
 // Evidence is what is known about crashes, sorted by time.
 type Evidence struct {
 	Crashes []Crash
@@ -78,8 +103,8 @@
 type candidate struct {
 	subject Subject
 	rank    int
-	// crashes counts the crashes since the subject was last served; those at almost the
-	// same time count once. unexplained counts each of those that no quarantined subject
+	// crashes counts the crashes since the subject was last served; those of one loss
+	// count once. unexplained counts each of those that no quarantined subject
 	// explains.
 	crashes     spacedCount
 	unexplained int
@@ -91,10 +116,10 @@
 	isQuarantined := func(s Subject) bool { return e.IsQuarantined(s) || slices.Contains(culprits, s) }
 	for _, crash := range e.Crashes {
 		explained := false
-		for s := range crash.Subjects {
+		for s := range crash.Suspects {
 			explained = explained || isQuarantined(s)
 		}
-		for s, rank := range crash.Subjects {
+		for s, suspect := range crash.Suspects {
 			if crash.At <= e.LastServed(s).Add(maxClockError) || isQuarantined(s) {
 				continue
 			}
@@ -103,8 +128,8 @@
 				c = &candidate{subject: s}
 				candidates[s] = c
 			}
-			c.rank = max(c.rank, rank)
-			c.crashes.add(crash.At)
+			c.rank = max(c.rank, suspect.Rank)
+			c.crashes.add(suspect)
 			if !explained {
 				c.unexplained++
 			}
@@ -136,17 +161,27 @@
 	)
 }
 
-// spacedCount counts instants that differ by at least crashSpacing from the one that was
-// counted before.
+// spacedCount counts the crashes of a subject that are not of one and the same loss: it
+// answers a request that is sent on from one crashed endpoint to the next, beside many
+// endpoints that are lost at once.
 type spacedCount struct {
 	count int
-	last  clock.Instant
+	last  Suspect
 }
 
-// add counts an instant that is not before the last one.
-func (c *spacedCount) add(at clock.Instant) {
-	if c.count == 0 || at.Sub(c.last) >= crashSpacing {
+// add counts a crash that is not before the last one.
+func (c *spacedCount) add(s Suspect) {
+	if c.count == 0 || s.Broke.Sub(c.last.Broke) >= crashSpacing || s.sentAfter(c.last) {
 		c.count++
-		c.last = at
+		c.last = s
+	}
+}
+
+// sentAfter reports whether a request was sent after another one broke off. What one
+// node observed is in order; the times of two nodes may differ.
+func (s Suspect) sentAfter(other Suspect) bool {
+	if s.Local && other.Local {
+		return s.Sent >= other.Broke
 	}
+	return s.Sent >= other.Broke.Add(maxClockError)
 }
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
@@ -25,29 +24,23 @@
 	// Go runs a function in the background, with a context that ends with the node.
 	Go func(func(context.Context))
 	// OnCrash is called for each request that was in flight at an endpoint which crashed.
-	OnCrash func(e serving.Endpoint, subjects []Subject, at clock.Instant)
+	OnCrash func(e serving.Endpoint, r Run)
 
 	mu sync.Mutex
-	// broken holds the exchanges that broke off at endpoints which are being probed.
-	broken map[fleet.InstanceID][]brokenExchange
+	// broken holds the runs that broke off at endpoints which are being probed.
+	broken map[fleet.InstanceID][]Run
 }
 
-// brokenExchange is an exchange that broke off.
-type brokenExchange struct {
-	subjects []Subject
-	at       clock.Instant
-}
-
-// RecordBroken records that an exchange with an endpoint broke off, and finds out in the
+// RecordBroken records that an endpoint broke off a run, and finds out in the
 // background whether the endpoint crashed.
-func (d *Detector) RecordBroken(e serving.Endpoint, subjects []Subject, at clock.Instant) {
+func (d *Detector) RecordBroken(e serving.Endpoint, r Run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.broken == nil {
-		d.broken = make(map[fleet.InstanceID][]brokenExchange)
+		d.broken = make(map[fleet.InstanceID][]Run)
 	}
 	probing := len(d.broken[e.ID]) > 0
-	d.broken[e.ID] = append(d.broken[e.ID], brokenExchange{subjects: subjects, at: at})
+	d.broken[e.ID] = append(d.broken[e.ID], r)
 	if !probing {
 		d.Go(func(ctx context.Context) { d.probe(ctx, e) })
 	}
@@ -65,7 +58,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
-	for _, b := range broken {
-		d.OnCrash(e, b.subjects, b.at)
+	for _, r := range broken {
+		d.OnCrash(e, r)
 	}
 }
--- a/pkg/quarantine/detector_test.go
+++ b/pkg/quarantine/detector_test.go
@@ -35,13 +35,13 @@
 						return nil
 					})
 				},
-				OnCrash: func(e serving.Endpoint, _ []quarantine.Subject, _ clock.Instant) {
+				OnCrash: func(e serving.Endpoint, _ quarantine.Run) {
 					Expect(e.ID).To(BeEquivalentTo("e1"))
 					recorded++
 				},
 			}
 			for content := range uint64(3) {
-				d.RecordBroken(serving.Endpoint{ID: "e1", Address: "a"}, subjects(content), clock.Now())
+				d.RecordBroken(serving.Endpoint{ID: "e1", Address: "a"}, quarantine.Run{Subjects: subjects(content), Broke: clock.Now()})
 			}
 			close(probing)
 			Expect(group.Wait()).To(Succeed())
@@ -64,7 +64,7 @@
 			Go: func(fn func(context.Context)) { started = append(started, fn) },
 		}
 		for n := range 2 {
-			d.RecordBroken(serving.Endpoint{ID: "e1"}, subjects(1), clock.Instant(time.Second))
+			d.RecordBroken(serving.Endpoint{ID: "e1"}, quarantine.Run{Subjects: subjects(1), Broke: clock.Instant(time.Second)})
 			started[n](context.Background())
 		}
 		Expect(probes).To(Equal(2))
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -71,6 +71,14 @@
 	return Subject(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("content"), content)))
 }
 
+// Run is the run of a request at an endpoint that broke it off.
+type Run struct {
+	Subjects []Subject
+	// Sent is when the request was sent to the endpoint, 0 if that is not known, Broke
+	// when the endpoint broke it off.
+	Sent, Broke clock.Instant
+}
+
 // Suspicion describes a request that was in flight at an endpoint when the endpoint
 // crashed, and that may have caused the crash.
 type Suspicion struct {
@@ -79,6 +87,8 @@
 	Subjects []Subject `cbor:"2,keyasint"`
 	// Age is the time since the crash.
 	Age time.Duration `cbor:"3,keyasint"`
+	// Ran is the time from when the request was sent to the crash, 0 if that is not known.
+	Ran time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Success describes the last request with a subject that an endpoint served.
@@ -109,10 +119,21 @@
 	instance fleet.InstanceID
 	subjects []Subject
 	at       clock.Instant
+	// ran is the time from when the request was sent to the crash, 0 if that is not known.
+	ran time.Duration
 	// local reports whether this node made the observation.
 	local bool
 }
 
+// sent returns when the request was sent. A request of which that is not known may have
+// been sent before any crash within crashSpacing.
+func (s *suspicion) sent() clock.Instant {
+	if s.ran <= 0 {
+		return s.at.Add(-crashSpacing)
+	}
+	return s.at.Add(-s.ran)
+}
+
 // maxCount bounds Quarantine.Count of a report. The length of a quarantine stops to grow
 // long before.
 const maxCount = 1000
@@ -148,10 +169,14 @@
 }
 
 // RecordCrash records that a request may have crashed an endpoint.
-func (t *Tracker) RecordCrash(instance fleet.InstanceID, subjects []Subject, at clock.Instant) {
+func (t *Tracker) RecordCrash(instance fleet.InstanceID, r Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addSuspicion(suspicion{instance: instance, subjects: subjects, at: at, local: true})
+	s := suspicion{instance: instance, subjects: r.Subjects, at: r.Broke, local: true}
+	if r.Sent > 0 {
+		s.ran = r.Broke.Sub(r.Sent)
+	}
+	t.addSuspicion(s)
 }
 
 // RecordServed records that an endpoint served a request which it began to answer at
@@ -291,7 +316,7 @@
 				continue
 			}
 			subjects += len(s.subjects)
-			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at)})
+			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran})
 			for _, subject := range s.subjects {
 				if at := t.lastServed(subject); at > s.at && !served[subject] {
 					served[subject] = true
@@ -324,7 +349,7 @@
 		}
 	}
 	for _, s := range r.Suspicions {
-		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age)})
+		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age), ran: s.Ran})
 	}
 	t.evaluate(now)
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -34,7 +34,7 @@
 	const start = clock.Instant(time.Hour)
 	at := start.Add
 	crash := func(t *quarantine.Tracker, id fleet.InstanceID, subjects []quarantine.Subject, when time.Duration) {
-		t.RecordCrash(id, subjects, at(when))
+		t.RecordCrash(id, quarantine.Run{Subjects: subjects, Broke: at(when)})
 	}
 	instances := []fleet.InstanceID{"a", "b", "c", "d", "e", "f"}
 
@@ -127,6 +127,35 @@
 		Expect(t.Count(at(2 * time.Second))).To(BeZero())
 	})
 
+	// Deadly bursts: eight crashes within 0.2 s, each of a request that was sent after the
+	// crash before it, counted as one.
+	It("counts crashes separately that lie close together if each request was sent after the crash before it", func() {
+		var first, second quarantine.Tracker
+		const ran = 20 * time.Millisecond
+		for i, t := range []*quarantine.Tracker{&first, &first, &second, &second, &first} {
+			broke := at(time.Duration(i+1) * (ran + time.Millisecond))
+			t.RecordCrash(instances[i], quarantine.Run{Subjects: subjects(7), Sent: broke.Add(-ran), Broke: broke})
+		}
+		now := at(900 * time.Millisecond)
+		first.Merge(second.Report(now), now)
+		second.Merge(first.Report(now), now)
+		Expect(first.Quarantined(subjects(7), now)).To(BeTrue())
+		Expect(second.Quarantined(subjects(7), now)).To(BeTrue())
+	})
+
+	// All have the shared block in flight, and some requests go on to endpoints that are
+	// lost a moment later.
+	It("does not count endpoints separately that are lost together beside requests that were sent before", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			broke := at(time.Duration(i) * 20 * time.Millisecond)
+			for n, ran := range []time.Duration{5 * time.Millisecond, 150 * time.Millisecond, 3 * time.Second} {
+				t.RecordCrash(id, quarantine.Run{Subjects: subjects(uint64(10*i+n), "shared"), Sent: broke.Add(-ran), Broke: broke})
+			}
+		}
+		Expect(t.Count(at(2 * time.Second))).To(BeZero())
+	})
+
 	// A node that had not heard yet of the others' requests at a crashed engine took its own
 	// for the cause, and refused blocks that most requests share.
 	It("waits for the reports of the other nodes before a crash counts", func() {
@@ -183,7 +212,7 @@
 		}
 		t.Expire(at(time.Hour))
 		Expect(t.Report(at(time.Hour)).Suspicions).To(BeEmpty())
-		t.RecordCrash("c", subjects(1), at(time.Hour))
+		crash(&t, "c", subjects(1), time.Hour)
 		Expect(t.Count(at(time.Hour + time.Second))).To(BeZero())
 	})
 
@@ -196,7 +225,7 @@
 		later := at(3 * time.Minute)
 		t.Expire(later)
 		Expect(t.Quarantined(subjects(9, "deadly"), later)).To(BeFalse())
-		t.RecordCrash("d", subjects(9, "deadly"), later)
+		crash(&t, "d", subjects(9, "deadly"), later.Sub(start))
 		Expect(t.Quarantined(subjects(10, "deadly"), later.Add(time.Second))).To(BeTrue())
 		Expect(t.Quarantined(subjects(10, "deadly"), later.Add(3*time.Minute))).To(BeTrue())
 	})
@@ -210,7 +239,7 @@
 		later := at(3 * time.Minute)
 		t.Expire(later)
 		t.RecordServed(subjects(9, "deadly"), later)
-		t.RecordCrash("d", subjects(10, "deadly"), later.Add(time.Second))
+		crash(&t, "d", subjects(10, "deadly"), later.Add(time.Second).Sub(start))
 		Expect(t.Count(later.Add(2 * time.Second))).To(BeZero())
 	})
 
@@ -243,7 +272,7 @@
 				blocks[b] = fmt.Sprint("block", i, ".", b)
 			}
 			request := subjects(uint64(i), blocks...)
-			t.RecordCrash(fleet.InstanceID(fmt.Sprintf("i-%010d", i)), request, now)
+			t.RecordCrash(fleet.InstanceID(fmt.Sprintf("i-%010d", i)), quarantine.Run{Subjects: request, Sent: now.Add(-time.Second), Broke: now})
 			t.RecordServed(request, now.Add(time.Millisecond))
 		}
 		data, err := cbor.Marshal(t.Report(now.Add(time.Second)))
--- a/pkg/quarantine/replay_test.go
+++ b/pkg/quarantine/replay_test.go
@@ -49,7 +49,7 @@
 	node, engine int
 	subjects     []quarantine.Subject
 	deadly       bool
-	begins       clock.Instant
+	sent, begins clock.Instant
 	retried      bool
 }
 
@@ -92,7 +92,7 @@
 			result.late++
 		}
 		r.engine = up[random.IntN(len(up))]
-		r.begins = now.Add(time.Duration(50+random.IntN(350)) * time.Millisecond)
+		r.sent, r.begins = now, now.Add(time.Duration(50+random.IntN(350))*time.Millisecond)
 		running = append(running, r)
 	}
 	// lose makes an engine unavailable; its requests are sent to other engines.
@@ -108,7 +108,7 @@
 			return r.engine == engine
 		})
 		for _, r := range broken {
-			trackers[r.node].RecordCrash(id, r.subjects, now)
+			trackers[r.node].RecordCrash(id, quarantine.Run{Subjects: r.subjects, Sent: r.sent, Broke: now})
 		}
 		for _, r := range broken {
 			if !r.retried {
