quarantine: a content is cleared by a complete run, not by a second of it

A stream counted as served a second after its start: that cleared the request of the crashes before, and its own crash was left out. Now the second clears the prefix blocks of the prompt only, which the endpoint has read in by then. The content stays a suspect until a run ends well, and is reported alone, so that reports don't grow by the blocks of all long streams. As streams outlast the time between losses, such crashes of a content count separately only if its request was sent after the crash before. maxSuspicions grows since the long streams of lost engines count.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -319,6 +319,7 @@
 		IsQuarantined:  func(subjects []quarantine.Subject) bool { return f.quarantine.Quarantined(subjects, clock.Now()) },
 		RecordBroken:   f.crashes.RecordBroken,
 		RecordServed:   f.quarantine.RecordServed,
+		RecordStarted:  f.quarantine.RecordStarted,
 		RecordStart:    f.recordStart,
 		RecordDemand:   f.demand.Add,
 		OnFinish:       f.metrics.observe,
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -65,8 +65,9 @@
 	response *forward.Response
 	// sentAt is when the attempt began, begunAt when the response header arrived, 0 before.
 	sentAt, begunAt clock.Instant
-	// servedRecorded reports whether the attempt was recorded as served.
-	servedRecorded bool
+	// startRecorded reports whether it was recorded that the endpoint has answered for some
+	// time.
+	startRecorded bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 	// started reports whether the endpoint has sent the first event or a complete
@@ -293,19 +294,24 @@
 }
 
 // recordBrokenOff records that the endpoint broke off the exchange, unless err has another
-// cause or the attempt counts as served already.
+// cause.
 func (a *attempt) recordBrokenOff(err error) {
-	if forward.BrokeOff(err) && !a.servedRecorded {
-		a.proxy.handler.RecordBroken(a.choice.Endpoint, quarantine.Run{Subjects: a.proxy.subjects, Sent: a.sentAt, Broke: clock.Now()})
+	if forward.BrokeOff(err) {
+		a.proxy.handler.RecordBroken(a.choice.Endpoint, quarantine.Run{Subjects: a.proxy.subjects, Sent: a.sentAt, Broke: clock.Now(), Started: a.startRecorded})
 	}
 }
 
-// recordServed records that the endpoint served the request. Only the first call has
-// an effect.
+// recordServed records that the endpoint ran the request to its end.
 func (a *attempt) recordServed() {
-	if !a.servedRecorded {
-		a.servedRecorded = true
-		a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
+	a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
+}
+
+// recordStarted records that the endpoint has answered the request for some time. Only the
+// first call has an effect.
+func (a *attempt) recordStarted() {
+	if !a.startRecorded {
+		a.startRecorded = true
+		a.proxy.handler.RecordStarted(a.proxy.subjects, a.begunAt)
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -113,12 +113,11 @@
 	// IsQuarantined reports whether requests with any of the subjects must not be sent to
 	// endpoints.
 	IsQuarantined func([]quarantine.Subject) bool
-	// RecordBroken records that an endpoint broke off a request that it had just begun to
-	// answer, or not yet.
+	// RecordBroken records that an endpoint broke off a request.
 	RecordBroken func(serving.Endpoint, quarantine.Run)
-	// RecordServed records that an endpoint served a request which it began to answer at
-	// the given instant.
-	RecordServed func(subjects []quarantine.Subject, begunAt clock.Instant)
+	// RecordServed records that an endpoint ran a request, which it began to answer at the
+	// given instant, to its end; RecordStarted that it has answered it for some time.
+	RecordServed, RecordStarted func(subjects []quarantine.Subject, begunAt clock.Instant)
 	// RecordStart records that an endpoint started work on a request of an account.
 	RecordStart func(fleet.AccountName)
 	// RecordDemand adds the engine milliseconds of a request to the demand of a pool.
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -56,6 +56,7 @@
 		IsQuarantined: func([]quarantine.Subject) bool { return false },
 		RecordBroken:  func(serving.Endpoint, quarantine.Run) {},
 		RecordServed:  func([]quarantine.Subject, clock.Instant) {},
+		RecordStarted: func([]quarantine.Subject, clock.Instant) {},
 		RecordStart:   func(fleet.AccountName) {},
 		RecordDemand:  func(fleet.PoolName, float64) {},
 		Tracker:       &placement.Tracker{},
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -32,9 +32,9 @@
 	// the first event that is admitted. It exceeds 1 because predictions err and a
 	// late response still has some value.
 	lateStartFactor = 1.5
-	// servedTime is the time after the start of its response after which a stream is not
-	// taken for the cause of a crash any more.
-	servedTime = time.Second
+	// startTime is the time after the start of its response after which the prompt of a
+	// stream is not taken for the cause of a crash any more.
+	startTime = time.Second
 	// eventBufferBytes is the size of a stream's read buffer.
 	eventBufferBytes = 4 << 10
 )
@@ -225,8 +225,8 @@
 		watchdog.Reset(s.eventGapTimeout())
 		now := clock.Now()
 		s.handler.Tracker.RecordResponse(a.choice.Endpoint, now)
-		if now.Sub(a.begunAt) >= servedTime {
-			a.recordServed()
+		if now.Sub(a.begunAt) >= startTime {
+			a.recordStarted()
 		}
 		a.recordFirstEvent()
 		if e.hasID && !isNew {
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -19,6 +19,9 @@
 	// subjects in common, but those were sent before; those that are served elsewhere
 	// meanwhile are cleared.
 	crashSpacing = 400 * time.Millisecond
+	// servedLately is the age up to which a success shows that a subject is served all the
+	// time. Then requests with it are also sent between the crashes of one loss.
+	servedLately = 10 * time.Second
 	// settleTime is the age from which a crash counts. By then the other nodes have
 	// reported which of their requests were in flight, and what they served meanwhile.
 	settleTime = 700 * time.Millisecond
@@ -41,6 +44,8 @@
 	Sent, Broke clock.Instant
 	// Local reports whether this node sent that request.
 	Local bool
+	// Started reports whether the endpoint had answered all of its requests for some time.
+	Started bool
 }
 
 // groupCrashes groups suspicions, which are sorted by time, by the crash that they
@@ -55,7 +60,10 @@
 			crashes = append(crashes, Crash{Instance: s.instance, At: s.at, Suspects: make(map[Subject]Suspect)})
 		}
 		for rank, subject := range s.subjects {
-			crashes[i].add(subject, Suspect{Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local})
+			if s.started {
+				rank = maxSubjects
+			}
+			crashes[i].add(subject, Suspect{Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local, Started: s.started})
 		}
 	}
 	return crashes
@@ -65,7 +73,7 @@
 // subject was sent: if it is the culprit, the endpoint had it that long.
 func (c *Crash) add(subject Subject, s Suspect) {
 	if known, ok := c.Suspects[subject]; ok {
-		s.Rank = max(s.Rank, known.Rank)
+		s.Rank, s.Started = max(s.Rank, known.Rank), s.Started && known.Started
 		if known.Sent <= s.Sent {
 			s.Sent, s.Broke, s.Local = known.Sent, known.Broke, known.Local
 		}
@@ -129,7 +137,7 @@
 				candidates[s] = c
 			}
 			c.rank = max(c.rank, suspect.Rank)
-			c.crashes.add(suspect)
+			c.crashes.add(suspect, e.servedLately(s, crash.At))
 			if !explained {
 				c.unexplained++
 			}
@@ -151,6 +159,12 @@
 	return chosen.subject, true
 }
 
+// servedLately reports whether a subject was served not long before an instant.
+func (e *Evidence) servedLately(s Subject, at clock.Instant) bool {
+	last := e.LastServed(s)
+	return last > 0 && at.Sub(last) < servedLately
+}
+
 // compare returns a positive number if c is the more likely culprit.
 func (c *candidate) compare(other *candidate) int {
 	return cmp.Or(
@@ -169,9 +183,13 @@
 	last  Suspect
 }
 
-// add counts a crash that is not before the last one.
-func (c *spacedCount) add(s Suspect) {
-	if c.count == 0 || s.Broke.Sub(c.last.Broke) >= crashSpacing || s.sentAfter(c.last) {
+// add counts a crash that is not before the last one. A content that runs for long at many
+// endpoints at once is in flight when they crash for other reasons, whatever the time
+// between the crashes, and is cleared only by the end of a run: it counts only if it was
+// sent after the crash before.
+func (c *spacedCount) add(s Suspect, servedLately bool) {
+	spaced := !s.Started && s.Broke.Sub(c.last.Broke) >= crashSpacing
+	if c.count == 0 || spaced || !servedLately && s.sentAfter(c.last) {
 		c.count++
 		c.last = s
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -28,8 +28,9 @@
 	probationFactor = 4
 	// reportTime is how long a crash or a success is reported to the other nodes.
 	reportTime = 10 * time.Second
-	// maxSuspicions is the maximum number of suspicions that are kept.
-	maxSuspicions = 512
+	// maxSuspicions is the maximum number of suspicions that are kept. Engines that are lost
+	// together have some hundred requests.
+	maxSuspicions = 2048
 	// maxReported is the maximum number of suspicions in one report and
 	// maxReportedSubjects that of their subjects. A report has to fit into a datagram.
 	maxReported, maxReportedSubjects = 96, 1150
@@ -77,6 +78,9 @@
 	// Sent is when the request was sent to the endpoint, 0 if that is not known, Broke
 	// when the endpoint broke it off.
 	Sent, Broke clock.Instant
+	// Started reports whether the endpoint had answered for some time, so that it had read
+	// in the whole prompt. Its prefix blocks are not the cause then, its content may be.
+	Started bool
 }
 
 // Suspicion describes a request that was in flight at an endpoint when the endpoint
@@ -89,6 +93,8 @@
 	Age time.Duration `cbor:"3,keyasint"`
 	// Ran is the time from when the request was sent to the crash, 0 if that is not known.
 	Ran time.Duration `cbor:"4,keyasint,omitempty"`
+	// Started reports whether the endpoint had answered the request for some time.
+	Started bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Success describes the last request with a subject that an endpoint served.
@@ -121,6 +127,8 @@
 	at       clock.Instant
 	// ran is the time from when the request was sent to the crash, 0 if that is not known.
 	ran time.Duration
+	// started reports whether the endpoint had answered the request for some time.
+	started bool
 	// local reports whether this node made the observation.
 	local bool
 }
@@ -172,15 +180,18 @@
 func (t *Tracker) RecordCrash(instance fleet.InstanceID, r Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := suspicion{instance: instance, subjects: r.Subjects, at: r.Broke, local: true}
+	s := suspicion{instance: instance, subjects: r.Subjects, at: r.Broke, started: r.Started, local: true}
+	if r.Started {
+		s.subjects = contentOf(r.Subjects)
+	}
 	if r.Sent > 0 {
 		s.ran = r.Broke.Sub(r.Sent)
 	}
 	t.addSuspicion(s)
 }
 
-// RecordServed records that an endpoint served a request which it began to answer at
-// the given instant. This clears the subjects of crashes before it.
+// RecordServed records that an endpoint ran a request, which it began to answer at the
+// given instant, to its end. This clears the subjects of crashes before it.
 func (t *Tracker) RecordServed(subjects []Subject, begunAt clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,6 +200,15 @@
 	}
 }
 
+// RecordStarted records that an endpoint has answered a request for some time, as
+// RecordServed does for the prefix blocks of its prompt. The content may still crash it.
+func (t *Tracker) RecordStarted(subjects []Subject, begunAt clock.Instant) {
+	t.RecordServed(subjects[:len(subjects)-len(contentOf(subjects))], begunAt)
+}
+
+// contentOf returns the content among the subjects of a request.
+func contentOf(subjects []Subject) []Subject { return subjects[max(0, len(subjects)-1):] }
+
 // Quarantined reports whether any of the subjects is quarantined.
 func (t *Tracker) Quarantined(subjects []Subject, now clock.Instant) bool {
 	t.mu.Lock()
@@ -316,7 +336,7 @@
 				continue
 			}
 			subjects += len(s.subjects)
-			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran})
+			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran, Started: s.started})
 			for _, subject := range s.subjects {
 				if at := t.lastServed(subject); at > s.at && !served[subject] {
 					served[subject] = true
@@ -349,7 +369,7 @@
 		}
 	}
 	for _, s := range r.Suspicions {
-		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age), ran: s.Ran})
+		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age), ran: s.Ran, started: s.Started})
 	}
 	t.evaluate(now)
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -156,6 +156,45 @@
 		Expect(t.Count(at(2 * time.Second))).To(BeZero())
 	})
 
+	// A content that crashed engines a second after their first event was never refused.
+	It("quarantines a content that crashes endpoints late in its run, and none of its prefix blocks", func() {
+		var t quarantine.Tracker
+		late := func(id fleet.InstanceID, content uint64, sent, broke time.Duration) {
+			run := quarantine.Run{Subjects: subjects(content, "shared"), Sent: at(sent), Broke: at(broke), Started: true}
+			t.RecordStarted(run.Subjects, at(sent).Add(100*time.Millisecond))
+			t.RecordCrash(id, run)
+		}
+		for i, id := range instances[:3] {
+			begin := 2 * time.Duration(i) * time.Second
+			late(id, 7, begin, begin+1300*time.Millisecond)
+			late(id, uint64(20+i), begin-time.Second, begin+1300*time.Millisecond)
+		}
+		now := at(8 * time.Second)
+		Expect(t.Quarantined(subjects(7, "shared"), now)).To(BeTrue())
+		Expect(t.Quarantined(subjects(20, "shared"), now)).To(BeFalse())
+		Expect(t.Count(now)).To(Equal(1))
+	})
+
+	// Streams take longer than the time between the crashes, so none has ended since.
+	It("does not quarantine a content that many endpoints run at the same time for crashes of some of them", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			broke := at(time.Duration(i) * time.Second)
+			t.RecordCrash(id, quarantine.Run{Subjects: subjects(7, "shared"), Sent: broke.Add(-4 * time.Second), Broke: broke, Started: true})
+		}
+		Expect(t.Count(at(10 * time.Second))).To(BeZero())
+	})
+
+	It("clears a content by a complete run", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			begin := at(2 * time.Duration(i) * time.Second)
+			t.RecordCrash(id, quarantine.Run{Subjects: subjects(7), Sent: begin, Broke: begin.Add(1300 * time.Millisecond), Started: true})
+			t.RecordServed(subjects(7), begin.Add(1500*time.Millisecond))
+		}
+		Expect(t.Count(at(20 * time.Second))).To(BeZero())
+	})
+
 	// A node that had not heard yet of the others' requests at a crashed engine took its own
 	// for the cause, and refused blocks that most requests share.
 	It("waits for the reports of the other nodes before a crash counts", func() {
--- a/pkg/quarantine/replay_test.go
+++ b/pkg/quarantine/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -31,8 +32,12 @@
 	// number of blocks before it.
 	deadlyShare    float64
 	deadlyPosition int
-	// losses are times at which a third of the engines is lost at once, for other reasons.
-	losses []time.Duration
+	// losses are times at which a third of the engines is lost for other reasons, one
+	// lossPause after the other.
+	losses    []time.Duration
+	lossPause time.Duration
+	// answer is the time from the start to the end of a response, answerTime if 0.
+	answer time.Duration
 }
 
 const (
@@ -42,6 +47,8 @@
 	// crashDelay is the time from the start of a response to the crash, answerTime that
 	// to the end of a response, downTime that from a crash to the engine's return.
 	crashDelay, answerTime, downTime = 100 * time.Millisecond, 360 * time.Millisecond, 3 * time.Second
+	// startTime is when a response has cleared the prefix blocks of its prompt.
+	startTime = time.Second
 )
 
 // replayRequest is a request in progress.
@@ -51,6 +58,8 @@
 	deadly       bool
 	sent, begins clock.Instant
 	retried      bool
+	// started reports whether the engine has answered for startTime.
+	started bool
 }
 
 // replayResult is what a load led to.
@@ -108,22 +117,28 @@
 			return r.engine == engine
 		})
 		for _, r := range broken {
-			trackers[r.node].RecordCrash(id, quarantine.Run{Subjects: r.subjects, Sent: r.sent, Broke: now})
+			trackers[r.node].RecordCrash(id, quarantine.Run{Subjects: r.subjects, Sent: r.sent, Broke: now, Started: r.started})
 		}
 		for _, r := range broken {
 			if !r.retried {
-				r.retried = true
+				r.retried, r.started = true, false
 				send(r, now)
 			}
 		}
 	}
 	for elapsed := time.Duration(0); elapsed < replayDuration; elapsed += replayStep {
 		now := start.Add(elapsed)
-		if slices.Contains(l.losses, elapsed) {
-			for e := range l.engines / 3 {
+		for e := range l.engines / 3 {
+			if slices.Contains(l.losses, elapsed-time.Duration(e)*l.lossPause) {
 				lose(e, now)
 			}
 		}
+		for i, r := range running {
+			if !r.deadly && !r.started && now >= r.begins.Add(startTime) {
+				running[i].started = true
+				trackers[r.node].RecordStarted(r.subjects, r.begins)
+			}
+		}
 		for _, r := range slices.Clone(running) {
 			if r.deadly && now >= r.begins.Add(crashDelay) && now >= downUntil[r.engine] && slices.ContainsFunc(running, func(o replayRequest) bool { return o.begins == r.begins && o.engine == r.engine }) {
 				result.crashes++
@@ -134,7 +149,7 @@
 			}
 		}
 		running = slices.DeleteFunc(running, func(r replayRequest) bool {
-			if r.deadly || now < r.begins.Add(answerTime) {
+			if r.deadly || now < r.begins.Add(cmp.Or(l.answer, answerTime)) {
 				return false
 			}
 			trackers[r.node].RecordServed(r.subjects, r.begins)
@@ -195,15 +210,21 @@
 		golden("deadly.txt", table.Bytes())
 	})
 
-	It("without one quarantines nothing, while engines are lost together again and again", func() {
+	DescribeTable("without one quarantines nothing, while engines are lost together again and again", func(answer, lossPause time.Duration) {
 		l := usualLoad
+		l.answer, l.lossPause = answer, lossPause
 		for at := 2 * time.Second; at < replayDuration; at += 2 * time.Second {
 			l.losses = append(l.losses, at)
 		}
 		for _, seed := range seeds {
 			Expect(replay(l, seed).refused).To(BeZero(), "seed %d", seed)
 		}
-	})
+	},
+		Entry("at once", answerTime, time.Duration(0)),
+		Entry("shortly after each other", answerTime, 20*time.Millisecond),
+		Entry("at once, beside answers that take longer than the time between the losses", 4*time.Second, time.Duration(0)),
+		Entry("shortly after each other, beside answers that take longer than the time between the losses", 4*time.Second, 20*time.Millisecond),
+	)
 })
 
 // golden compares a text with a golden file.
