gateway: a stalled stream moves only once another endpoint has accepted it

The watchdog of a stream cancelled an attempt that paused as soon as the route allowed one more. Now the request is sent to the other endpoint while the first attempt goes on, which ends when the other one accepts it. If an event comes before, the other attempt is given up.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -197,7 +197,7 @@
 	if p.callerGone() || !p.handler.Accepts(e) || p.handler.Tracker.Paused(e, clock.Now()) {
 		return true
 	}
-	p.sent = true
+	p.sent.Store(true)
 	return false
 }
 
@@ -250,7 +250,7 @@
 		return
 	}
 	var unsent *forward.UnsentError
-	if errors.Is(err, forward.ErrAbandoned) {
+	if errors.IsAny(err, forward.ErrAbandoned, errOvertaken) {
 		return
 	}
 	if errors.As(err, &unsent) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -179,7 +180,7 @@
 	subjects []quarantine.Subject
 	started  time.Time
 	// sent reports whether the request was sent to an endpoint.
-	sent bool
+	sent atomic.Bool
 	// timeout is the maximum duration of the request with all attempts.
 	timeout time.Duration
 	// tried lists the endpoints to which the request was sent.
@@ -466,7 +467,7 @@
 func (p *proxyRequest) abandon(fields ...zap.Field) {
 	p.reason = ReasonCallerGone
 	stage := LeaveUnsent
-	if p.sent {
+	if p.sent.Load() {
 		stage = LeaveSent
 	}
 	p.handler.Logs.Emit(event.RequestAborted, p.logFields(append(fields, zap.String("stage", string(stage)))...)...)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -39,9 +39,6 @@
 	eventBufferBytes = 4 << 10
 )
 
-// errStalled cancels an attempt that sent no event in time.
-var errStalled = errors.New("stream stalled: no event in time")
-
 // streamRequest is a request whose response is a stream of events, with the
 // state of the response to the caller.
 type streamRequest struct {
@@ -54,6 +51,7 @@
 	lastEvent    serving.EventID
 	hasLastEvent bool
 	controller   *http.ResponseController
+	move         streamMove
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -115,23 +113,38 @@
 	s.abort()
 }
 
-// attemptStream makes one attempt and relays its events.
+// attemptStream makes one attempt and relays its events. If the attempt stalls and another
+// endpoint accepts the stream, it goes on there.
 func (s *streamRequest) attemptStream(c placement.Choice) (result outcome, reason Reason) {
-	ctx, cancel := s.attemptContext(s.remaining())
-	defer cancel()
-	ctx, cancelStalled := context.WithCancelCause(ctx)
-	defer cancelStalled(nil)
-	watchdog := time.AfterFunc(s.firstEventTimeout(c), func() { cancelStalled(errStalled) })
-	defer watchdog.Stop()
+	a := s.newStreamAttempt(c, s.remaining())
+	s.begin(a)
+	defer s.end()
 	var resumeAfter *serving.EventID
 	if s.hasLastEvent {
-		resumeAfter = &s.lastEvent
+		last := s.lastEvent
+		resumeAfter = &last
+	}
+	s.await(func() { a.start(s, resumeAfter) })
+	for {
+		result, reason = s.relay(a)
+		a.finish()
+		next := s.takeNext()
+		if next == nil {
+			return result, reason
+		}
+		a = next
+	}
+}
+
+// relay relays the response of an attempt, unless another one replaces it.
+func (s *streamRequest) relay(sa *streamAttempt) (outcome, Reason) {
+	if s.move.next != nil {
+		return outcomeLost, ReasonEndpointFailed
 	}
-	a, err := s.send(ctx, c, resumeAfter)
-	if err != nil {
-		return classifyError(err, s.failureReason(ctx))
+	if sa.err != nil {
+		return classifyError(sa.err, s.failureReason(sa.ctx))
 	}
-	defer a.finish()
+	a := sa.sent
 	metadata := platform.ReadResponse(a.response.Status, a.response.Header)
 	switch {
 	case metadata.NotRun:
@@ -140,10 +153,10 @@
 		return s.handleErrorResponse(a, metadata)
 	case a.response.Status != http.StatusOK || !metadata.Sealed,
 		s.headerSent && a.response.Header.Get("Content-Type") != s.contentType:
-		s.handler.Tracker.RecordOutcome(c.Endpoint.ID, false)
+		s.handler.Tracker.RecordOutcome(sa.choice.Endpoint.ID, false)
 		return outcomeLost, ReasonInvalidResponse
 	}
-	return s.relayEvents(ctx, a, watchdog)
+	return s.relayEvents(sa.ctx, a)
 }
 
 // handleErrorResponse relays a response with a status other than 200 if it is
@@ -189,13 +202,20 @@
 
 // relayEvents relays the events of a response until the response ends or fails. It
 // skips events that the caller already has.
-func (s *streamRequest) relayEvents(ctx context.Context, a *attempt, watchdog *time.Timer) (outcome, Reason) {
+func (s *streamRequest) relayEvents(ctx context.Context, a *attempt) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
 	id := a.choice.Endpoint.ID
 	newEvents, firstAt := 0, time.Time{}
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
-		e, err := events.next()
+		var e sseEvent
+		var err error
+		if moved := s.await(func() { e, err = events.next() }); moved {
+			a.response.DoNotReuse()
+			s.handler.Tracker.RecordOutcome(id, false)
+			s.logEndpointFailure(a, errStalled, zap.Int64("last", int64(s.lastEvent)))
+			return outcomeLost, ReasonEndpointFailed
+		}
 		isNew := e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
 		err = checker.check(e, isNew, err)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
@@ -222,7 +242,7 @@
 			s.logEndpointFailure(a, err, zap.Int64("last", int64(s.lastEvent)))
 			return outcomeLost, reason
 		}
-		watchdog.Reset(s.eventGapTimeout())
+		s.expectEvent(s.eventGapTimeout())
 		now := clock.Now()
 		s.handler.Tracker.RecordResponse(a.choice.Endpoint, now)
 		if now.Sub(a.begunAt) >= startTime {
