forward: an answer without framing is complete only if its connection ended well

The kernel reports the error of a connection once. At the end of an answer without length or chunks the state of the connection decides now: the endpoint has ended its side, nothing else, and the request was written to its end. Answers without a body, as to HEAD, count as framed.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -92,6 +92,25 @@
 	return unread
 }
 
+// PeerEnded reports whether the peer ended its side of a connection that is whole
+// otherwise. The kernel reports the error of a connection once, to whatever call comes
+// first; every later read returns an end of file, as if the peer had ended it. It returns
+// true if c is no socket.
+func PeerEnded(c net.Conn) bool {
+	raw := rawConn(c)
+	if raw == nil {
+		return true
+	}
+	ended := false
+	// Control fails only for a connection that this end has closed.
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		// Kernels without this information leave the answer to the read.
+		ended = err != nil || info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return ended
+}
+
 // HasUnacknowledged reports whether the peer has yet to acknowledge bytes, or the end, that
 // were written to a connection.
 func HasUnacknowledged(c net.Conn) bool {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -32,6 +32,9 @@
 	// response is read. The rest of a longer request is written concurrently, since
 	// an endpoint may respond before it has read the whole request.
 	inlineWriteBytes = 4 << 10
+	// writeReturnTime is how long a write whose bytes the endpoint has received may take to
+	// return on a busy node.
+	writeReturnTime = 100 * time.Millisecond
 	// maxResponsesPerRequest limits the responses that are read for one request,
 	// including skipped ones.
 	maxResponsesPerRequest = 4
@@ -129,26 +132,37 @@
 	pool           *Pool
 	keepAlive      bool
 	complete       bool
-	requestWritten func() bool
+	requestWritten func(wait time.Duration) bool
 	stopReset      func() bool
 }
 
-// Read reads the body. io.EOF means that the body is complete.
+// Read reads the body. io.EOF means that the body is complete. A body without framing is
+// complete only if the endpoint ended its side of the connection after it had received the
+// whole request: an error may have been reported to the write, and not to the read.
 func (r *Response) Read(p []byte) (n int, err error) {
 	n, err = r.body.Read(p)
+	if err == io.EOF && !r.Framed && !r.endedWell() {
+		return n, io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
 	return n, err
 }
 
+// endedWell reports whether the endpoint ended its side of the connection after it had
+// received the whole request.
+func (r *Response) endedWell() bool {
+	return connection.PeerEnded(r.conn.Conn) && r.requestWritten(writeReturnTime)
+}
+
 // DoNotReuse makes Close reset the connection.
 func (r *Response) DoNotReuse() { r.keepAlive = false }
 
 // Close returns the connection to the pool if it can be reused, or else resets it.
 func (r *Response) Close() {
 	notReset := r.stopReset()
-	if notReset && r.complete && r.keepAlive && r.requestWritten() && r.conn.reader.Buffered() == 0 {
+	if notReset && r.complete && r.keepAlive && r.requestWritten(0) && r.conn.reader.Buffered() == 0 {
 		r.pool.put(r.conn, time.Now().Add(idleTimeout(r.Header)))
 		return
 	}
@@ -187,7 +201,7 @@
 	stopReset = context.AfterFunc(ctx, c.reset)
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, body: res.Body,
-		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
+		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody,
 		conn:   c, pool: p,
 		keepAlive:      !res.Close,
 		requestWritten: written, stopReset: stopReset,
@@ -196,17 +210,17 @@
 
 // send writes the request. It writes only the first inlineWriteBytes before it
 // returns, and the rest concurrently. sent is the number of bytes that the kernel
-// accepted before the return; written reports whether the whole request was
-// accepted.
-func (c *conn) send(req Request) (written func() bool, sent int, err error) {
+// accepted before the return; written reports whether the whole request is accepted
+// within some time.
+func (c *conn) send(req Request) (written func(wait time.Duration) bool, sent int, err error) {
 	data := encodeRequest(req)
 	if len(data) <= inlineWriteBytes {
 		n, err := c.Write(data)
-		return func() bool { return err == nil }, n, err
+		return func(time.Duration) bool { return err == nil }, n, err
 	}
 	n, err := c.Write(data[:inlineWriteBytes])
 	if err != nil {
-		return func() bool { return false }, n, err
+		return func(time.Duration) bool { return false }, n, err
 	}
 	done := make(chan struct{})
 	var restErr error
@@ -216,11 +230,16 @@
 		_, restErr = c.Write(data[inlineWriteBytes:])
 		return restErr
 	})
-	return func() bool {
+	return func(wait time.Duration) bool {
 		select {
 		case <-done:
 			return restErr == nil
 		default:
+		}
+		select {
+		case <-done:
+			return restErr == nil
+		case <-time.After(wait):
 			return false
 		}
 	}, n, nil
