connection: an idle connection is closed only if nothing was read on it

Connections of callers take bytes from the socket of an idle connection under a lock now, and are closed under it if there are none. Responses of a stopping node close their connections as before.

--- a/pkg/connection/drain.go
+++ b/pkg/connection/drain.go
@@ -39,6 +39,9 @@
 		return
 	}
 	t.states[c] = s
+	if tracked, ok := c.(*trackedConn); ok && s == http.StateIdle {
+		tracked.setIdle()
+	}
 }
 
 // in returns the connections in a state.
@@ -54,9 +57,11 @@
 }
 
 // CloseIdle closes the listener of a server, waits until its Serve has returned, which
-// closes served, and closes the idle connections. Connections without a request so far have
-// firstRequestWait to send one, which the server answers, and are then closed.
-func (t *Tracker) CloseIdle(ctx context.Context, server *http.Server, l net.Listener, served <-chan struct{}) (err error) {
+// closes served, and closes the idle connections, unless a request has just arrived on them.
+// Connections without a request so far have firstRequestWait to send one, which the server
+// answers, and are then closed. The responses of the server must close their connections;
+// connections that don't come from Listen stay open.
+func (t *Tracker) CloseIdle(ctx context.Context, l net.Listener, served <-chan struct{}) (err error) {
 	if err = l.Close(); errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
@@ -65,29 +70,37 @@
 	case <-served:
 	case <-ctx.Done():
 	}
-	server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, firstRequestWait)
 	defer cancel()
 	if t.await(ctx, http.StateNew) != nil {
-		for _, c := range t.in(http.StateNew) {
-			// The connection is in no use, so an error has no consequence.
-			_ = c.Close()
-		}
+		t.closeIdle(http.StateNew)
 	}
 	return err
 }
 
+// closeIdle closes the connections in a state on which nothing has arrived.
+func (t *Tracker) closeIdle(s http.ConnState) {
+	for _, c := range t.in(s) {
+		if tracked, ok := c.(*trackedConn); ok {
+			tracked.closeIdle()
+		}
+	}
+}
+
 // AwaitRequests waits until no request is in flight.
 func (t *Tracker) AwaitRequests(ctx context.Context) error { return t.await(ctx, http.StateActive) }
 
-// await waits until no connection is in a state.
+// await waits until no connection is in a state, and closes those that become idle.
 func (t *Tracker) await(ctx context.Context, s http.ConnState) error {
-	for len(t.in(s)) > 0 {
+	for {
+		t.closeIdle(http.StateIdle)
+		if len(t.in(s)) == 0 {
+			return nil
+		}
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
-	return nil
 }
--- a/pkg/daemon/listener.go
+++ b/pkg/daemon/listener.go
@@ -90,7 +90,7 @@
 		close(l.done)
 		return nil
 	}
-	err = l.conns.CloseIdle(ctx, l.server, l.netListener, l.done)
+	err = l.conns.CloseIdle(ctx, l.netListener, l.done)
 	if shutdownErr := l.server.Shutdown(ctx); shutdownErr != nil {
 		return errors.CombineErrors(shutdownErr, l.server.Close())
 	}
--- a/pkg/front/callers.go
+++ b/pkg/front/callers.go
@@ -26,7 +26,7 @@
 			ConnState:         f.callerConns.SetState,
 		}
 		var err error
-		f.callerListener, err = f.serve(ctx, f.callerServer, f.Settings.CallerAddress, done)
+		f.callerListener, err = f.serve(ctx, f.callerServer, f.Settings.CallerAddress, done, f.callerConns.Listen)
 		return err
 	}
 	s.Drain = func(ctx context.Context) error { return f.drainCallers(ctx, done) }
@@ -39,6 +39,6 @@
 // does not accept connections any more.
 func (f *Front) drainCallers(ctx context.Context, served <-chan struct{}) error {
 	f.shutdown.Refuse()
-	err := f.callerConns.CloseIdle(ctx, f.callerServer, f.callerListener, served)
+	err := f.callerConns.CloseIdle(ctx, f.callerListener, served)
 	return errors.CombineErrors(err, f.callerConns.AwaitRequests(ctx))
 }
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -269,7 +269,7 @@
 	s := kernel.Service{Name: ServiceProbe, Done: done}
 	s.Start = func(ctx context.Context) error {
 		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: headerTimeout}
-		_, err := f.serve(ctx, f.probeServer, f.Settings.ProbeAddress, done)
+		_, err := f.serve(ctx, f.probeServer, f.Settings.ProbeAddress, done, nil)
 		return err
 	}
 	s.Stop = func(context.Context) error { return f.probeServer.Close() }
@@ -278,13 +278,16 @@
 
 // serve listens on an address and serves in the background until the server or the
 // listener is closed. It closes done afterwards, or if it cannot listen.
-func (f *Front) serve(ctx context.Context, server *http.Server, address string, done chan struct{}) (listener net.Listener, err error) {
+func (f *Front) serve(ctx context.Context, server *http.Server, address string, done chan struct{}, wrap func(net.Listener) net.Listener) (listener net.Listener, err error) {
 	var listenConfig net.ListenConfig
 	listener, err = listenConfig.Listen(ctx, "tcp", address)
 	if err != nil {
 		close(done)
 		return nil, err
 	}
+	if wrap != nil {
+		listener = wrap(listener)
+	}
 	f.group.Go(func() error {
 		defer close(done)
 		if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -140,7 +140,7 @@
 		Done: done,
 		Start: func(ctx context.Context) error {
 			address := net.JoinHostPort(f.Settings.IP, strconv.Itoa(f.Settings.InternalPorts[0]+MetricsPortOffset))
-			_, err := f.serve(ctx, server, address, done)
+			_, err := f.serve(ctx, server, address, done, nil)
 			return err
 		},
 		Stop: func(context.Context) error { return server.Close() },
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -65,7 +65,7 @@
 		}
 		snapshotServerDone := make(chan struct{})
 		f.snapshotServer = &http.Server{Handler: http.HandlerFunc(f.serveSnapshot), ReadHeaderTimeout: headerTimeout}
-		if _, err := f.serve(ctx, f.snapshotServer, f.internalAddress(), snapshotServerDone); err != nil {
+		if _, err := f.serve(ctx, f.snapshotServer, f.internalAddress(), snapshotServerDone, nil); err != nil {
 			close(done)
 			return errors.CombineErrors(err, f.exchange.Close())
 		}
