quarantine: count crashes at the same time separately if nothing else explains them

Two nodes that send requests with a deadly block to several endpoints at the same time crash them within 0.3 s, and no request was sent after a crash. What tells such crashes from endpoints that are lost together is what is served: after 2 s, crashes count separately whose subject was not served in the 10 s before nor since, while this node saw others served all the time. A loss of all endpoints, a node that has just started and a subject in use keep the spacing.

Expire forgets old crashes before it judges.

--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -22,6 +22,10 @@
 	// servedLately is the age up to which a success shows that a subject is served all the
 	// time. Then requests with it are also sent between the crashes of one loss.
 	servedLately = 10 * time.Second
+	// togetherSettleTime is the age from which crashes count separately that lie close
+	// together. Requests that were lost with sound endpoints have been answered elsewhere by
+	// then. It leaves a third of the time that nodes in touch may take to learn.
+	togetherSettleTime = 2 * time.Second
 	// settleTime is the age from which a crash counts. By then the other nodes have
 	// reported which of their requests were in flight, and what they served meanwhile.
 	settleTime = 700 * time.Millisecond
@@ -87,6 +91,11 @@
 	// LastServed returns when an endpoint began to answer the last request with a subject
 	// that it served, or 0.
 	LastServed func(Subject) clock.Instant
+	// ServedMeanwhile reports whether endpoints served anything around an instant: for some
+	// time before it and after it.
+	ServedMeanwhile func(clock.Instant) bool
+	// Now is when the evidence is judged.
+	Now clock.Instant
 	// IsQuarantined reports whether a subject is quarantined, OnProbation whether it was
 	// before.
 	IsQuarantined, OnProbation func(Subject) bool
@@ -137,7 +146,7 @@
 				candidates[s] = c
 			}
 			c.rank = max(c.rank, suspect.Rank)
-			c.crashes.add(suspect, e.servedLately(s, crash.At))
+			c.crashes.add(suspect, e.relation(s, crash))
 			if !explained {
 				c.unexplained++
 			}
@@ -159,10 +168,32 @@
 	return chosen.subject, true
 }
 
-// servedLately reports whether a subject was served not long before an instant.
-func (e *Evidence) servedLately(s Subject, at clock.Instant) bool {
+// relation is how a crash with a subject may be related to crashes at almost the same time.
+type relation string
+
+const (
+	// relationLoss means that endpoints may be lost together that all have the subject in
+	// flight, again and again.
+	relationLoss relation = "loss"
+	// relationChain means that a request which was sent after a crash isn't part of the same
+	// loss.
+	relationChain relation = "chain"
+	// relationNone means that the crashes have nothing but the subject in common: it was
+	// not served for long, and not since, while others were.
+	relationNone relation = "none"
+)
+
+// relation returns how a crash may be related to those at almost the same time.
+func (e *Evidence) relation(s Subject, crash Crash) relation {
 	last := e.LastServed(s)
-	return last > 0 && at.Sub(last) < servedLately
+	switch {
+	case last > 0 && crash.At.Sub(last) < servedLately:
+		return relationLoss
+	case e.Now.Sub(crash.At) >= togetherSettleTime && e.ServedMeanwhile(crash.At):
+		return relationNone
+	default:
+		return relationChain
+	}
 }
 
 // compare returns a positive number if c is the more likely culprit.
@@ -187,9 +218,9 @@
 // endpoints at once is in flight when they crash for other reasons, whatever the time
 // between the crashes, and is cleared only by the end of a run: it counts only if it was
 // sent after the crash before.
-func (c *spacedCount) add(s Suspect, servedLately bool) {
-	spaced := !s.Started && s.Broke.Sub(c.last.Broke) >= crashSpacing
-	if c.count == 0 || spaced || !servedLately && s.sentAfter(c.last) {
+func (c *spacedCount) add(s Suspect, r relation) {
+	spaced := !s.Started && (s.Broke.Sub(c.last.Broke) >= crashSpacing || r == relationNone)
+	if c.count == 0 || spaced || r != relationLoss && s.sentAfter(c.last) {
 		c.count++
 		c.last = s
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -142,6 +143,23 @@
 	return s.at.Add(-s.ran)
 }
 
+// period counts periods of servedPeriod.
+type period int64
+
+// servedPeriod is the precision with which it is known when anything was served.
+const servedPeriod = time.Second
+
+func periodOf(at clock.Instant) period { return period(at) / period(servedPeriod) }
+
+// servedMeanwhile reports whether endpoints served anything in servedLately before an
+// instant, and directly after it. The caller holds the lock.
+func (t *Tracker) servedMeanwhile(at clock.Instant) bool {
+	_, after := t.begun[periodOf(at)+1]
+	_, before := t.begun[periodOf(at)-1]
+	_, long := t.begun[periodOf(at.Add(-servedLately))]
+	return after && before && long
+}
+
 // maxCount bounds Quarantine.Count of a report. The length of a quarantine stops to grow
 // long before.
 const maxCount = 1000
@@ -170,7 +188,10 @@
 	suspicions []suspicion
 	// served holds when an endpoint began to answer the last request with a subject that
 	// it served.
-	served      *lru.Cache[Subject, clock.Instant]
+	served *lru.Cache[Subject, clock.Instant]
+	// begun holds the periods in which endpoints began to answer requests of this node that
+	// they served.
+	begun       map[period]struct{}
 	quarantined map[Subject]quarantine
 	// evaluateAt is when the crashes have to be evaluated again, 0 if there is no new one.
 	evaluateAt clock.Instant
@@ -195,6 +216,10 @@
 func (t *Tracker) RecordServed(subjects []Subject, begunAt clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.begun == nil {
+		t.begun = make(map[period]struct{})
+	}
+	t.begun[periodOf(begunAt)] = struct{}{}
 	for _, s := range subjects {
 		t.addServed(s, begunAt)
 	}
@@ -288,17 +313,23 @@
 	}
 	t.evaluateAt = 0
 	for _, s := range t.suspicions {
-		if due := s.at.Add(settleTime); due > now {
-			t.evaluateAt = max(due, now.Add(evaluationPause))
-			break
+		for _, due := range []clock.Instant{s.at.Add(settleTime), s.at.Add(togetherSettleTime)} {
+			if due > now && (t.evaluateAt == 0 || due < t.evaluateAt) {
+				t.evaluateAt = due
+			}
 		}
 	}
+	if t.evaluateAt > 0 {
+		t.evaluateAt = max(t.evaluateAt, now.Add(evaluationPause))
+	}
 	settled := func(c Crash) bool { return now.Sub(c.At) >= settleTime }
 	evidence := Evidence{
-		Crashes:       slices.DeleteFunc(groupCrashes(t.suspicions), func(c Crash) bool { return !settled(c) }),
-		LastServed:    t.lastServed,
-		IsQuarantined: func(s Subject) bool { return t.isQuarantined(s, now) },
-		OnProbation:   func(s Subject) bool { return t.quarantined[s].count > 0 },
+		Crashes:         slices.DeleteFunc(groupCrashes(t.suspicions), func(c Crash) bool { return !settled(c) }),
+		LastServed:      t.lastServed,
+		ServedMeanwhile: t.servedMeanwhile,
+		Now:             now,
+		IsQuarantined:   func(s Subject) bool { return t.isQuarantined(s, now) },
+		OnProbation:     func(s Subject) bool { return t.quarantined[s].count > 0 },
 	}
 	for _, s := range evidence.Culprits() {
 		q := quarantine{count: t.quarantined[s].count + 1}
@@ -379,8 +410,10 @@
 func (t *Tracker) Expire(now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evaluate(now)
 	t.suspicions = slices.DeleteFunc(t.suspicions, func(s suspicion) bool { return now.Sub(s.at) > crashTTL })
+	oldest := periodOf(now.Add(-crashTTL - servedLately))
+	maps.DeleteFunc(t.begun, func(p period, _ struct{}) bool { return p < oldest })
+	t.evaluate(now)
 	for s, q := range t.quarantined {
 		if now.Sub(q.until) > probationFactor*q.length() {
 			delete(t.quarantined, s)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -143,6 +143,34 @@
 		Expect(second.Quarantined(subjects(7), now)).To(BeTrue())
 	})
 
+	// The soak's seed 916: two nodes sent requests with a deadly block to several endpoints at
+	// the same time, and nothing else tells such crashes from endpoints that are lost together
+	// than what is served before and after them.
+	DescribeTable("counts crashes at the same time separately if others are served meanwhile, and their subject is not",
+		func(othersFrom, othersUntil time.Duration, served []time.Duration, refusedAfter time.Duration) {
+			var t quarantine.Tracker
+			for when := othersFrom; when < othersUntil; when += 500 * time.Millisecond {
+				t.RecordServed(subjects(uint64(1000+when.Milliseconds()), "other"), at(when))
+			}
+			for i, id := range instances[:3] {
+				broke := at(time.Duration(i) * 50 * time.Millisecond)
+				t.RecordCrash(id, quarantine.Run{Subjects: subjects(uint64(i), "block"), Sent: broke.Add(-100 * time.Millisecond), Broke: broke})
+			}
+			for _, when := range served {
+				t.RecordStarted(subjects(9, "block"), at(when))
+			}
+			for when := time.Second; when < 4*time.Second; when += 100 * time.Millisecond {
+				refused := refusedAfter > 0 && when >= refusedAfter
+				Expect(t.Quarantined(subjects(9, "block"), at(when))).To(Equal(refused), "after %s", when)
+			}
+		},
+		Entry("a block that no endpoint serves", -20*time.Second, 5*time.Second, nil, 2100*time.Millisecond),
+		Entry("a block that is served after the crashes", -20*time.Second, 5*time.Second, []time.Duration{300 * time.Millisecond}, time.Duration(0)),
+		Entry("a block that was served not long before", -20*time.Second, 5*time.Second, []time.Duration{-8 * time.Second}, time.Duration(0)),
+		Entry("a block in a loss after which nothing is served", -20*time.Second, time.Duration(0), nil, time.Duration(0)),
+		Entry("a block on a node that has just started", -3*time.Second, 5*time.Second, nil, time.Duration(0)),
+	)
+
 	// All have the shared block in flight, and some requests go on to endpoints that are
 	// lost a moment later.
 	It("does not count endpoints separately that are lost together beside requests that were sent before", func() {
