gateway: a move of a stalled stream goes on if the endpoint before fails

An attempt to move a stream was given up at any end of the wait for the endpoint before, also if that had broken off, was full or had failed. With two attempts the stream was lost although the other endpoint would have taken it. Now it is given up only if the endpoint before goes on.

- A move that the other endpoint may have run counts as a run: such a stream was refused with 503, and its quota given back.
- A response that is no stream is given up after the time for a first event again.
The watchdog waited for the turn meanwhile.
- A stalled stream whose caller left is cancelled, as before moves.
- An unsent first attempt removed the endpoint of the move from those that were tried.

--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -78,7 +79,8 @@
 		case outcomeResponded:
 			return reason, true
 		case outcomeUnsent:
-			p.tried = p.tried[:len(p.tried)-1]
+			// A stream may have been sent to another endpoint since.
+			p.tried = slices.DeleteFunc(p.tried, func(t fleet.InstanceID) bool { return t == id })
 			unreachable = append(unreachable, id)
 		case outcomeLost:
 			p.mayHaveRun = true
--- a/pkg/gateway/move.go
+++ b/pkg/gateway/move.go
@@ -50,9 +50,16 @@
 	return a
 }
 
-// start sends the request. resumeAfter is the last event that the caller has, if any.
-func (a *streamAttempt) start(s *streamRequest, resumeAfter *serving.EventID) {
+// start sends the request. resumeAfter is the last event that the caller has, if any. It
+// reports whether the endpoint has answered and neither refused the request nor failed.
+func (a *streamAttempt) start(s *streamRequest, resumeAfter *serving.EventID) (goesOn bool) {
 	a.sent, a.err = s.send(a.ctx, a.choice, resumeAfter)
+	if a.err != nil {
+		return false
+	}
+	r := a.sent.response
+	metadata := platform.ReadResponse(r.Status, r.Header)
+	return metadata.Sealed && !metadata.NotRun && r.Status < http.StatusInternalServerError
 }
 
 // finish ends the attempt.
@@ -65,7 +72,8 @@
 
 // streamMove moves a stream from an endpoint that pauses to another one. The endpoint may
 // be alive, as an engine that preempts streams is, so the attempt there ends only when
-// another endpoint has accepted the stream, and not if it goes on before.
+// another endpoint has accepted the stream, and not if it goes on before. If it fails
+// before, the other endpoint is waited for.
 type streamMove struct {
 	// turn is held by the one that uses the request: its own goroutine, except while that
 	// waits for the endpoint, or the watchdog's.
@@ -79,8 +87,8 @@
 	next *streamAttempt
 
 	mu sync.Mutex
-	// arrived reports whether the request's goroutine does not wait, or no longer.
-	arrived bool
+	// goesOn reports whether the current endpoint has answered since the last wait began.
+	goesOn bool
 	// pending is the attempt at another endpoint that has not been accepted yet.
 	pending *streamAttempt
 }
@@ -106,18 +114,19 @@
 	s.move.watchdog.Reset(timeout)
 }
 
-// await gives up the turn while it waits for the current endpoint. It reports whether the
-// stream has moved to another one meanwhile.
-func (s *streamRequest) await(wait func()) (moved bool) {
+// await gives up the turn while it waits for the current endpoint; wait reports whether
+// that has answered and did not fail. It reports whether the stream has moved to another
+// endpoint meanwhile.
+func (s *streamRequest) await(wait func() (goesOn bool)) (moved bool) {
 	m := &s.move
 	m.mu.Lock()
-	m.arrived = false
+	m.goesOn = false
 	m.mu.Unlock()
 	m.turn.Unlock()
-	wait()
+	goesOn := wait()
 	m.mu.Lock()
-	m.arrived = true
-	if m.pending != nil {
+	m.goesOn = goesOn
+	if goesOn && m.pending != nil {
 		m.pending.cancel(errOvertaken)
 	}
 	m.mu.Unlock()
@@ -138,6 +147,10 @@
 		m.watchdog.Reset(left)
 		return
 	}
+	if s.callerGone() {
+		m.current.cancel(errStalled)
+		return
+	}
 	if c, ok := s.takeMove(); ok {
 		m.next = s.tryMove(c)
 	}
@@ -151,7 +164,7 @@
 // takeMove chooses the endpoint to move to and charges the retry. It reports false if the
 // stream may not move or there is none.
 func (s *streamRequest) takeMove() (c placement.Choice, ok bool) {
-	if !s.hasMoreAttempts() || s.callerGone() || s.remaining() <= 0 || s.handler.IsQuarantined(s.subjects) {
+	if !s.hasMoreAttempts() || s.remaining() <= 0 || s.handler.IsQuarantined(s.subjects) {
 		return c, false
 	}
 	if c, ok = s.chooseEndpoint(clock.Now(), nil); !ok {
@@ -167,21 +180,22 @@
 	s.tried = append(s.tried, c.Endpoint.ID)
 	a := s.newStreamAttempt(c, s.remaining())
 	m.mu.Lock()
-	if m.arrived {
+	if m.goesOn {
 		a.cancel(errOvertaken)
 	}
 	m.pending = a
 	m.mu.Unlock()
 	stalled := time.AfterFunc(s.firstEventTimeout(c), func() { a.cancel(errStalled) })
+	defer stalled.Stop()
 	var resumeAfter *serving.EventID
 	if s.hasLastEvent {
 		last := s.lastEvent
 		resumeAfter = &last
 	}
 	a.start(s, resumeAfter)
-	accepted := stalled.Stop() && s.accepts(a)
+	accepted := s.accepts(a) && stalled.Stop()
 	m.mu.Lock()
-	accepted = accepted && !m.arrived
+	accepted = accepted && !m.goesOn
 	m.pending = nil
 	m.mu.Unlock()
 	if accepted {
@@ -197,8 +211,10 @@
 	var unsent *forward.UnsentError
 	if errors.As(a.err, &unsent) {
 		s.tried = s.tried[:len(s.tried)-1]
+		return false
 	}
 	if a.err != nil {
+		s.mayHaveRun = true
 		return false
 	}
 	r := a.sent.response
@@ -207,6 +223,7 @@
 		s.handleNotRun(a.sent)
 		return false
 	}
+	s.mayHaveRun = true
 	if r.Status != http.StatusOK || !metadata.Sealed || s.headerSent && r.Header.Get("Content-Type") != s.contentType {
 		s.handler.Tracker.RecordOutcome(id, false)
 		return false
@@ -222,7 +239,6 @@
 	if next == nil {
 		return nil
 	}
-	s.mayHaveRun = true
 	s.handler.Logs.Emit(event.RequestRetried, s.logFields(zap.String("outcome", string(outcomeLost)), zap.String("endpoint", string(m.current.choice.Endpoint.ID)))...)
 	m.current, m.next = next, nil
 	s.expectEvent(s.firstEventTimeout(next.choice))
--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -65,3 +65,58 @@
 func refuseFull(w io.Writer, r *http.Request) {
 	write(w, sealedHead(r, "503 Service Unavailable")+"Skylarkloom-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 }
+
+// LOST: the other endpoint had begun, and was given up because the one before broke off.
+var _ = ginkgo.DescribeTable("A stream whose endpoint fails after it has paused",
+	func(end func(w io.Writer, r *http.Request)) {
+		e := &rawEndpoint{}
+		e.respond = func(w io.Writer, r *http.Request, request, _ int64) bool {
+			if request == 1 {
+				end(w, r)
+				return false
+			}
+			time.Sleep(300 * time.Millisecond)
+			write(w, sealedHead(r, "200 OK")+eventStream+chunked+"\r\n"+chunk(events(1, 4))+"0\r\n\r\n")
+			return false
+		}
+		address := e.start()
+		h := newHandler(address, address)
+		for i := range h.Config().Routes {
+			h.Config().Routes[i].MaxEventGap, h.Config().Routes[i].MaxAttempts = 25*time.Millisecond, 2
+			h.Config().Routes[i].Objective = 400 * time.Millisecond
+		}
+		Expect(call(startNode(h, nil), "/tale/1", "r1")).To(Equal(reply{status: http.StatusOK, body: events(1, 4)}))
+		Expect(e.requests.Load()).To(BeEquivalentTo(2))
+	},
+	ginkgo.Entry("moves if it breaks off before its response", func(io.Writer, *http.Request) { time.Sleep(300 * time.Millisecond) }),
+	ginkgo.Entry("moves if it breaks off between events", func(w io.Writer, r *http.Request) {
+		write(w, sealedHead(r, "200 OK")+eventStream+chunked+"\r\n"+chunk(events(1, 2)))
+		time.Sleep(200 * time.Millisecond)
+	}),
+	ginkgo.Entry("moves if it turns out to be full", func(w io.Writer, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		refuseFull(w, r)
+	}),
+	ginkgo.Entry("moves if the body of its failure stalls", func(w io.Writer, r *http.Request) {
+		write(w, sealedHead(r, "500 Internal Server Error")+"Content-Length: 4\r\n\r\n")
+		time.Sleep(2200 * time.Millisecond)
+	}),
+)
+
+var _ = ginkgo.It("A stream that another endpoint may have run is not refused", func() {
+	e := &rawEndpoint{}
+	e.respond = func(w io.Writer, r *http.Request, request, _ int64) bool {
+		if request == 1 {
+			time.Sleep(600 * time.Millisecond)
+			refuseFull(w, r)
+		}
+		return false
+	}
+	address := e.start()
+	h := newHandler(address, address)
+	for i := range h.Config().Routes {
+		h.Config().Routes[i].MaxAttempts, h.Config().Routes[i].Objective = 2, 400*time.Millisecond
+	}
+	Expect(call(startNode(h, nil), "/tale/1", "r1").status).To(Equal(http.StatusBadGateway))
+	Expect(e.requests.Load()).To(BeEquivalentTo(2))
+})
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -124,7 +124,7 @@
 		last := s.lastEvent
 		resumeAfter = &last
 	}
-	s.await(func() { a.start(s, resumeAfter) })
+	s.await(func() bool { return a.start(s, resumeAfter) })
 	for {
 		result, reason = s.relay(a)
 		a.finish()
@@ -146,17 +146,22 @@
 	}
 	a := sa.sent
 	metadata := platform.ReadResponse(a.response.Status, a.response.Header)
+	if a.response.Status == http.StatusOK && metadata.Sealed && !metadata.NotRun &&
+		(!s.headerSent || a.response.Header.Get("Content-Type") == s.contentType) {
+		return s.relayEvents(sa.ctx, a)
+	}
+	// The watchdog waits for the turn while the body is read.
+	stalled := time.AfterFunc(s.firstEventTimeout(sa.choice), func() { sa.cancel(errStalled) })
+	defer stalled.Stop()
 	switch {
 	case metadata.NotRun:
 		return s.handleNotRun(a)
 	case a.response.Status != http.StatusOK && !s.headerSent:
 		return s.handleErrorResponse(a, metadata)
-	case a.response.Status != http.StatusOK || !metadata.Sealed,
-		s.headerSent && a.response.Header.Get("Content-Type") != s.contentType:
+	default:
 		s.handler.Tracker.RecordOutcome(sa.choice.Endpoint.ID, false)
 		return outcomeLost, ReasonInvalidResponse
 	}
-	return s.relayEvents(sa.ctx, a)
 }
 
 // handleErrorResponse relays a response with a status other than 200 if it is
@@ -209,16 +214,25 @@
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
 		var e sseEvent
+		var isNew, complete bool
 		var err error
-		if moved := s.await(func() { e, err = events.next() }); moved {
+		moved := s.await(func() (goesOn bool) {
+			e, err = events.next()
+			isNew = e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
+			err = checker.check(e, isNew, err)
+			complete = errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent
+			return err == nil || complete
+		})
+		if moved {
 			a.response.DoNotReuse()
 			s.handler.Tracker.RecordOutcome(id, false)
+			if !complete {
+				a.recordBrokenOff(err)
+			}
 			s.logEndpointFailure(a, errStalled, zap.Int64("last", int64(s.lastEvent)))
 			return outcomeLost, ReasonEndpointFailed
 		}
-		isNew := e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
-		err = checker.check(e, isNew, err)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
+		if complete {
 			s.handler.Tracker.RecordOutcome(id, true)
 			a.recordServed()
 			if s.pool.Engine != nil {
