quarantine: a subject explains crashes at the same time only if most of them have it

Crashes at the same time counted separately if their subject was not served in the 10 s before nor in the 2 s since, while others were. At the loss of many endpoints that also fits a block that came up a moment before, of which a few of them had requests that were still being read in: it was refused for 2 minutes. Now it must be in more than half of the crashes within 0.4 s. Otherwise the order of the requests or the spacing decides as before.

--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -99,6 +99,9 @@
 	// IsQuarantined reports whether a subject is quarantined, OnProbation whether it was
 	// before.
 	IsQuarantined, OnProbation func(Subject) bool
+
+	// crashesWith counts the crashes with each subject.
+	crashesWith map[Subject]int
 }
 
 // Culprits returns the subjects to quarantine, which explain the crashes best: a subject
@@ -107,6 +110,12 @@
 // that explain equally many crashes, the most specific one is chosen, since refusing it
 // affects the fewest requests.
 func (e *Evidence) Culprits() (culprits []Subject) {
+	e.crashesWith = make(map[Subject]int)
+	for _, crash := range e.Crashes {
+		for s := range crash.Suspects {
+			e.crashesWith[s]++
+		}
+	}
 	for {
 		best, ok := e.best(culprits)
 		if !ok {
@@ -146,7 +155,11 @@
 				candidates[s] = c
 			}
 			c.rank = max(c.rank, suspect.Rank)
-			c.crashes.add(suspect, e.relation(s, crash))
+			r := relationLoss
+			if c.crashes.count > 0 {
+				r = e.relation(s, crash)
+			}
+			c.crashes.add(suspect, r)
 			if !explained {
 				c.unexplained++
 			}
@@ -179,7 +192,7 @@
 	// loss.
 	relationChain relation = "chain"
 	// relationNone means that the crashes have nothing but the subject in common: it was
-	// not served for long, and not since, while others were.
+	// not served for long, and not since, while others were, and it explains most of them.
 	relationNone relation = "none"
 )
 
@@ -189,13 +202,35 @@
 	switch {
 	case last > 0 && crash.At.Sub(last) < servedLately:
 		return relationLoss
-	case e.Now.Sub(crash.At) >= togetherSettleTime && e.ServedMeanwhile(crash.At):
+	case e.Now.Sub(crash.At) >= togetherSettleTime && e.ServedMeanwhile(crash.At) && e.isInMost(s, crash.At):
 		return relationNone
 	default:
 		return relationChain
 	}
 }
 
+// isInMost reports whether most of the crashes around an instant have a subject. Where many
+// endpoints are lost at once, some have a subject that came up a moment before.
+func (e *Evidence) isInMost(s Subject, at clock.Instant) bool {
+	isNear := func(c Crash) bool { return abs(c.At.Sub(at)) < crashSpacing }
+	near := 0
+	for _, c := range e.Crashes {
+		if isNear(c) {
+			near++
+		}
+	}
+	if 2*e.crashesWith[s] <= near {
+		return false
+	}
+	with := 0
+	for _, c := range e.Crashes {
+		if _, ok := c.Suspects[s]; ok && isNear(c) {
+			with++
+		}
+	}
+	return 2*with > near
+}
+
 // compare returns a positive number if c is the more likely culprit.
 func (c *candidate) compare(other *candidate) int {
 	return cmp.Or(
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -184,6 +184,26 @@
 		Expect(t.Count(at(2 * time.Second))).To(BeZero())
 	})
 
+	// A third of the engines is lost at one moment, and a block that came up a moment before
+	// has not been served again 2 s later.
+	It("does not count endpoints separately that are lost together if few of them had the subject", func() {
+		var t quarantine.Tracker
+		for when := -20 * time.Second; when < 5*time.Second; when += 500 * time.Millisecond {
+			t.RecordServed(subjects(uint64(1000+when.Milliseconds()), "system"), at(when))
+		}
+		for i := range 12 {
+			broke := at(time.Duration(i) * 20 * time.Millisecond)
+			run := quarantine.Run{Subjects: subjects(uint64(i), "system"), Sent: broke.Add(-300 * time.Millisecond), Broke: broke}
+			if i%3 == 0 {
+				run.Subjects = subjects(uint64(i), "system", "new")
+			}
+			t.RecordCrash(fleet.InstanceID(fmt.Sprint("lost", i)), run)
+		}
+		for when := time.Second; when < 4*time.Second; when += 100 * time.Millisecond {
+			Expect(t.Count(at(when))).To(BeZero(), "after %s", when)
+		}
+	})
+
 	// A content that crashed engines a second after their first event was never refused.
 	It("quarantines a content that crashes endpoints late in its run, and none of its prefix blocks", func() {
 		var t quarantine.Tracker
