connection: connections without a request are closed also if they don't come from Listen

CloseIdle left them open, so that a stop of the project's own interface, whose listener is wrapped otherwise, waited for http.Server.Shutdown, which closes them after 5 s. They are closed after a second again.

The new spec fails on the old code; pkg/connection passes with the race detector.

--- a/pkg/connection/drain.go
+++ b/pkg/connection/drain.go
@@ -60,7 +60,7 @@
 // closes served, and closes the idle connections, unless a request has just arrived on them.
 // Connections without a request so far have firstRequestWait to send one, which the server
 // answers, and are then closed. The responses of the server must close their connections;
-// connections that don't come from Listen stay open.
+// idle connections that don't come from Listen stay open.
 func (t *Tracker) CloseIdle(ctx context.Context, l net.Listener, served <-chan struct{}) (err error) {
 	if err = l.Close(); errors.Is(err, net.ErrClosed) {
 		err = nil
@@ -74,6 +74,12 @@
 	defer cancel()
 	if t.await(ctx, http.StateNew) != nil {
 		t.closeIdle(http.StateNew)
+		for _, c := range t.in(http.StateNew) {
+			if _, ok := c.(*trackedConn); !ok {
+				// The connection is in no use, so an error has no consequence.
+				_ = c.Close()
+			}
+		}
 	}
 	return err
 }
--- a/pkg/connection/drain_test.go
+++ b/pkg/connection/drain_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -78,6 +79,25 @@
 		Expect(err).To(MatchError(io.EOF))
 	})
 
+	// Otherwise http.Server.Shutdown waits 5 s for them.
+	It("closes connections without a request, also those that don't come from Listen", func(ctx context.Context) {
+		var tracker connection.Tracker
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		served := make(chan struct{})
+		close(served)
+		silent, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		c, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		tracker.SetState(c, http.StateNew)
+		Expect(tracker.CloseIdle(ctx, l, served)).To(Succeed())
+		Expect(silent.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		_, err = silent.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	It("loses no request that its handler gets while idle connections are closed", func(ctx context.Context) {
 		const conns, text = 50, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 		for range 20 {
