--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -74,14 +75,13 @@
 	choice   placement.Choice
 	prefill  *placement.Prefill
 	response *forward.Response
-	// sentAt is when the attempt began and firstAt when the first event or the response
-	// arrived.
-	sentAt, firstAt clock.Instant
-	gaps            pace.Gaps
-	// begunAt is when the response header arrived, 0 before.
-	begunAt clock.Instant
-	// servedRecorded reports whether the attempt was recorded as served.
-	servedRecorded bool
+	// sentAt is when the attempt began, begunAt when the response header arrived and firstAt
+	// when the first event or the response did; 0 before.
+	sentAt, begunAt, firstAt clock.Instant
+	gaps                     pace.Gaps
+	// startRecorded reports whether it was recorded that the endpoint has answered for some
+	// time, servedRecorded whether the attempt was recorded as served.
+	startRecorded, servedRecorded bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 	// started reports whether the endpoint has sent the first event or a complete
@@ -222,7 +222,7 @@
 	if p.callerGone() || !p.handler.Accepts(e) || p.handler.Tracker.Paused(e, clock.Now()) {
 		return true
 	}
-	p.sent = true
+	p.sent.Store(true)
 	return false
 }
 
@@ -275,7 +275,7 @@
 		return
 	}
 	var unsent *forward.UnsentError
-	if errors.Is(err, forward.ErrAbandoned) {
+	if errors.IsAny(err, forward.ErrAbandoned, errOvertaken) {
 		return
 	}
 	if errors.As(err, &unsent) {
@@ -319,19 +319,25 @@
 }
 
 // recordBrokenOff records that the endpoint broke off the exchange, unless err has another
-// cause or the attempt counts as served already.
+// cause.
 func (a *attempt) recordBrokenOff(err error) {
-	if forward.BrokeOff(err) && !a.servedRecorded {
-		a.proxy.handler.RecordBroken(a.choice.Endpoint, a.proxy.subjects, clock.Now())
+	if forward.BrokeOff(err) {
+		a.proxy.handler.RecordBroken(a.choice.Endpoint, quarantine.Run{Subjects: a.proxy.subjects, Sent: a.sentAt, Broke: clock.Now(), Started: a.startRecorded})
 	}
 }
 
-// recordServed records that the endpoint served the request. Only the first call has
-// an effect.
+// recordServed records that the endpoint ran the request to its end.
 func (a *attempt) recordServed() {
-	if !a.servedRecorded {
-		a.servedRecorded = true
-		a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
+	a.servedRecorded = true
+	a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
+}
+
+// recordStarted records that the endpoint has answered the request for some time. Only the
+// first call has an effect.
+func (a *attempt) recordStarted() {
+	if !a.startRecorded {
+		a.startRecorded = true
+		a.proxy.handler.RecordStarted(a.proxy.subjects, a.begunAt)
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -105,12 +106,11 @@
 	// IsQuarantined reports whether requests with any of the subjects must not be sent to
 	// endpoints.
 	IsQuarantined func([]quarantine.Subject) bool
-	// RecordBroken records that an endpoint broke off a request that it had just begun to
-	// answer, or not yet.
-	RecordBroken func(serving.Endpoint, []quarantine.Subject, clock.Instant)
-	// RecordServed records that an endpoint served a request which it began to answer at
-	// the given instant.
-	RecordServed func(subjects []quarantine.Subject, begunAt clock.Instant)
+	// RecordBroken records that an endpoint broke off a request.
+	RecordBroken func(serving.Endpoint, quarantine.Run)
+	// RecordServed records that an endpoint ran a request, which it began to answer at the
+	// given instant, to its end; RecordStarted that it has answered it for some time.
+	RecordServed, RecordStarted func(subjects []quarantine.Subject, begunAt clock.Instant)
 	// RecordStart records that an endpoint started work on a request of an account.
 	RecordStart func(fleet.AccountName)
 	// RecordDemand adds the engine milliseconds of a request to the demand of a pool.
@@ -184,7 +184,7 @@
 	subjects []quarantine.Subject
 	started  time.Time
 	// sent reports whether the request was sent to an endpoint.
-	sent bool
+	sent atomic.Bool
 	// timeout is the maximum duration of the request with all attempts.
 	timeout time.Duration
 	// tried lists the endpoints to which the request was sent.
@@ -482,7 +482,7 @@
 func (p *proxyRequest) abandon(fields ...zap.Field) {
 	p.reason = ReasonCallerGone
 	stage := LeaveUnsent
-	if p.sent {
+	if p.sent.Load() {
 		stage = LeaveSent
 	}
 	p.handler.Logs.Emit(event.RequestAborted, p.logFields(append(fields, zap.String("stage", string(stage)))...)...)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -31,16 +31,13 @@
 	// elsewhereFactor times the predicted time at another engine is the time that is left
 	// for it before the objective, where speeds differ.
 	elsewhereFactor = 1.5
-	// servedTime is the time after the start of its response after which a stream is not
-	// taken for the cause of a crash any more.
-	servedTime = time.Second
+	// startTime is the time after the start of its response after which the prompt of a
+	// stream is not taken for the cause of a crash any more.
+	startTime = time.Second
 	// eventBufferBytes is the size of a stream's read buffer.
 	eventBufferBytes = 4 << 10
 )
 
-// errStalled cancels an attempt that sent no event in time.
-var errStalled = errors.New("stream stalled: no event in time")
-
 // streamRequest is a request whose response is a stream of events, with the
 // state of the response to the caller.
 type streamRequest struct {
@@ -53,6 +50,7 @@
 	lastEvent    serving.EventID
 	hasLastEvent bool
 	controller   *http.ResponseController
+	move         streamMove
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -100,35 +98,55 @@
 	s.abort()
 }
 
-// attemptStream makes one attempt and relays its events.
+// attemptStream makes one attempt and relays its events. If the attempt stalls and another
+// endpoint accepts the stream, it goes on there.
 func (s *streamRequest) attemptStream(c placement.Choice) (result outcome, reason Reason) {
-	ctx, cancel := s.attemptContext(s.remaining())
-	defer cancel()
-	ctx, cancelStalled := context.WithCancelCause(ctx)
-	defer cancelStalled(nil)
-	watchdog := time.AfterFunc(s.firstEventTimeout(c), func() { cancelStalled(errStalled) })
-	defer watchdog.Stop()
+	a := s.newStreamAttempt(c, s.remaining())
+	s.begin(a)
+	defer s.end()
 	var resumeAfter *serving.EventID
 	if s.hasLastEvent {
-		resumeAfter = &s.lastEvent
+		last := s.lastEvent
+		resumeAfter = &last
+	}
+	s.await(func() bool { return a.start(s, resumeAfter) })
+	for {
+		result, reason = s.relay(a)
+		a.finish()
+		next := s.takeNext()
+		if next == nil {
+			return result, reason
+		}
+		a = next
+	}
+}
+
+// relay relays the response of an attempt, unless another one replaces it.
+func (s *streamRequest) relay(sa *streamAttempt) (outcome, Reason) {
+	if s.move.next != nil {
+		return outcomeLost, ReasonEndpointFailed
 	}
-	a, err := s.send(ctx, c, resumeAfter)
-	if err != nil {
-		return classifyError(err, s.failureReason(ctx))
+	if sa.err != nil {
+		return classifyError(sa.err, s.failureReason(sa.ctx))
 	}
-	defer a.finish()
+	a := sa.sent
 	metadata := platform.ReadResponse(a.response.Status, a.response.Header)
+	if a.response.Status == http.StatusOK && metadata.Sealed && !metadata.NotRun &&
+		(!s.headerSent || a.response.Header.Get("Content-Type") == s.contentType) {
+		return s.relayEvents(sa.ctx, a)
+	}
+	// The watchdog waits for the turn while the body is read.
+	stalled := time.AfterFunc(s.firstEventTimeout(sa.choice), func() { sa.cancel(errStalled) })
+	defer stalled.Stop()
 	switch {
 	case metadata.NotRun:
 		return s.handleNotRun(a)
 	case a.response.Status != http.StatusOK && !s.headerSent:
 		return s.handleErrorResponse(a, metadata)
-	case a.response.Status != http.StatusOK || !metadata.Sealed,
-		s.headerSent && a.response.Header.Get("Content-Type") != s.contentType:
-		s.handler.Tracker.RecordOutcome(c.Endpoint.ID, false)
+	default:
+		s.handler.Tracker.RecordOutcome(sa.choice.Endpoint.ID, false)
 		return outcomeLost, ReasonInvalidResponse
 	}
-	return s.relayEvents(ctx, a, watchdog)
 }
 
 // handleErrorResponse relays a response with a status other than 200 if it is
@@ -185,16 +203,32 @@
 
 // relayEvents relays the events of a response until the response ends or fails. It
 // skips events that the caller already has.
-func (s *streamRequest) relayEvents(ctx context.Context, a *attempt, watchdog *time.Timer) (outcome, Reason) {
+func (s *streamRequest) relayEvents(ctx context.Context, a *attempt) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
 	id := a.choice.Endpoint.ID
 	newEvents, firstAt := 0, time.Time{}
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
-		e, err := events.next()
-		isNew := e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
-		err = checker.check(e, isNew, err)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
+		var e sseEvent
+		var isNew, complete bool
+		var err error
+		moved := s.await(func() (goesOn bool) {
+			e, err = events.next()
+			isNew = e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
+			err = checker.check(e, isNew, err)
+			complete = errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent
+			return err == nil || complete
+		})
+		if moved {
+			a.response.DoNotReuse()
+			s.handler.Tracker.RecordOutcome(id, false)
+			if !complete {
+				a.recordBrokenOff(err)
+			}
+			s.logEndpointFailure(a, errStalled, zap.Int64("last", int64(s.lastEvent)))
+			return outcomeLost, ReasonEndpointFailed
+		}
+		if complete {
 			s.handler.Tracker.RecordOutcome(id, true)
 			a.recordServed()
 			if s.pool.Engine != nil {
@@ -218,11 +252,11 @@
 			s.logEndpointFailure(a, err, zap.Int64("last", int64(s.lastEvent)))
 			return outcomeLost, reason
 		}
-		watchdog.Reset(s.eventGapTimeout())
+		s.expectEvent(s.eventGapTimeout())
 		now := clock.Now()
 		s.handler.Tracker.RecordResponse(a.choice.Endpoint, now)
-		if now.Sub(a.begunAt) >= servedTime {
-			a.recordServed()
+		if now.Sub(a.begunAt) >= startTime {
+			a.recordStarted()
 		}
 		a.recordEvent()
 		if e.hasID && !isNew {
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -14,20 +14,42 @@
 	// quarantined.
 	minCrashes = 3
 	// crashSpacing is the time by which crashes have to differ in order to count
-	// separately. Endpoints that are lost together, because their instances are reclaimed,
-	// had many subjects in common; those that are served elsewhere meanwhile are cleared.
+	// separately, unless the later one is of a request that was sent after the earlier one.
+	// Endpoints that are lost together, because their instances are reclaimed, had many
+	// subjects in common, but those were sent before; those that are served elsewhere
+	// meanwhile are cleared.
 	crashSpacing = 400 * time.Millisecond
+	// servedLately is the age up to which a success shows that a subject is served all the
+	// time. Then requests with it are also sent between the crashes of one loss.
+	servedLately = 10 * time.Second
+	// togetherSettleTime is the age from which crashes count separately that lie close
+	// together. Requests that were lost with sound endpoints have been answered elsewhere by
+	// then. It leaves a third of the time that nodes in touch may take to learn.
+	togetherSettleTime = 2 * time.Second
 	// settleTime is the age from which a crash counts. By then the other nodes have
 	// reported which of their requests were in flight, and what they served meanwhile.
 	settleTime = 700 * time.Millisecond
 )
 
-// Crash is the crash of an endpoint. Subjects are those of the requests that may have
-// caused it, each with its rank in its request: a larger rank is more specific.
+// Crash is the crash of an endpoint. Suspects are the subjects of the requests that may
+// have caused it.
 type Crash struct {
 	Instance fleet.InstanceID
 	At       clock.Instant
-	Subjects map[Subject]int
+	Suspects map[Subject]Suspect
+}
+
+// Suspect is what is known about a subject in a crash.
+type Suspect struct {
+	// Rank is its rank in its request: a larger one is more specific.
+	Rank int
+	// Sent is when the first of its requests was sent to the endpoint, Broke when the
+	// endpoint broke it off.
+	Sent, Broke clock.Instant
+	// Local reports whether this node sent that request.
+	Local bool
+	// Started reports whether the endpoint had answered all of its requests for some time.
+	Started bool
 }
 
 // groupCrashes groups suspicions, which are sorted by time, by the crash that they
@@ -39,24 +61,47 @@
 		if !ok || s.at.Sub(crashes[i].At) >= sameCrashTime {
 			i = len(crashes)
 			latest[s.instance] = i
-			crashes = append(crashes, Crash{Instance: s.instance, At: s.at, Subjects: make(map[Subject]int)})
+			crashes = append(crashes, Crash{Instance: s.instance, At: s.at, Suspects: make(map[Subject]Suspect)})
 		}
 		for rank, subject := range s.subjects {
-			crashes[i].Subjects[subject] = max(crashes[i].Subjects[subject], rank)
+			if s.started {
+				rank = maxSubjects
+			}
+			crashes[i].add(subject, Suspect{Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local, Started: s.started})
 		}
 	}
 	return crashes
 }
 
+// add adds a subject of a request. Of several requests the first one decides when the
+// subject was sent: if it is the culprit, the endpoint had it that long.
+func (c *Crash) add(subject Subject, s Suspect) {
+	if known, ok := c.Suspects[subject]; ok {
+		s.Rank, s.Started = max(s.Rank, known.Rank), s.Started && known.Started
+		if known.Sent <= s.Sent {
+			s.Sent, s.Broke, s.Local = known.Sent, known.Broke, known.Local
+		}
+	}
+	c.Suspects[subject] = s
+}
+
 // Evidence is what is known about crashes, sorted by time.
 type Evidence struct {
 	Crashes []Crash
 	// LastServed returns when an endpoint began to answer the last request with a subject
 	// that it served, or 0.
 	LastServed func(Subject) clock.Instant
+	// ServedMeanwhile reports whether endpoints served anything around an instant: for some
+	// time before it and after it.
+	ServedMeanwhile func(clock.Instant) bool
+	// Now is when the evidence is judged.
+	Now clock.Instant
 	// IsQuarantined reports whether a subject is quarantined, OnProbation whether it was
 	// before.
 	IsQuarantined, OnProbation func(Subject) bool
+
+	// crashesWith counts the crashes with each subject.
+	crashesWith map[Subject]int
 }
 
 // Culprits returns the subjects to quarantine, which explain the crashes best: a subject
@@ -65,6 +110,12 @@
 // that explain equally many crashes, the most specific one is chosen, since refusing it
 // affects the fewest requests.
 func (e *Evidence) Culprits() (culprits []Subject) {
+	e.crashesWith = make(map[Subject]int)
+	for _, crash := range e.Crashes {
+		for s := range crash.Suspects {
+			e.crashesWith[s]++
+		}
+	}
 	for {
 		best, ok := e.best(culprits)
 		if !ok {
@@ -78,8 +129,8 @@
 type candidate struct {
 	subject Subject
 	rank    int
-	// crashes counts the crashes since the subject was last served; those at almost the
-	// same time count once. unexplained counts each of those that no quarantined subject
+	// crashes counts the crashes since the subject was last served; those of one loss
+	// count once. unexplained counts each of those that no quarantined subject
 	// explains.
 	crashes     spacedCount
 	unexplained int
@@ -91,10 +142,10 @@
 	isQuarantined := func(s Subject) bool { return e.IsQuarantined(s) || slices.Contains(culprits, s) }
 	for _, crash := range e.Crashes {
 		explained := false
-		for s := range crash.Subjects {
+		for s := range crash.Suspects {
 			explained = explained || isQuarantined(s)
 		}
-		for s, rank := range crash.Subjects {
+		for s, suspect := range crash.Suspects {
 			if crash.At <= e.LastServed(s).Add(maxClockError) || isQuarantined(s) {
 				continue
 			}
@@ -103,8 +154,12 @@
 				c = &candidate{subject: s}
 				candidates[s] = c
 			}
-			c.rank = max(c.rank, rank)
-			c.crashes.add(crash.At)
+			c.rank = max(c.rank, suspect.Rank)
+			r := relationLoss
+			if c.crashes.count > 0 {
+				r = e.relation(s, crash)
+			}
+			c.crashes.add(suspect, r)
 			if !explained {
 				c.unexplained++
 			}
@@ -126,6 +181,56 @@
 	return chosen.subject, true
 }
 
+// relation is how a crash with a subject may be related to crashes at almost the same time.
+type relation string
+
+const (
+	// relationLoss means that endpoints may be lost together that all have the subject in
+	// flight, again and again.
+	relationLoss relation = "loss"
+	// relationChain means that a request which was sent after a crash isn't part of the same
+	// loss.
+	relationChain relation = "chain"
+	// relationNone means that the crashes have nothing but the subject in common: it was
+	// not served for long, and not since, while others were, and it explains most of them.
+	relationNone relation = "none"
+)
+
+// relation returns how a crash may be related to those at almost the same time.
+func (e *Evidence) relation(s Subject, crash Crash) relation {
+	last := e.LastServed(s)
+	switch {
+	case last > 0 && crash.At.Sub(last) < servedLately:
+		return relationLoss
+	case e.Now.Sub(crash.At) >= togetherSettleTime && e.ServedMeanwhile(crash.At) && e.isInMost(s, crash.At):
+		return relationNone
+	default:
+		return relationChain
+	}
+}
+
+// isInMost reports whether most of the crashes around an instant have a subject. Where many
+// endpoints are lost at once, some have a subject that came up a moment before.
+func (e *Evidence) isInMost(s Subject, at clock.Instant) bool {
+	isNear := func(c Crash) bool { return abs(c.At.Sub(at)) < crashSpacing }
+	near := 0
+	for _, c := range e.Crashes {
+		if isNear(c) {
+			near++
+		}
+	}
+	if 2*e.crashesWith[s] <= near {
+		return false
+	}
+	with := 0
+	for _, c := range e.Crashes {
+		if _, ok := c.Suspects[s]; ok && isNear(c) {
+			with++
+		}
+	}
+	return 2*with > near
+}
+
 // compare returns a positive number if c is the more likely culprit.
 func (c *candidate) compare(other *candidate) int {
 	return cmp.Or(
@@ -136,17 +241,31 @@
 	)
 }
 
-// spacedCount counts instants that differ by at least crashSpacing from the one that was
-// counted before.
+// spacedCount counts the crashes of a subject that are not of one and the same loss: it
+// answers a request that is sent on from one crashed endpoint to the next, beside many
+// endpoints that are lost at once.
 type spacedCount struct {
 	count int
-	last  clock.Instant
+	last  Suspect
 }
 
-// add counts an instant that is not before the last one.
-func (c *spacedCount) add(at clock.Instant) {
-	if c.count == 0 || at.Sub(c.last) >= crashSpacing {
+// add counts a crash that is not before the last one. A content that runs for long at many
+// endpoints at once is in flight when they crash for other reasons, whatever the time
+// between the crashes, and is cleared only by the end of a run: it counts only if it was
+// sent after the crash before.
+func (c *spacedCount) add(s Suspect, r relation) {
+	spaced := !s.Started && (s.Broke.Sub(c.last.Broke) >= crashSpacing || r == relationNone)
+	if c.count == 0 || spaced || r != relationLoss && s.sentAfter(c.last) {
 		c.count++
-		c.last = at
+		c.last = s
+	}
+}
+
+// sentAfter reports whether a request was sent after another one broke off. What one
+// node observed is in order; the times of two nodes may differ.
+func (s Suspect) sentAfter(other Suspect) bool {
+	if s.Local && other.Local {
+		return s.Sent >= other.Broke
 	}
+	return s.Sent >= other.Broke.Add(maxClockError)
 }
