--- /dev/null
+++ b/pkg/canary/tracker.go
@@ -0,0 +1,636 @@
+package canary
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
+)
+
+// Report is what a node tells the others of an order.
+type Report struct {
+	Order    Order         `cbor:"1,keyasint"`
+	OrderAge time.Duration `cbor:"2,keyasint"`
+	State    State         `cbor:"3,keyasint"`
+	// WordAge is the time since the decider said that the state holds; 0 if it is not known.
+	WordAge time.Duration `cbor:"4,keyasint,omitempty"`
+	// Stop is set once the decider saw evidence against the version.
+	Stop bool `cbor:"5,keyasint,omitempty"`
+	// Tallies, OldRunning and Acknowledged are sums over the nodes that the report covers.
+	// Acknowledged counts those that know the state of the number in State.
+	Tallies      []Tally `cbor:"6,keyasint,omitempty"`
+	OldRunning   int     `cbor:"7,keyasint,omitempty"`
+	Acknowledged int     `cbor:"8,keyasint,omitempty"`
+}
+
+// maxReports bounds the orders in a digest.
+const maxReports = 6
+
+// Add returns the reports of a with the sums of b added. It changes neither argument.
+func Add(a, b []Report) []Report {
+	sum := slices.Clone(a)
+	for _, r := range b {
+		i := slices.IndexFunc(sum, func(s Report) bool { return s.Order.Pool == r.Order.Pool })
+		if i < 0 {
+			if r.WordAge = 0; len(sum) < maxReports {
+				sum = append(sum, r)
+			}
+			continue
+		}
+		s := &sum[i]
+		if s.Order.To != r.Order.To {
+			continue
+		}
+		s.Tallies = addTallies(s.Tallies, r.Tallies)
+		s.OldRunning += r.OldRunning
+		switch {
+		case s.State.Number == r.State.Number:
+			s.Acknowledged += r.Acknowledged
+		case s.State.Number < r.State.Number:
+			s.State, s.Acknowledged, s.WordAge = r.State, r.Acknowledged, 0
+		}
+	}
+	return sum
+}
+
+// Tracker holds what a node knows of orders, and what it has exposed. Without bounds it does nothing.
+// Bounds, Node, Started, Nodes, Random and UnixTime must be set if there are bounds.
+type Tracker struct {
+	Bounds  Bounds
+	Node    fleet.NodeName
+	Started clock.Instant
+	// Nodes returns the number of nodes that share the slack.
+	Nodes func() int
+	// Random returns a number in [0, 1), UnixTime the time of day in Unix milliseconds.
+	Random   func() float64
+	UnixTime func(clock.Instant) int64
+	// OnState is called with each new state, OnStop when this node stops sampling by itself. Both may
+	// be nil and must not call the tracker.
+	OnState func(State)
+	OnStop  func(Order, Judgement, []Tally)
+
+	mu    sync.Mutex
+	pools map[fleet.PoolName]*pool
+}
+
+// pool returns the state of a pool and adds it if it is missing. The caller holds the lock.
+func (t *Tracker) pool(name fleet.PoolName) *pool {
+	p := t.pools[name]
+	if p == nil {
+		p = &pool{}
+		if t.pools == nil {
+			t.pools = make(map[fleet.PoolName]*pool)
+		}
+		t.pools[name] = p
+	}
+	return p
+}
+
+// startMargin is the time after its start in which a node reads the orders that were there before.
+const startMargin = 5 * time.Second
+
+// SetOrder applies an order that was first known age ago.
+func (t *Tracker) SetOrder(o Order, age time.Duration, now clock.Instant) {
+	if !t.Bounds.Enabled() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setOrder(o, age, now)
+}
+
+func (t *Tracker) setOrder(o Order, age time.Duration, now clock.Instant) *pool {
+	p, at := t.pool(o.Pool), now.Add(-age)
+	switch {
+	case p.ordered && p.order.To == o.To && p.order.Offset <= o.Offset:
+		// An order that is repeated keeps its time; its first offset is not known to all nodes.
+		p.order.Offset = o.Offset
+		p.orderedAt = min(p.orderedAt, at)
+	case p.ordered && p.order.To == o.To:
+		p.orderedAt = min(p.orderedAt, at)
+	case p.ordered && p.order.Offset >= o.Offset:
+	default:
+		p.order, p.ordered, p.orderedAt = o, true, at
+		before := at.Sub(t.Started) > startMargin
+		p.reset(NewBudget(t.Bounds, t.Nodes(), before, luck(string(t.Node), &o)))
+	}
+	return p
+}
+
+// SetState applies a state that was read from the store, or written there.
+func (t *Tracker) SetState(s State, now clock.Instant) {
+	if !t.Bounds.Enabled() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setState(s, now)
+}
+
+func (t *Tracker) setState(s State, now clock.Instant) {
+	if s.Phase == PhaseUnknown || s.Order.Pool == "" {
+		return
+	}
+	p := t.pool(s.Order.Pool)
+	if s.Number <= p.state.Number {
+		return
+	}
+	p.state = s
+	if s.Begun > 0 {
+		t.setOrder(s.Order, max(0, time.Duration(t.UnixTime(now)-s.Begun)*time.Millisecond), now)
+	}
+	if t.OnState != nil {
+		t.OnState(s)
+	}
+}
+
+// Observe records the versions of all endpoints of a pool.
+func (t *Tracker) Observe(name fleet.PoolName, endpoints []serving.Endpoint, now clock.Instant) {
+	if !t.Bounds.Enabled() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pool(name)
+	p.observe(endpoints, now)
+	old, _ := p.split(endpoints, now)
+	p.oldListed = slices.ContainsFunc(old, func(e serving.Endpoint) bool { return e.State == serving.StateReady })
+}
+
+// Filter returns the endpoints that a request to a pool may be sent to now.
+func (t *Tracker) Filter(name fleet.PoolName, endpoints []serving.Endpoint, now clock.Instant) []serving.Endpoint {
+	if t == nil || !t.Bounds.Enabled() || len(endpoints) == 0 {
+		return endpoints
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pool(name)
+	p.observe(endpoints, now)
+	old, fresh := p.split(endpoints, now)
+	switch p.phase() {
+	case PhaseSampling:
+		if len(fresh) == 0 || !p.mayExpose(t.Bounds, now) {
+			return old
+		}
+		sampled := sampledEndpoints(t.Bounds.ExposeShare, fresh)
+		if len(sampled) == 0 || t.Random() >= p.sampleRate(t.Bounds.ExposeShare, len(old), len(sampled), t.UnixTime(now), now.Sub(p.orderedAt)) {
+			return old
+		}
+		return sampled
+	case PhaseSwitching:
+		if ready := slices.ContainsFunc(fresh, func(e serving.Endpoint) bool { return e.State == serving.StateReady }); ready && !p.stopped && !p.told {
+			return fresh
+		}
+		return old
+	case PhaseDone:
+		return append(fresh, old...)
+	case PhaseRolledBack:
+		return old
+	case PhaseUnknown:
+	}
+	// With no old endpoint known at all, the order was executed before this node started.
+	if len(old) == 0 && len(fresh) > 0 && !t.knowsOld(p) {
+		return fresh
+	}
+	if len(old) == 0 && !p.ordered && !p.oldListed {
+		return endpoints
+	}
+	return old
+}
+
+// knowsOld reports whether the node has seen endpoints of another version than the ordered one.
+func (t *Tracker) knowsOld(p *pool) bool {
+	for version := range p.seen {
+		if version != p.order.To {
+			return true
+		}
+	}
+	return false
+}
+
+// Sample is one attempt at an endpoint of a pool with an order. A nil sample does nothing.
+type Sample struct {
+	tracker *Tracker
+	pool    *pool
+	order   serving.Version
+
+	endpoint fleet.InstanceID
+	route    serving.RouteName
+	class    Class
+	cold     bool
+	first    bool
+	// counted and bad report whether the attempt was counted, and as bad; ended that it is over.
+	counted, bad, ended bool
+}
+
+// Begin takes an attempt from the node's budget. first is set for the first attempt of a request. ok is false if
+// nothing may be sent to the endpoint now.
+func (t *Tracker) Begin(e serving.Endpoint, route serving.RouteName, first bool, now clock.Instant) (s *Sample, ok bool) {
+	if t == nil || !t.Bounds.Enabled() {
+		return nil, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pool(e.Pool)
+	s = &Sample{tracker: t, pool: p, order: p.order.To, endpoint: e.ID, route: route, class: p.class(e.Version), cold: e.Cold > 0, first: first}
+	if !p.ordered {
+		// Requests that are under way when an order comes have to finish too.
+		p.oldRunning++
+		return s, true
+	}
+	if !t.accepts(p, s.class, now) || s.class == ClassNew && p.phase() == PhaseSampling && !p.mayExpose(t.Bounds, now) {
+		return nil, false
+	}
+	if s.class == ClassNew {
+		p.budget.expose++
+	} else {
+		p.oldRunning++
+	}
+	if first {
+		p.budget.passed++
+	}
+	return s, true
+}
+
+// Accepts reports whether the attempt may still be sent.
+func (s *Sample) Accepts(now clock.Instant) bool {
+	if s == nil {
+		return true
+	}
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	return s.order != s.pool.order.To || s.tracker.accepts(s.pool, s.class, now)
+}
+
+// accepts reports whether endpoints of a class get requests at all now.
+func (t *Tracker) accepts(p *pool, class Class, now clock.Instant) bool {
+	switch phase := p.phase(); class {
+	case ClassNew:
+		fresh := p.confirmedAt != 0 && now.Sub(p.confirmedAt) < wordAge(t.Bounds)
+		return phase == PhaseDone || !p.stopped && !p.told && (phase == PhaseSwitching || phase == PhaseSampling && fresh) || phase == PhaseUnknown && !t.knowsOld(p)
+	case ClassOld:
+		return true
+	default:
+		return false
+	}
+}
+
+// Unsent returns an attempt of which the endpoint got nothing to the budget.
+func (s *Sample) Unsent() {
+	if s == nil {
+		return
+	}
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	if s.ended {
+		return
+	}
+	if s.order == s.pool.order.To {
+		if s.class == ClassNew {
+			s.pool.budget.expose--
+		}
+		if s.first && s.pool.ordered {
+			s.pool.budget.passed--
+		}
+	}
+	s.end()
+}
+
+// End ends an attempt.
+func (s *Sample) End() {
+	if s == nil {
+		return
+	}
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	s.end()
+}
+
+func (s *Sample) end() {
+	if !s.ended && s.class != ClassNew {
+		s.pool.oldRunning = max(0, s.pool.oldRunning-1)
+	}
+	s.ended = true
+}
+
+// slowFactor is from which multiple of the usual time on an answer counts as bad.
+const slowFactor = 2.5
+
+// slowFloor is added to that, for answers that take next to nothing.
+const slowFloor = 0.02
+
+// First records the time to the first event or the answer, in seconds by the expected ones.
+func (s *Sample) First(seconds, expected float64) {
+	if s == nil {
+		return
+	}
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	r, usual := s.usual(func(r *routeStats) *median { return &r.first }, func(t Tally) float64 { return t.First })
+	if r == nil {
+		return
+	}
+	expected = max(expected, 1e-3)
+	s.count(r, !s.cold && usual > 0 && seconds > slowFactor*usual*expected+slowFloor)
+	if s.class == ClassOld {
+		r.first.add(seconds / expected)
+	}
+}
+
+// Waited records that an attempt was given up with no answer after a time. It counts if that is slow.
+func (s *Sample) Waited(seconds, expected float64) {
+	if s == nil {
+		return
+	}
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	r, usual := s.usual(func(r *routeStats) *median { return &r.first }, func(t Tally) float64 { return t.First })
+	if r != nil && !s.cold && usual > 0 && seconds > slowFactor*usual*max(expected, 1e-3)+slowFloor {
+		s.count(r, true)
+	}
+}
+
+// Gap records the mean time between the events of a stream in seconds.
+func (s *Sample) Gap(seconds float64) {
+	if s == nil || seconds <= 0 {
+		return
+	}
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	r, usual := s.usual(func(r *routeStats) *median { return &r.gap }, func(t Tally) float64 { return t.Gap })
+	if r == nil {
+		return
+	}
+	if !s.cold && usual > 0 && seconds > slowFactor*usual+slowFloor/4 {
+		s.count(r, true)
+	}
+	if s.class == ClassOld {
+		r.gap.add(seconds)
+	}
+}
+
+// Failed records that the endpoint failed the request, or broke it off.
+func (s *Sample) Failed(brokeOff bool) {
+	if s == nil {
+		return
+	}
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	r, _ := s.usual(func(r *routeStats) *median { return &r.first }, func(t Tally) float64 { return t.First })
+	if r == nil {
+		return
+	}
+	s.count(r, true)
+	if brokeOff && s.class == ClassNew && len(s.pool.broken) < maxTracked {
+		s.pool.broken = append(s.pool.broken, broken{s.endpoint, r})
+	}
+}
+
+// crashWeight is the part of the requests broken off by a crash that counts. One crash breaks off many, and
+// endpoints of good versions crash too.
+const crashWeight = 0.25
+
+// RecordCrash records that an endpoint crashed, after the requests that it broke off.
+func (t *Tracker) RecordCrash(e serving.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[e.Pool]
+	if p == nil {
+		return
+	}
+	p.broken = slices.DeleteFunc(p.broken, func(b broken) bool {
+		if b.endpoint == e.ID {
+			c := &b.stats.tally.New
+			c.Bad = max(0, c.Bad-(1-crashWeight))
+			c.RecentBad = max(0, c.RecentBad-(1-crashWeight))
+		}
+		return b.endpoint == e.ID
+	})
+}
+
+// usual returns the route's counts and the usual time of the old version there: the node's own if it has one, else
+// that of the others. The counts are nil if the order of the sample is over. The caller holds the lock.
+func (s *Sample) usual(own func(*routeStats) *median, theirs func(Tally) float64) (*routeStats, float64) {
+	p := s.pool
+	if s.order != p.order.To || s.class == ClassBarred || p.state.Phase.Final() && p.state.Concerns(&p.order) {
+		return nil, 0
+	}
+	r := p.routes[s.route]
+	if r == nil {
+		if p.routes == nil {
+			p.routes = make(map[serving.RouteName]*routeStats)
+		}
+		name := s.route
+		if len(p.routes) >= maxTracked {
+			name = ""
+		}
+		if r = p.routes[name]; r == nil {
+			r = &routeStats{tally: Tally{Route: name}}
+			p.routes[name] = r
+		}
+	}
+	if v := own(r).value(); v > 0 {
+		return r, v
+	}
+	for _, t := range p.peers {
+		if t.Route == r.tally.Route {
+			return r, theirs(t)
+		}
+	}
+	return r, 0
+}
+
+// count counts the attempt once, and as bad at most once. Without an order only the usual times are kept. The caller
+// holds the lock.
+func (s *Sample) count(r *routeStats, bad bool) {
+	if !s.pool.ordered {
+		return
+	}
+	c := &r.tally.Old
+	if s.class == ClassNew {
+		c = &r.tally.New
+	}
+	if !s.counted {
+		s.counted = true
+		c.Total++
+		c.RecentTotal++
+	}
+	if bad && !s.bad {
+		s.bad = true
+		c.Bad++
+		c.RecentBad++
+	}
+}
+
+// Reports returns what this node reports, the latest orders first.
+func (t *Tracker) Reports(now clock.Instant) []Report {
+	if !t.Bounds.Enabled() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []Report
+	for _, p := range t.pools {
+		if !p.ordered {
+			continue
+		}
+		r := Report{Order: p.order, OrderAge: now.Sub(p.orderedAt), State: p.state, Stop: p.told, Acknowledged: 1}
+		if !p.phase().Final() {
+			r.Tallies, r.OldRunning = p.tallies(now), p.oldRunning
+			if p.confirmedAt != 0 {
+				r.WordAge = max(1, now.Sub(p.confirmedAt))
+			}
+		}
+		reports = append(reports, r)
+	}
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(b.Order.Offset, a.Order.Offset), cmp.Compare(a.Order.Pool, b.Order.Pool))
+	})
+	return reports[:min(len(reports), maxReports)]
+}
+
+// Merge applies the orders and states in another node's digest, and the sums of all other nodes.
+func (t *Tracker) Merge(reports, sums []Report, now clock.Instant) {
+	if !t.Bounds.Enabled() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range reports {
+		if r.Order.Pool == "" || r.Order.To == "" || r.OrderAge < 0 {
+			continue
+		}
+		t.setState(r.State, now)
+		p := t.setOrder(r.Order, r.OrderAge, now)
+		if r.Stop && p.order.To == r.Order.To {
+			p.told = true
+		}
+	}
+	for _, r := range sums {
+		if p := t.pools[r.Order.Pool]; p != nil && p.ordered && p.order.To == r.Order.To {
+			p.peers, p.peersRunning, p.acknowledged = r.Tallies, r.OldRunning, 0
+			if r.State.Number == p.state.Number {
+				p.acknowledged = r.Acknowledged
+			}
+		}
+	}
+}
+
+// Confirm applies the decider's word in the reply to a request that was sent at an instant.
+func (t *Tracker) Confirm(reports []Report, sentAt clock.Instant) {
+	if !t.Bounds.Enabled() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range reports {
+		p := t.pools[r.Order.Pool]
+		if p != nil && r.WordAge > 0 && p.order.To == r.Order.To && r.State.Number >= p.state.Number {
+			p.confirmedAt = max(p.confirmedAt, sentAt.Add(-r.WordAge))
+		}
+	}
+}
+
+// Check stops the sampling of versions against which there is evidence.
+func (t *Tracker) Check(now clock.Instant) {
+	if !t.Bounds.Enabled() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.pools {
+		if !p.ordered || p.stopped || p.phase().Final() {
+			continue
+		}
+		tallies := addTallies(p.tallies(now), p.peers)
+		if j := Judge(tallies, false); j.Bad {
+			p.stopped = true
+			if t.OnStop != nil {
+				t.OnStop(p.order, j, tallies)
+			}
+		}
+	}
+}
+
+// Unfinished returns the pools whose order has no verdict, and whose verdict is not known to the node at all.
+func (t *Tracker) Unfinished() (pools []fleet.PoolName, unknown bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.pools {
+		if p.ordered && !p.phase().Final() {
+			pools = append(pools, name)
+			unknown = unknown || p.phase() == PhaseUnknown
+		}
+	}
+	slices.Sort(pools)
+	return pools, unknown
+}
+
+// Situation returns the input of Decide for a pool, with what the decider knows of its endpoints. nodes is the
+// number of other nodes that respond. The decider's word is given with it.
+func (t *Tracker) Situation(name fleet.PoolName, endpoints []serving.Endpoint, nodes int, now clock.Instant) Situation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pool(name)
+	p.confirmedAt = now
+	p.told = p.told || p.stopped
+	in := Situation{
+		Order: p.order, State: p.state, Elapsed: now.Sub(p.orderedAt), UnixTime: t.UnixTime(now),
+		Tallies: addTallies(p.tallies(now), p.peers), Stopped: p.stopped || p.told,
+		Acknowledged: p.acknowledged, Nodes: nodes, OldRunning: p.oldRunning + p.peersRunning,
+	}
+	for _, e := range endpoints {
+		in.Versions = append(in.Versions, e.Version)
+		if e.State != serving.StateReady {
+			continue
+		}
+		switch p.class(e.Version) {
+		case ClassOld:
+			in.ReadyOld++
+		case ClassNew:
+			in.ReadyNew++
+		case ClassBarred:
+		}
+	}
+	return in
+}
+
+// States returns the known states of all pools.
+func (t *Tracker) States() []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var states []State
+	for _, p := range t.pools {
+		if p.state.Phase != PhaseUnknown {
+			states = append(states, p.state)
+		}
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Order.Pool, b.Order.Pool) })
+	return states
+}
+
+// Exposed returns the sums of requests passed and exposed for the current orders by this node.
+func (t *Tracker) Exposed() (passed, exposed float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.pools {
+		passed += float64(p.budget.passed)
+		exposed += float64(p.budget.expose)
+	}
+	return passed, exposed
+}
+
+// ExpectedFirst returns the expected time to the first event of an idle engine in seconds, without what the engine's
+// own speed makes of it. It is 1 for a plain service.
+func ExpectedFirst(engine bool, uncached fleet.Tokens, prefillRate float64) float64 {
+	if !engine {
+		return 1
+	}
+	const base = 0.06
+	return base + float64(uncached)/math.Max(1, prefillRate)/1000
+}
--- a/pkg/serving/endpoint.go
+++ b/pkg/serving/endpoint.go
@@ -15,6 +15,9 @@
 	StateDraining EndpointState = "draining"
 )
 
+// Version names a version of an endpoint's software.
+type Version string
+
 // Endpoint is one incarnation of an endpoint, as it registered itself.
 type Endpoint struct {
 	ID         fleet.InstanceID
@@ -33,4 +36,6 @@
 	Leaves time.Duration
 	// Born is the start time of this incarnation in Unix milliseconds; 0 if unknown.
 	Born int64
+	// Version is the version of the endpoint's software; empty if unknown.
+	Version Version
 }
