Gossip, gateway, front: carry out roll-outs

Digest field 23 carries orders, states and counts; the gateway filters the versions before the choice of an endpoint and counts each attempt's outcome; the duties' holder decides and writes state and status. Built, not yet run with nodes.

--- a/pkg/front/follow.go
+++ b/pkg/front/follow.go
@@ -28,8 +28,10 @@
 	done := make(chan struct{})
 	f.configFeed = feed.Follower{
 		Source: f.storeSource(), Topic: platform.TopicOperator, Wait: configWait, Logs: f.Logs,
-		OnFullRead:   func(b platform.Batch, sentAt clock.Instant) { f.applyConfig(b.Records, sentAt) },
-		OnNewRecords: func(_ fleet.Offset, records []platform.Record, sentAt clock.Instant) { f.applyConfig(records, sentAt) },
+		OnFullRead: func(b platform.Batch, sentAt clock.Instant) { f.applyOperator(b.Records, sentAt) },
+		OnNewRecords: func(_ fleet.Offset, records []platform.Record, sentAt clock.Instant) {
+			f.applyOperator(records, sentAt)
+		},
 		Skip:         f.skipConfig,
 		ServedByPeer: f.servedByPeer,
 	}
@@ -47,6 +49,12 @@
 	}
 }
 
+// applyOperator applies records of the operator. Orders come first: the node serves once it has a configuration.
+func (f *Front) applyOperator(records []platform.Record, sentAt clock.Instant) {
+	f.applyOrders(records)
+	f.applyConfig(records, sentAt)
+}
+
 // applyConfig applies a newer configuration. Records without one confirm the version
 // in force. A version is never replaced by an older one, nor dropped because its
 // record is absent.
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
@@ -141,6 +142,7 @@
 	trends        map[fleet.PoolName]*provision.Trend
 
 	metrics     *requestMetrics
+	canary      canary.Tracker
 	directory   directory.Directory
 	history     directory.History
 	tracker     placement.Tracker
@@ -180,6 +182,7 @@
 			return nil
 		})
 	}
+	f.configureCanary()
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
@@ -193,6 +196,7 @@
 		f.directoryService(),
 		f.gossipService(),
 		f.dutiesService(),
+		f.rolloutsService(),
 		f.metricsService(),
 		f.callersService(),
 		f.probeService(),
@@ -326,6 +330,7 @@
 		OnAnnouncement: f.metrics.countAnnouncement,
 		OnUnread:       f.metrics.countUnread,
 		Tracker:        &f.tracker,
+		Versions:       &f.canary,
 		Engines:        &f.engines,
 		Quotas:         &f.quotas,
 		Retries:        &f.retries,
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -114,6 +114,18 @@
 		gauge("quarantined", "Contents and prefix blocks that are refused because they crash endpoints.", func() float64 {
 			return float64(f.quarantine.Count(clock.Now()))
 		}),
+		gauge("rollouts", "Roll-outs ordered by the operator that have no verdict.", func() float64 {
+			unfinished, _ := f.canary.Unfinished()
+			return float64(len(unfinished))
+		}),
+		gauge("rollout_passed", "Requests passed on to pools since their last roll-out was ordered.", func() float64 {
+			passed, _ := f.canary.Exposed()
+			return passed
+		}),
+		gauge("rollout_exposed", "Attempts among them at endpoints of the new version.", func() float64 {
+			_, exposed := f.canary.Exposed()
+			return exposed
+		}),
 		gauge("duties", "1 while the node holds the duties.", func() float64 {
 			if f.holdsDuties.Load() {
 				return 1
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -190,6 +190,7 @@
 		Demand:     f.demand.ByPool(),
 		Leaving:    f.directory.Announced(),
 		Speeds:     f.engines.Known(),
+		Rollouts:   f.canary.Reports(clock.Now()),
 		Clock:      f.wallClock(),
 	}
 	if f.holdsDuties.Load() {
@@ -217,6 +218,9 @@
 	for id, born := range d.Leaving {
 		f.directory.MarkLeaving(id, born, clock.Now())
 	}
+	if len(d.Rollouts) > 0 {
+		f.canary.Merge(d.Rollouts, f.peers.Rollouts(), clock.Now())
+	}
 	f.tracker.SetPeerWork(f.peers.Work())
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
 }
--- a/pkg/front/quarantine.go
+++ b/pkg/front/quarantine.go
@@ -33,6 +33,7 @@
 func (f *Front) recordCrash(e serving.Endpoint, subjects []quarantine.Subject, at clock.Instant) {
 	f.tracker.RecordUnreachable(e.ID, clock.Now())
 	f.quarantine.RecordCrash(e.ID, subjects, at)
+	f.canary.RecordCrash(e)
 	texts := make([]string, len(subjects))
 	for i, s := range subjects {
 		texts[i] = formatSubject(s)
--- a/pkg/front/view.go
+++ b/pkg/front/view.go
@@ -47,6 +47,7 @@
 // If the peer has a newer configuration or this node's directory is stale, a
 // snapshot is fetched from the peer.
 func (f *Front) applyReply(ctx context.Context, d gossip.Digest, delta *gossip.Delta, sentAt clock.Instant) {
+	f.canary.Confirm(d.Rollouts, sentAt)
 	current := f.config.Load()
 	if current != nil && d.ConfigVersion == current.Version {
 		f.confirmConfig(current.Version, sentAt.Add(-d.ConfigAge))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -74,6 +74,7 @@
 	// ended reports whether the attempt ended before the head of a response was read.
 	ended    atomic.Bool
 	finished bool
+	version  versionSample
 }
 
 // chooseEndpoint picks an endpoint that was not tried, is not in unreachable and has not
@@ -88,6 +89,7 @@
 		}
 	}
 	candidates, pauseEnd := p.handler.Tracker.Available(candidates, now)
+	candidates = p.handler.Versions.Filter(p.pool.Name, candidates, now)
 	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
 	if p.pool.Engine == nil {
 		c, ok = placement.ChooseService(loads)
@@ -145,6 +147,10 @@
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
 	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
 	ctx, a.cancel = context.WithCancel(ctx)
+	if !a.beginVersion() {
+		a.finish()
+		return nil, &forward.UnsentError{Address: c.Endpoint.Address, Cause: errVersionNotAccepted}
+	}
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
 		Instance: c.Endpoint.ID,
@@ -170,10 +176,11 @@
 		Matches:        p.responseMatches,
 		OnHead:         a.recordAnnouncements,
 		Expires:        time.Now().Add(dispatch.Timeout),
-		Abandoned:      func() bool { return p.abandonUnsent(c.Endpoint) },
+		Abandoned:      func() bool { return !a.version.sample.Accepts(clock.Now()) || p.abandonUnsent(c.Endpoint) },
 	})
 	if err != nil {
 		a.ended.Store(true)
+		a.recordVersionError(err)
 		p.recordSendFailure(a, err)
 		a.finish()
 		return nil, err
@@ -256,7 +263,7 @@
 			p.handler.Tracker.RecordUnreachable(id, clock.Now())
 		}
 	} else {
-		p.handler.Tracker.RecordOutcome(id, false)
+		a.recordOutcome(false)
 		a.recordBrokenOff(err)
 	}
 	p.logEndpointFailure(a, err)
@@ -293,7 +300,8 @@
 // recordBrokenOff records that the endpoint broke off the exchange, unless err has another
 // cause or the attempt counts as served already.
 func (a *attempt) recordBrokenOff(err error) {
-	if forward.BrokeOff(err) && !a.servedRecorded {
+	a.version.brokeOff = forward.BrokeOff(err)
+	if a.version.brokeOff && !a.servedRecorded {
 		a.proxy.handler.RecordBroken(a.choice.Endpoint, a.proxy.subjects, clock.Now())
 	}
 }
@@ -311,6 +319,7 @@
 // first call has an effect.
 func (a *attempt) recordFirstEvent() {
 	a.started.Store(true)
+	a.recordVersionEvent()
 	a.proxy.recordStart()
 	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, clock.Now())
 }
@@ -321,6 +330,7 @@
 		return
 	}
 	a.finished = true
+	a.endVersion()
 	if a.response != nil {
 		a.response.Close()
 	}
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -117,7 +117,7 @@
 	}
 	body, err := readBounded(a.response)
 	if err != nil || !metadata.Sealed || a.response.Header.Get("Content-Encoding") != "" {
-		p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
+		a.recordOutcome(false)
 		a.recordBrokenOff(err)
 		p.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
@@ -125,7 +125,7 @@
 	a.recordFirstEvent()
 	a.recordServed()
 	failed := a.response.Status >= http.StatusInternalServerError
-	p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, !failed)
+	a.recordOutcome(!failed)
 	if failed && p.route.Repeatable() && p.takeAttempt() {
 		p.attemptTaken = true
 		return outcomeLost, ReasonEndpointFailed
@@ -171,6 +171,7 @@
 // the address now belongs to another instance or because the endpoint is full.
 func (p *proxyRequest) handleNotRun(a *attempt) (outcome, Reason) {
 	drainBody(a)
+	a.version.notRun = true
 	id, now := a.choice.Endpoint.ID, clock.Now()
 	if a.response.Status == http.StatusMisdirectedRequest {
 		p.handler.Tracker.RecordUnreachable(id, now)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
@@ -135,6 +136,8 @@
 	OnUnread func(fleet.PoolName, UnreadCause)
 
 	Tracker *placement.Tracker
+	// Versions decides which versions of endpoints get requests; nil stands for all.
+	Versions *canary.Tracker
 	// Engines holds the measured speeds of the engines.
 	Engines *provision.EngineModel
 	Quotas  *allotment.QuotaLimiter
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -140,7 +140,7 @@
 		return s.handleErrorResponse(a, metadata)
 	case a.response.Status != http.StatusOK || !metadata.Sealed,
 		s.headerSent && a.response.Header.Get("Content-Type") != s.contentType:
-		s.handler.Tracker.RecordOutcome(c.Endpoint.ID, false)
+		a.recordOutcome(false)
 		return outcomeLost, ReasonInvalidResponse
 	}
 	return s.relayEvents(ctx, a, watchdog)
@@ -150,7 +150,7 @@
 // complete and sealed, unless the request may be retried.
 func (s *streamRequest) handleErrorResponse(a *attempt, metadata platform.Response) (outcome, Reason) {
 	body, err := readBounded(a.response)
-	s.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
+	a.recordOutcome(false)
 	if err != nil || !metadata.Sealed {
 		a.recordBrokenOff(err)
 		return outcomeLost, ReasonInvalidResponse
@@ -191,7 +191,6 @@
 // skips events that the caller already has.
 func (s *streamRequest) relayEvents(ctx context.Context, a *attempt, watchdog *time.Timer) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
-	id := a.choice.Endpoint.ID
 	newEvents, firstAt := 0, time.Time{}
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
@@ -199,7 +198,7 @@
 		isNew := e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
 		err = checker.check(e, isNew, err)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
-			s.handler.Tracker.RecordOutcome(id, true)
+			a.recordOutcome(true)
 			a.recordServed()
 			if s.pool.Engine != nil {
 				s.handler.Engines.AddStream(s.pool.Name, newEvents, s.pool.Engine.TokensPerEvent, time.Since(firstAt))
@@ -214,7 +213,7 @@
 			}
 			reason := s.failureReason(ctx)
 			if reason != ReasonTimeout {
-				s.handler.Tracker.RecordOutcome(id, false)
+				a.recordOutcome(false)
 				a.recordBrokenOff(err)
 			}
 			// The body may have been read to its end by now.
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -98,6 +99,8 @@
 	Leaving map[fleet.InstanceID]int64 `cbor:"21,keyasint,omitempty"`
 	// Speeds are the known speeds of engines, by pool, for nodes that have not measured any.
 	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
+	// Rollouts are the known orders of roll-outs, with the counts of the covered nodes.
+	Rollouts []canary.Report `cbor:"23,keyasint,omitempty"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
@@ -430,6 +433,17 @@
 	return demand
 }
 
+// Rollouts returns the reports of all other known nodes, with the sums of their counts.
+func (t *Table) Rollouts() []canary.Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum []canary.Report
+	for _, p := range t.peers {
+		sum = canary.Add(sum, p.digest.Rollouts)
+	}
+	return sum
+}
+
 // Work returns the load that the other nodes put on endpoints. It leaves out
 // silent nodes, whose load is not known.
 func (t *Table) Work() map[fleet.InstanceID]placement.Work {
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -344,6 +345,7 @@
 	for pool, n := range p.digest.Demand {
 		d.Demand[pool] += n
 	}
+	d.Rollouts = canary.Add(d.Rollouts, p.digest.Rollouts)
 	if p.silent {
 		return
 	}
