--- a/pkg/canary/budget.go
+++ b/pkg/canary/budget.go
@@ -12,7 +12,7 @@
 	// shareMargin and slackMargin are the parts of the bounds that are used. Requests that nodes count
 	// and endpoints do not see, and nodes that differ about their number, take the rest.
 	shareMargin = 0.8
-	slackMargin = 0.5
+	slackMargin = 0.6
 )
 
 // NewBudget returns the budget of one of several nodes. A node that started after the order gets no slack, as
--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -42,6 +42,7 @@
 	ReasonGood        Reason = "no worse than the old version"
 	ReasonUnsampled   Reason = "too few answers sampled"
 	ReasonNoEndpoints Reason = "no endpoints of the version"
+	ReasonCounts      Reason = "counts kept"
 	ReasonSwitched    Reason = "old endpoints have finished"
 	ReasonTimeUp      Reason = "no time left for the old endpoints"
 )
@@ -85,6 +86,8 @@
 	// Begun is when the order was first known and Since when the phase began, in Unix milliseconds.
 	Begun int64 `cbor:"6,keyasint" json:"begun"`
 	Since int64 `cbor:"7,keyasint" json:"since"`
+	// Counted is when the counts were last kept.
+	Counted int64 `cbor:"8,keyasint,omitempty" json:"counted,omitempty"`
 	// Reason and Tallies are what led to the phase.
 	Reason  Reason  `cbor:"-" json:"reason,omitempty"`
 	Tallies []Tally `cbor:"-" json:"tallies,omitempty"`
@@ -133,6 +136,12 @@
 	// to sample from has no verdict.
 	minSampled = 3
 	minPassed  = 60
+	// wellSampled is the number of sampled answers from which the switch takes only as long as the old
+	// endpoints need.
+	wellSampled = 300
+	// countInterval is the interval at which the counts of a sampled version are kept in the state, for
+	// the case that all nodes are lost.
+	countInterval = 2 * time.Second
 	// minCapacity is the part of the old endpoints that the new ones must reach before the switch.
 	minCapacity = 0.5
 )
@@ -168,11 +177,24 @@
 	Acknowledged, Nodes, OldRunning int
 }
 
+// remembered returns the counts of all nodes, with those that were kept in the state if most of these are lost with
+// the nodes that knew them.
+func (s *State) remembered(current []Tally) []Tally {
+	kept, _ := Sampled(s.Tallies)
+	if sampled, _ := Sampled(current); kept > 2*sampled {
+		return addTallies(s.Tallies, current)
+	}
+	return current
+}
+
 // Decide returns the next state of an order, if it changes. It answers versions that are bad at once or later,
 // on all routes or on one; pools with few requests, of which no evidence may be had; and new endpoints that
 // do not come or crash.
 func Decide(in Situation) (next State, changed bool) {
 	next = in.State
+	if next.Concerns(&in.Order) {
+		in.Tallies = next.remembered(in.Tallies)
+	}
 	move := func(p Phase, r Reason) (State, bool) {
 		next.Phase, next.Reason, next.Since = p, r, in.UnixTime
 		next.Number++
@@ -193,7 +215,11 @@
 			return move(PhaseRolledBack, ReasonFailures)
 		}
 		if in.Elapsed < order.VerdictTime() {
-			return next, false
+			if sampled, _ := Sampled(in.Tallies); sampled == 0 || in.UnixTime-max(next.Counted, next.Since) < countInterval.Milliseconds() {
+				return next, false
+			}
+			next.Number, next.Reason, next.Counted, next.Tallies = next.Number+1, ReasonCounts, in.UnixTime, in.Tallies
+			return next, true
 		}
 		sampled, passed := Sampled(in.Tallies)
 		switch {
@@ -213,10 +239,17 @@
 		}
 	case PhaseSwitching:
 		took := time.Duration(in.UnixTime-next.Since) * time.Millisecond
+		shortest := min(minSwitchTime, order.switchTime())
+		if sampled, _ := Sampled(in.Tallies); sampled < wellSampled {
+			shortest = order.switchTime()
+		}
 		switch {
 		case in.Stopped || Judge(in.Tallies, false).Bad:
 			return move(PhaseRolledBack, ReasonFailures)
-		case took >= minSwitchTime && in.OldRunning == 0 && in.Acknowledged >= in.Nodes:
+		case took < shortest:
+		case Judge(in.Tallies, true).Bad:
+			return move(PhaseRolledBack, ReasonDoubtful)
+		case in.OldRunning == 0 && in.Acknowledged >= in.Nodes:
 			return move(PhaseDone, ReasonSwitched)
 		case took >= order.switchTime():
 			return move(PhaseDone, ReasonTimeUp)
@@ -233,7 +266,7 @@
 		barred = append(barred, s.Order.To)
 	}
 	s.Barred = barred[max(0, len(barred)-maxVersions):]
-	s.Order, s.Old = in.Order, nil
+	s.Order, s.Old, s.Counted = in.Order, nil, 0
 	s.Begun = in.UnixTime - in.Elapsed.Milliseconds()
 	for _, v := range in.Versions {
 		if v != in.Order.To && !slices.Contains(s.Old, v) && !slices.Contains(s.Barred, v) && len(s.Old) < maxVersions {
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -89,14 +89,15 @@
 }
 
 // test is how sure a judgement is: a version is bad if it has minBad bad answers or more that are less
-// probable than tail at a rate of factor times the old version's plus excess.
-type test struct{ minBad, tail, factor, excess float64 }
+// probable than tail at a rate of factor times the old version's plus excess. partTail applies to a part of the
+// answers: there are many parts, each of which may look bad by chance.
+type test struct{ minBad, tail, partTail, factor, excess float64 }
 
 var (
 	// runningTest is applied several times a second.
-	runningTest = test{minBad: 4, tail: 1e-3, factor: 1.5, excess: 0.02}
-	// verdictTest is applied once.
-	verdictTest = test{minBad: 3, tail: 0.03, factor: 1.2, excess: 0.01}
+	runningTest = test{minBad: 4, tail: 2e-4, partTail: 1e-5, factor: 1.5, excess: 0.02}
+	// verdictTest is applied at the verdict and before done.
+	verdictTest = test{minBad: 2, tail: 0.02, partTail: 3e-4, factor: 1.2, excess: 0.01}
 )
 
 // Judge says whether the new version is worse than the old one. It looks at all routes together, for versions
@@ -111,9 +112,12 @@
 	for _, r := range tallies {
 		all.Old, all.New = all.Old.plus(r.Old), all.New.plus(r.New)
 	}
-	for _, r := range append([]Tally{all}, tallies...) {
-		old := r.Old
-		if t.bad(r.New.Total, r.New.Bad, old.Total, old.Bad) {
+	for i, r := range append([]Tally{all}, tallies...) {
+		old, tail := r.Old, t.partTail
+		if i == 0 {
+			tail = t.tail
+		}
+		if t.bad(r.New.Total, r.New.Bad, old.Total, old.Bad, tail) {
 			return Judgement{Bad: true, Route: r.Route}
 		}
 		// The old version gets nothing during the switch, and its recent answers may be few.
@@ -121,21 +125,21 @@
 		if recentRate < old.Bad/max(1, old.Total) || old.RecentTotal < 1 {
 			old.RecentTotal, old.RecentBad = old.Total, old.Bad
 		}
-		if t.bad(r.New.RecentTotal, r.New.RecentBad, old.RecentTotal, old.RecentBad) {
+		if t.bad(r.New.RecentTotal, r.New.RecentBad, old.RecentTotal, old.RecentBad, t.partTail) {
 			return Judgement{Bad: true, Route: r.Route, Recent: true}
 		}
 	}
 	return Judgement{}
 }
 
-func (t test) bad(newTotal, newBad, oldTotal, oldBad float64) bool {
+func (t test) bad(newTotal, newBad, oldTotal, oldBad, tail float64) bool {
 	newTotal, newBad = math.Round(newTotal), math.Round(newBad)
 	if newBad < t.minBad {
 		return false
 	}
 	const priorBad, priorTotal = 0.5, 10
 	rate := (oldBad + priorBad) / (oldTotal + priorTotal)
-	return upperTail(newTotal, newBad, min(0.9, t.factor*rate+t.excess)) < t.tail
+	return upperTail(newTotal, newBad, min(0.9, t.factor*rate+t.excess)) < tail
 }
 
 // upperTail returns the probability of k or more of n events of the given probability.
--- a/pkg/canary/pool.go
+++ b/pkg/canary/pool.go
@@ -26,7 +26,7 @@
 	// pulses: they make no load.
 	slowRate = 5
 	// earlySlack is the part of the slack that may be used at once; the rest follows until the verdict.
-	earlySlack = 0.3
+	earlySlack = 0.5
 	// deadlineMargin covers the time until the order was first read: requests after the deadline do not count.
 	deadlineMargin = 2 * time.Second
 	// maxTracked bounds the routes and versions of a pool that are tracked.
@@ -83,10 +83,13 @@
 	}
 }
 
-// held reports whether a version waits for its order.
-func (p *pool) held(version serving.Version, now clock.Instant) bool {
+// held reports whether a version waits for its order: for a while, and until the orders are known to be complete.
+func (t *Tracker) held(p *pool, version serving.Version, now clock.Instant) bool {
 	at, ok := p.seen[version]
-	return ok && at != 0 && version != "" && now.Sub(at) < announceTime
+	if !ok || at == 0 || version == "" {
+		return false
+	}
+	return now.Sub(at) < announceTime || t.Confirmed != nil && t.Confirmed().Sub(at) < announceTime/2
 }
 
 // class returns the class of an endpoint's version. Without an order all are old.
@@ -98,13 +101,13 @@
 }
 
 // split divides the endpoints into those of the old version and of the new one, without barred and held ones.
-func (p *pool) split(endpoints []serving.Endpoint, now clock.Instant) (old, fresh []serving.Endpoint) {
+func (t *Tracker) split(p *pool, endpoints []serving.Endpoint, now clock.Instant) (old, fresh []serving.Endpoint) {
 	for _, e := range endpoints {
 		switch p.class(e.Version) {
 		case ClassNew:
 			fresh = append(fresh, e)
 		case ClassOld:
-			if !p.held(e.Version, now) {
+			if !t.held(p, e.Version, now) {
 				old = append(old, e)
 			}
 		case ClassBarred:
@@ -186,9 +189,11 @@
 }
 
 const (
-	// medianSize is the number of values in a median, minMedian the number from which it counts.
+	// medianSize is the number of values in a median. From ownMedian on a node uses its own, before the mean
+	// of all nodes' if it is made of minMedian answers.
 	medianSize = 63
-	minMedian  = 8
+	ownMedian  = 15
+	minMedian  = 6
 )
 
 func (m *median) add(v float64) {
@@ -203,9 +208,9 @@
 	m.next = (m.next + 1) % medianSize
 }
 
-// value returns the median, or 0 if there are too few values.
+// value returns the median, or 0 if there are no values.
 func (m *median) value() float64 {
-	if len(m.values) < minMedian {
+	if len(m.values) == 0 {
 		return 0
 	}
 	sorted := slices.Clone(m.values)
--- a/pkg/canary/tracker.go
+++ b/pkg/canary/tracker.go
@@ -69,6 +69,8 @@
 	// Random returns a number in [0, 1), UnixTime the time of day in Unix milliseconds.
 	Random   func() float64
 	UnixTime func(clock.Instant) int64
+	// Confirmed returns when the orders were last known to be complete. It may be nil.
+	Confirmed func() clock.Instant
 	// OnState is called with each new state, OnStop when this node stops sampling by itself. Both may
 	// be nil and must not call the tracker.
 	OnState func(State)
@@ -158,7 +160,7 @@
 	defer t.mu.Unlock()
 	p := t.pool(name)
 	p.observe(endpoints, now)
-	old, _ := p.split(endpoints, now)
+	old, _ := t.split(p, endpoints, now)
 	p.oldListed = slices.ContainsFunc(old, func(e serving.Endpoint) bool { return e.State == serving.StateReady })
 }
 
@@ -171,7 +173,7 @@
 	defer t.mu.Unlock()
 	p := t.pool(name)
 	p.observe(endpoints, now)
-	old, fresh := p.split(endpoints, now)
+	old, fresh := t.split(p, endpoints, now)
 	switch p.phase() {
 	case PhaseSampling:
 		if len(fresh) == 0 || !p.mayExpose(t.Bounds, now) {
@@ -434,15 +436,21 @@
 			p.routes[name] = r
 		}
 	}
-	if v := own(r).value(); v > 0 {
+	m := own(r)
+	v, n := m.value(), float64(len(m.values))
+	if n >= ownMedian {
 		return r, v
 	}
 	for _, t := range p.peers {
 		if t.Route == r.tally.Route {
-			return r, theirs(t)
+			v = weighted(v, n, theirs(t), t.Old.Total)
+			n += t.Old.Total
 		}
 	}
-	return r, 0
+	if n < minMedian {
+		return r, 0
+	}
+	return r, v
 }
 
 // count counts the attempt once, and as bad at most once. Without an order only the usual times are kept. The caller
--- a/pkg/front/canary.go
+++ b/pkg/front/canary.go
@@ -52,6 +52,12 @@
 	f.canary.Nodes = func() int { return f.nodes().Total }
 	f.canary.Random = rand.Float64
 	f.canary.UnixTime = func(clock.Instant) int64 { return f.correctedTime().UnixMilli() }
+	f.canary.Confirmed = func() clock.Instant {
+		if c := f.config.Load(); c != nil {
+			return c.Confirmed
+		}
+		return 0
+	}
 	f.canary.OnState = func(s canary.State) {
 		f.Logs.Emit(event.CanaryPhase, zap.String("pool", string(s.Order.Pool)), zap.String("to", string(s.Order.To)), zap.String("phase", string(s.Phase)),
 			zap.String("reason", string(s.Reason)), zap.Int64("number", s.Number), zap.Any("counts", s.Tallies))
