--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -175,13 +175,14 @@
 	// Acknowledged is the number of nodes that know the state, of the Nodes that respond. OldRunning is
 	// the number of requests in flight at old endpoints.
 	Acknowledged, Nodes, OldRunning int
+	// Passed is the number of requests passed on to the pool since the order.
+	Passed int
 }
 
 // remembered returns the counts of all nodes, with those that were kept in the state if most of these are lost with
 // the nodes that knew them.
 func (s *State) remembered(current []Tally) []Tally {
-	kept, _ := Sampled(s.Tallies)
-	if sampled, _ := Sampled(current); kept > 2*sampled {
+	if Sampled(s.Tallies) > 2*Sampled(current) {
 		return addTallies(s.Tallies, current)
 	}
 	return current
@@ -215,24 +216,24 @@
 			return move(PhaseRolledBack, ReasonFailures)
 		}
 		if in.Elapsed < order.VerdictTime() {
-			if sampled, _ := Sampled(in.Tallies); sampled == 0 || in.UnixTime-max(next.Counted, next.Since) < countInterval.Milliseconds() {
+			if Sampled(in.Tallies) == 0 || in.UnixTime-max(next.Counted, next.Since) < countInterval.Milliseconds() {
 				return next, false
 			}
 			next.Number, next.Reason, next.Counted, next.Tallies = next.Number+1, ReasonCounts, in.UnixTime, in.Tallies
 			return next, true
 		}
-		sampled, passed := Sampled(in.Tallies)
+		unsampled := Sampled(in.Tallies) < minSampled && in.Passed >= minPassed
 		switch {
 		case Judge(in.Tallies, true).Bad:
 			return move(PhaseRolledBack, ReasonDoubtful)
-		case left > order.switchTime() && (float64(in.ReadyNew) < minCapacity*float64(in.ReadyOld) || sampled < minSampled && passed >= minPassed):
+		case left > order.switchTime() && (float64(in.ReadyNew) < minCapacity*float64(in.ReadyOld) || unsampled):
 			// They may still come.
 			return next, false
 		case in.ReadyNew == 0 && left <= 0:
 			return move(PhaseRolledBack, ReasonNoEndpoints)
 		case in.ReadyNew == 0:
 			return next, false
-		case sampled < minSampled && passed >= minPassed:
+		case unsampled:
 			return move(PhaseRolledBack, ReasonUnsampled)
 		default:
 			return move(PhaseSwitching, ReasonGood)
@@ -240,7 +241,7 @@
 	case PhaseSwitching:
 		took := time.Duration(in.UnixTime-next.Since) * time.Millisecond
 		shortest := min(minSwitchTime, order.switchTime())
-		if sampled, _ := Sampled(in.Tallies); sampled < wellSampled {
+		if Sampled(in.Tallies) < wellSampled {
 			shortest = order.switchTime()
 		}
 		switch {
--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -70,13 +70,12 @@
 	}
 }
 
-// Sampled returns the numbers of answers of the new version and of both.
-func Sampled(tallies []Tally) (sampled, passed float64) {
+// Sampled returns the number of answers of the new version.
+func Sampled(tallies []Tally) (sampled float64) {
 	for _, t := range tallies {
 		sampled += t.New.Total
-		passed += t.New.Total + t.Old.Total
 	}
-	return sampled, passed
+	return sampled
 }
 
 // Judgement is the result of Judge.
@@ -112,17 +111,20 @@
 	for _, r := range tallies {
 		all.Old, all.New = all.Old.plus(r.Old), all.New.plus(r.New)
 	}
+	const priorBad, priorTotal = 0.5, 10
+	usual := (all.Old.Bad + priorBad) / (all.Old.Total + priorTotal)
 	for i, r := range append([]Tally{all}, tallies...) {
 		old, tail := r.Old, t.partTail
 		if i == 0 {
 			tail = t.tail
 		}
+		// Where the old version has few answers, its usual rate on all routes counts.
+		old.Total, old.Bad = old.Total+priorTotal, old.Bad+usual*priorTotal
 		if t.bad(r.New.Total, r.New.Bad, old.Total, old.Bad, tail) {
 			return Judgement{Bad: true, Route: r.Route}
 		}
 		// The old version gets nothing during the switch, and its recent answers may be few.
-		recentRate := old.RecentBad / max(1, old.RecentTotal)
-		if recentRate < old.Bad/max(1, old.Total) || old.RecentTotal < 1 {
+		if old.RecentTotal < 1 || old.RecentBad/old.RecentTotal < old.Bad/old.Total {
 			old.RecentTotal, old.RecentBad = old.Total, old.Bad
 		}
 		if t.bad(r.New.RecentTotal, r.New.RecentBad, old.RecentTotal, old.RecentBad, t.partTail) {
@@ -137,9 +139,7 @@
 	if newBad < t.minBad {
 		return false
 	}
-	const priorBad, priorTotal = 0.5, 10
-	rate := (oldBad + priorBad) / (oldTotal + priorTotal)
-	return upperTail(newTotal, newBad, min(0.9, t.factor*rate+t.excess)) < tail
+	return upperTail(newTotal, newBad, min(0.9, t.factor*oldBad/oldTotal+t.excess)) < tail
 }
 
 // upperTail returns the probability of k or more of n events of the given probability.
--- a/pkg/canary/pool.go
+++ b/pkg/canary/pool.go
@@ -25,6 +25,8 @@
 	// slowRate is the rate of requests at a node, in requests a second, below which it does not wait for
 	// pulses: they make no load.
 	slowRate = 5
+	// slowSampleRate is the probability with which such a node samples a request.
+	slowSampleRate = 0.5
 	// earlySlack is the part of the slack that may be used at once; the rest follows until the verdict.
 	earlySlack = 0.5
 	// deadlineMargin covers the time until the order was first read: requests after the deadline do not count.
@@ -49,6 +51,9 @@
 	oldRunning  int
 	// broken are the requests that new endpoints broke off, for whose crash there is no sign yet.
 	broken []broken
+	// comparing reports whether the latest request came at a time at which requests are sampled. Answers of the old version
+	// count only then: what slows all endpoints for a moment must show in both.
+	comparing bool
 	// seen is when each version was first seen; 0 if from the start.
 	seen map[serving.Version]clock.Instant
 	// oldListed reports whether there are ready endpoints that are neither new nor held.
@@ -57,6 +62,7 @@
 	peers        []Tally
 	acknowledged int
 	peersRunning int
+	peersPassed  int
 }
 
 // broken is a request that an endpoint broke off, with the counts in which it is.
@@ -151,7 +157,7 @@
 // of the old ones during pulses.
 func (p *pool) sampleRate(share float64, old, sampled int, unixTime int64, elapsed time.Duration) float64 {
 	if old == 0 || float64(p.budget.passed) < slowRate*max(1, elapsed.Seconds()) {
-		return 1
+		return slowSampleRate
 	}
 	pulse := share * float64(old) / float64(sampled)
 	period := min(max(p.order.Duration/pulsesPerOrder, minPulsePeriod), maxPulsePeriod).Milliseconds()
@@ -262,5 +268,5 @@
 	for name, r := range p.routes {
 		r.tally = Tally{Route: name}
 	}
-	p.stopped, p.told, p.confirmedAt, p.peersRunning, p.acknowledged = false, false, 0, 0, 0
+	p.stopped, p.told, p.confirmedAt, p.peersRunning, p.peersPassed, p.acknowledged = false, false, 0, 0, 0, 0
 }
--- a/pkg/canary/tracker.go
+++ b/pkg/canary/tracker.go
@@ -26,6 +26,8 @@
 	Tallies      []Tally `cbor:"6,keyasint,omitempty"`
 	OldRunning   int     `cbor:"7,keyasint,omitempty"`
 	Acknowledged int     `cbor:"8,keyasint,omitempty"`
+	// Passed is the number of requests passed on to the pool since the order.
+	Passed int `cbor:"9,keyasint,omitempty"`
 }
 
 // maxReports bounds the orders in a digest.
@@ -48,6 +50,7 @@
 		}
 		s.Tallies = addTallies(s.Tallies, r.Tallies)
 		s.OldRunning += r.OldRunning
+		s.Passed += r.Passed
 		switch {
 		case s.State.Number == r.State.Number:
 			s.Acknowledged += r.Acknowledged
@@ -176,11 +179,12 @@
 	old, fresh := t.split(p, endpoints, now)
 	switch p.phase() {
 	case PhaseSampling:
-		if len(fresh) == 0 || !p.mayExpose(t.Bounds, now) {
-			return old
-		}
 		sampled := sampledEndpoints(t.Bounds.ExposeShare, fresh)
-		if len(sampled) == 0 || t.Random() >= p.sampleRate(t.Bounds.ExposeShare, len(old), len(sampled), t.UnixTime(now), now.Sub(p.orderedAt)) {
+		rate := 0.0
+		if len(sampled) > 0 {
+			rate = p.sampleRate(t.Bounds.ExposeShare, len(old), len(sampled), t.UnixTime(now), now.Sub(p.orderedAt))
+		}
+		if p.comparing = rate > 0; !p.comparing || !p.mayExpose(t.Bounds, now) || t.Random() >= rate {
 			return old
 		}
 		return sampled
@@ -226,8 +230,9 @@
 	class    Class
 	cold     bool
 	first    bool
-	// counted and bad report whether the attempt was counted, and as bad; ended that it is over.
-	counted, bad, ended bool
+	// compared reports whether the answer counts, counted and bad whether it was counted, and as bad, and
+	// ended that the attempt is over.
+	compared, counted, bad, ended bool
 }
 
 // Begin takes an attempt from the node's budget. first is set for the first attempt of a request. ok is false if
@@ -248,6 +253,7 @@
 	if !t.accepts(p, s.class, now) || s.class == ClassNew && p.phase() == PhaseSampling && !p.mayExpose(t.Bounds, now) {
 		return nil, false
 	}
+	s.compared = s.class == ClassNew || p.comparing
 	if s.class == ClassNew {
 		p.budget.expose++
 	} else {
@@ -453,10 +459,11 @@
 	return r, v
 }
 
-// count counts the attempt once, and as bad at most once. Without an order only the usual times are kept. The caller
+// count counts the attempt once, and as bad at most once. Without an order, or if it cannot be compared, only the usual
+// times are kept. The caller
 // holds the lock.
 func (s *Sample) count(r *routeStats, bad bool) {
-	if !s.pool.ordered {
+	if !s.pool.ordered || !s.compared {
 		return
 	}
 	c := &r.tally.Old
@@ -489,7 +496,7 @@
 		}
 		r := Report{Order: p.order, OrderAge: now.Sub(p.orderedAt), State: p.state, Stop: p.told, Acknowledged: 1}
 		if !p.phase().Final() {
-			r.Tallies, r.OldRunning = p.tallies(now), p.oldRunning
+			r.Tallies, r.OldRunning, r.Passed = p.tallies(now), p.oldRunning, p.budget.passed
 			if p.confirmedAt != 0 {
 				r.WordAge = max(1, now.Sub(p.confirmedAt))
 			}
@@ -521,7 +528,7 @@
 	}
 	for _, r := range sums {
 		if p := t.pools[r.Order.Pool]; p != nil && p.ordered && p.order.To == r.Order.To {
-			p.peers, p.peersRunning, p.acknowledged = r.Tallies, r.OldRunning, 0
+			p.peers, p.peersRunning, p.peersPassed, p.acknowledged = r.Tallies, r.OldRunning, r.Passed, 0
 			if r.State.Number == p.state.Number {
 				p.acknowledged = r.Acknowledged
 			}
@@ -591,6 +598,7 @@
 		Order: p.order, State: p.state, Elapsed: now.Sub(p.orderedAt), UnixTime: t.UnixTime(now),
 		Tallies: addTallies(p.tallies(now), p.peers), Stopped: p.stopped || p.told,
 		Acknowledged: p.acknowledged, Nodes: nodes, OldRunning: p.oldRunning + p.peersRunning,
+		Passed: p.budget.passed + p.peersPassed,
 	}
 	for _, e := range endpoints {
 		in.Versions = append(in.Versions, e.Version)
