--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -61,6 +61,7 @@
 	operatorEvents,
 	serveEvents,
 	waitingEvents,
+	canaryEvents,
 )
 
 func sortByID(tables ...[]Definition) []Definition {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
@@ -157,6 +158,7 @@
 	visitors  returning.Visitors
 	// short is whether housekeep last found too little room for the requests.
 	short       bool
+	canary      canary.Tracker
 	connections forward.Pool
 	// shutdown is the state of a planned stop.
 	shutdown       gateway.Shutdown
@@ -195,6 +197,7 @@
 			return nil
 		})
 	}
+	f.configureCanary()
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
@@ -209,6 +212,7 @@
 		f.directoryService(),
 		f.gossipService(),
 		f.dutiesService(),
+		f.rolloutsService(),
 		f.metricsService(),
 		f.callersService(),
 		f.probeService(),
@@ -351,6 +355,7 @@
 		Waiting:        &f.waiting,
 		Returns:        &f.returns,
 		Visitors:       &f.visitors,
+		Versions:       &f.canary,
 		Engines:        &f.engines,
 		Quotas:         &f.quotas,
 		Retries:        &f.retries,
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -191,6 +191,7 @@
 		Leaving:    f.directory.Announced(),
 		Speeds:     f.engines.Known(),
 		Pace:       f.pace.Evidence(clock.Now()),
+		Rollouts:   f.canary.Reports(clock.Now()),
 		Clock:      f.wallClock(),
 		Shortage:   f.shortage(),
 	}
@@ -219,6 +220,9 @@
 	for id, born := range d.Leaving {
 		f.directory.MarkLeaving(id, born, clock.Now())
 	}
+	if len(d.Rollouts) > 0 {
+		f.canary.Merge(d.Rollouts, f.peers.Rollouts(), clock.Now())
+	}
 	f.tracker.SetPeerWork(f.peers.Work())
 	f.applyShortage()
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
--- a/pkg/front/quarantine.go
+++ b/pkg/front/quarantine.go
@@ -32,6 +32,7 @@
 func (f *Front) recordCrash(e serving.Endpoint, r quarantine.Run) {
 	f.tracker.RecordUnreachable(e.ID, clock.Now())
 	f.quarantine.RecordCrash(e.ID, r)
+	f.canary.RecordCrash(e)
 	texts := make([]string, len(r.Subjects))
 	for i, s := range r.Subjects {
 		texts[i] = formatSubject(s)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -90,6 +90,7 @@
 	// ended reports whether the attempt ended before the head of a response was read.
 	ended    atomic.Bool
 	finished bool
+	version  versionSample
 }
 
 // chooseEndpoint picks an endpoint that was not tried, is not in unreachable and has not
@@ -105,6 +106,7 @@
 		}
 	}
 	candidates, pauseEnd := p.handler.Tracker.Available(candidates, now)
+	candidates = p.handler.Versions.Filter(p.pool.Name, candidates, now)
 	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
 	n := p.handler.Nodes()
 	view := placement.View{Lag: n.Lag, Nodes: n.Total, Draw: p.handler.Random()}
@@ -173,6 +175,10 @@
 	// The next waiting request may look for room now that the load counts this one.
 	p.wakeWaiting()
 	ctx, a.cancel = context.WithCancel(ctx)
+	if !a.beginVersion() {
+		a.finish()
+		return nil, &forward.UnsentError{Address: c.Endpoint.Address, Cause: errVersionNotAccepted}
+	}
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
 		Instance: c.Endpoint.ID,
@@ -198,10 +204,11 @@
 		Matches:        p.responseMatches,
 		OnHead:         a.recordAnnouncements,
 		Expires:        time.Now().Add(dispatch.Timeout),
-		Abandoned:      func() bool { return p.abandonUnsent(c.Endpoint) },
+		Abandoned:      func() bool { return !a.version.sample.Accepts(clock.Now()) || p.abandonUnsent(c.Endpoint) },
 	})
 	if err != nil {
 		a.ended.Store(true)
+		a.recordVersionError(err)
 		p.recordSendFailure(a, err)
 		a.finish()
 		return nil, err
@@ -284,7 +291,7 @@
 			p.handler.Tracker.RecordUnreachable(id, clock.Now())
 		}
 	} else {
-		p.handler.Tracker.RecordOutcome(id, false)
+		a.recordOutcome(false)
 		a.recordBrokenOff(err)
 	}
 	p.logEndpointFailure(a, err)
@@ -321,7 +328,8 @@
 // recordBrokenOff records that the endpoint broke off the exchange, unless err has another
 // cause.
 func (a *attempt) recordBrokenOff(err error) {
-	if forward.BrokeOff(err) {
+	a.version.brokeOff = forward.BrokeOff(err)
+	if a.version.brokeOff {
 		a.proxy.handler.RecordBroken(a.choice.Endpoint, quarantine.Run{Subjects: a.proxy.subjects, Sent: a.sentAt, Broke: clock.Now(), Started: a.startRecorded})
 	}
 }
@@ -350,6 +358,7 @@
 		a.firstAt = now
 	}
 	a.gaps.Add(now)
+	a.recordVersionEvent()
 	a.proxy.recordStart()
 	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, now)
 	if first {
@@ -377,6 +386,7 @@
 	}
 	a.finished = true
 	a.recordPace()
+	a.endVersion()
 	if a.response != nil {
 		a.response.Close()
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
@@ -139,6 +140,8 @@
 	// recognises those that do.
 	Returns  *returning.Schedule
 	Visitors *returning.Visitors
+	// Versions decides which versions of endpoints get requests; nil stands for all.
+	Versions *canary.Tracker
 	// Engines holds the measured speeds of the engines.
 	Engines *provision.EngineModel
 	Quotas  *allotment.QuotaLimiter
--- a/pkg/gateway/move.go
+++ b/pkg/gateway/move.go
@@ -207,7 +207,6 @@
 
 // accepts reports whether the endpoint of an attempt accepted the stream.
 func (s *streamRequest) accepts(a *streamAttempt) bool {
-	id := a.choice.Endpoint.ID
 	var unsent *forward.UnsentError
 	if errors.As(a.err, &unsent) {
 		s.tried = s.tried[:len(s.tried)-1]
@@ -225,7 +224,7 @@
 	}
 	s.mayHaveRun = true
 	if r.Status != http.StatusOK || !metadata.Sealed || s.headerSent && r.Header.Get("Content-Type") != s.contentType {
-		s.handler.Tracker.RecordOutcome(id, false)
+		a.sent.recordOutcome(false)
 		return false
 	}
 	return true
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -144,7 +144,7 @@
 	case a.response.Status != http.StatusOK && !s.headerSent:
 		return s.handleErrorResponse(a, metadata)
 	default:
-		s.handler.Tracker.RecordOutcome(sa.choice.Endpoint.ID, false)
+		a.recordOutcome(false)
 		return outcomeLost, ReasonInvalidResponse
 	}
 }
@@ -153,7 +153,7 @@
 // complete and sealed, unless the request may be retried.
 func (s *streamRequest) handleErrorResponse(a *attempt, metadata platform.Response) (outcome, Reason) {
 	body, err := readBounded(a.response)
-	s.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
+	a.recordOutcome(false)
 	if err != nil || !metadata.Sealed {
 		a.recordBrokenOff(err)
 		return outcomeLost, ReasonInvalidResponse
@@ -205,7 +205,6 @@
 // skips events that the caller already has.
 func (s *streamRequest) relayEvents(ctx context.Context, a *attempt) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
-	id := a.choice.Endpoint.ID
 	newEvents, firstAt := 0, time.Time{}
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
@@ -221,7 +220,7 @@
 		})
 		if moved {
 			a.response.DoNotReuse()
-			s.handler.Tracker.RecordOutcome(id, false)
+			a.recordOutcome(false)
 			if !complete {
 				a.recordBrokenOff(err)
 			}
@@ -229,7 +228,7 @@
 			return outcomeLost, ReasonEndpointFailed
 		}
 		if complete {
-			s.handler.Tracker.RecordOutcome(id, true)
+			a.recordOutcome(true)
 			a.recordServed()
 			if s.pool.Engine != nil {
 				s.handler.Engines.AddStream(s.pool.Name, newEvents, s.pool.Engine.TokensPerEvent, time.Since(firstAt))
@@ -244,7 +243,7 @@
 			}
 			reason := s.failureReason(ctx)
 			if reason != ReasonTimeout {
-				s.handler.Tracker.RecordOutcome(id, false)
+				a.recordOutcome(false)
 				a.recordBrokenOff(err)
 			}
 			// The body may have been read to its end by now.
