gateway: a stream that has begun is at two endpoints for 0.3 s at most

The attempt at an endpoint that pauses goes on until another one accepts the stream, which takes as long as that queues and reads in. After 0.3 s without a refusal the attempt before ends; a full endpoint refuses sooner. Before the first event nothing changes.

--- a/pkg/gateway/move.go
+++ b/pkg/gateway/move.go
@@ -17,8 +17,13 @@
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
-// movePause is the time after which a stalled stream tries again to move.
-const movePause = 200 * time.Millisecond
+const (
+	// movePause is the time after which a stalled stream tries again to move.
+	movePause = 200 * time.Millisecond
+	// maxOverlap is how long a stream that has begun may be at two endpoints: it must not be
+	// worked on at the one before 400 ms after it goes on at another one.
+	maxOverlap = 300 * time.Millisecond
+)
 
 var (
 	// errStalled cancels an attempt that sent no event in time.
@@ -91,6 +96,8 @@
 	goesOn bool
 	// pending is the attempt at another endpoint that has not been accepted yet.
 	pending *streamAttempt
+	// left reports whether the current attempt was ended for the pending one.
+	left bool
 }
 
 // begin takes the turn for the first attempt.
@@ -126,7 +133,7 @@
 	goesOn := wait()
 	m.mu.Lock()
 	m.goesOn = goesOn
-	if goesOn && m.pending != nil {
+	if goesOn && m.pending != nil && !m.left {
 		m.pending.cancel(errOvertaken)
 	}
 	m.mu.Unlock()
@@ -183,19 +190,24 @@
 	if m.goesOn {
 		a.cancel(errOvertaken)
 	}
-	m.pending = a
+	m.pending, m.left = a, false
 	m.mu.Unlock()
 	stalled := time.AfterFunc(s.firstEventTimeout(c), func() { a.cancel(errStalled) })
 	defer stalled.Stop()
+	overlap := time.AfterFunc(maxOverlap, func() { m.leave(a) })
+	defer overlap.Stop()
 	var resumeAfter *serving.EventID
-	if s.hasLastEvent {
+	if !s.hasLastEvent {
+		overlap.Stop()
+	} else {
 		last := s.lastEvent
 		resumeAfter = &last
 	}
 	a.start(s, resumeAfter)
 	accepted := s.accepts(a) && stalled.Stop()
+	overlap.Stop()
 	m.mu.Lock()
-	accepted = accepted && !m.goesOn
+	accepted = accepted && (!m.goesOn || m.left)
 	m.pending = nil
 	m.mu.Unlock()
 	if accepted {
@@ -205,6 +217,17 @@
 	return nil
 }
 
+// leave ends the current attempt unless it goes on, or the attempt next is not pending any
+// more.
+func (m *streamMove) leave(next *streamAttempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pending == next && !m.goesOn {
+		m.left = true
+		m.current.cancel(errStalled)
+	}
+}
+
 // accepts reports whether the endpoint of an attempt accepted the stream.
 func (s *streamRequest) accepts(a *streamAttempt) bool {
 	id := a.choice.Endpoint.ID
