--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_CHECKS ?= 20000
 FUZZ_SEED ?= 1
 
-.PHONY: soak processes try test build lint format fuzz fuzz-parsers mutate measure measure-orders measure-edge measure-peers measure-nodes docs generate ci
+.PHONY: soak crowds processes try test build lint format fuzz fuzz-parsers mutate measure measure-orders measure-edge measure-peers measure-nodes docs generate ci
 
 try: build
 	bin/skylarkloomd try
@@ -79,6 +79,11 @@
 processes: build
 	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags processes -count=1 -timeout 10m -v ./pkg/trial/processes
 
+# crowds sends what callers outside the limits send to nodes in processes of their own, one
+# crowd at a time.
+crowds: build
+	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags crowds -count=1 -p 1 -timeout 5m ./pkg/trial/crowd
+
 measure-peers:
 	mkdir -p docs/measured
 	rm -f docs/measured/peers.txt
