Bound what callers make a node hold

Cause: readBody kept the bodies of all requests at once in memory that doubled as it grew; the limits of the configuration on heads and idle connections were not applied; nothing bounded connections or the sum of what they hold.

Change: pkg/intake accounts for connections, heads and bodies in one budget that follows from the memory and the descriptors in the settings. Bytes are charged before they are kept. A body over 64 KiB waits up to 2 s until its whole length has room; meanwhile, what stalls gives way, the slowest first. In calm nothing gives way. connection.Guard applies the limits on heads and idle connections of the configuration in force without a restart, on each address of a node. What is refused has not run: 503 with Retry-After, 413, 431, 408, or the connection is closed. Event 2401, three metrics, docs/design/intake.md and docs/operators/callers.md.

Two golden files of platform/ have the fields that are now decoded.

--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
 # crowds sends what callers outside the limits send to nodes in processes of their own, one
 # crowd at a time.
 crowds: build
-	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags crowds -count=1 -p 1 -timeout 5m ./pkg/trial/crowd
+	SKYLARKLOOMD=$(CURDIR)/bin/skylarkloomd go test -tags crowds -count=1 -p 1 -v -timeout 5m ./pkg/trial/crowd
 
 measure-peers:
 	mkdir -p docs/measured
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -59,6 +59,7 @@
 	rolloutEvents,
 	operatorEvents,
 	serveEvents,
+	intakeEvents,
 )
 
 func sortByID(tables ...[]Definition) []Definition {
--- a/pkg/front/callers.go
+++ b/pkg/front/callers.go
@@ -9,6 +9,7 @@
 	"github.com/justinas/alice"
 
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
+	"github.com/skylarkloom/skylarkloom/pkg/interval"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 )
 
@@ -18,15 +19,18 @@
 	s := kernel.Service{Name: ServiceCallers, Done: done}
 	s.Start = func(ctx context.Context) error {
 		f.callerServer = &http.Server{
-			Handler:           alice.New().Then(f.handler()),
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			BaseContext:       func(net.Listener) context.Context { return ctx },
-			ConnContext:       connection.NewContext,
-			ConnState:         f.callerConns.SetState,
+			Handler:     alice.New().Then(f.handler()),
+			BaseContext: func(net.Listener) context.Context { return ctx },
+			ConnContext: connection.NewContext,
+			ConnState:   f.callerConns.SetState,
 		}
+		guard := &connection.Guard{Budget: &f.intake.callers, Limits: f.headLimits}
 		var err error
-		f.callerListener, err = f.serve(ctx, f.callerServer, f.Settings.CallerAddress, done)
+		f.callerListener, err = f.serve(ctx, f.callerServer, guard, f.Settings.CallerAddress, done)
+		f.group.Go(func() error {
+			interval.Run(ctx, intakeInterval, f.sweepIntake)
+			return nil
+		})
 		return err
 	}
 	s.Drain = func(ctx context.Context) error { return f.drainCallers(ctx, done) }
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
@@ -68,10 +69,6 @@
 	revokeMargin = 400 * time.Millisecond
 	// housekeepInterval is the pause between two runs of housekeep.
 	housekeepInterval = time.Second
-	// headerTimeout and idleTimeout limit connections whose requests are not yet
-	// limited by a configuration.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// assumedNodes is the usual number of nodes in a deployment. At least as many are
 	// assumed to share the limits until the list of nodes has been read.
 	assumedNodes = 8
@@ -153,6 +150,7 @@
 	callerListener net.Listener
 	callerServer   *http.Server
 	probeServer    *http.Server
+	intake         callerIntake
 }
 
 // Start starts the services, which run within the context.
@@ -182,6 +180,7 @@
 	}
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
+	f.intake.init(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
 	f.quotas.Slack = bounds.QuotaSlack
 	if !f.Settings.FirstStart {
@@ -268,23 +267,24 @@
 	done := make(chan struct{})
 	s := kernel.Service{Name: ServiceProbe, Done: done}
 	s.Start = func(ctx context.Context) error {
-		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: headerTimeout}
-		_, err := f.serve(ctx, f.probeServer, f.Settings.ProbeAddress, done)
+		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: connection.HeadTimeout}
+		_, err := f.serve(ctx, f.probeServer, otherGuard(&f.intake.probe), f.Settings.ProbeAddress, done)
 		return err
 	}
 	s.Stop = func(context.Context) error { return f.probeServer.Close() }
 	return s
 }
 
-// serve listens on an address and serves in the background until the server or the
-// listener is closed. It closes done afterwards, or if it cannot listen.
-func (f *Front) serve(ctx context.Context, server *http.Server, address string, done chan struct{}) (listener net.Listener, err error) {
+// serve listens on an address and serves in the background, through a guard, until the
+// server or the listener is closed. It closes done afterwards, or if it cannot listen.
+func (f *Front) serve(ctx context.Context, server *http.Server, guard *connection.Guard, address string, done chan struct{}) (listener net.Listener, err error) {
 	var listenConfig net.ListenConfig
 	listener, err = listenConfig.Listen(ctx, "tcp", address)
 	if err != nil {
 		close(done)
 		return nil, err
 	}
+	listener = guardServer(server, guard, listener)
 	f.group.Go(func() error {
 		defer close(done)
 		if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -11,8 +11,10 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 )
 
@@ -34,6 +36,7 @@
 	callersLeft       *prometheus.CounterVec
 	announcements     *prometheus.CounterVec
 	unread            *prometheus.CounterVec
+	callersRefused    *prometheus.CounterVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -59,6 +62,9 @@
 		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_front_unread_total", Help: "Requests given up before the endpoint responded, by pool and cause (caller left, timeout).",
 		}, []string{"pool", "cause"}),
+		callersRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_front_callers_refused_total", Help: "Callers that were refused or cut off because of what they sent, by cause.",
+		}, []string{"cause"}),
 	}
 }
 
@@ -87,6 +93,11 @@
 	m.unread.WithLabelValues(string(pool), string(cause)).Inc()
 }
 
+// countRefusedCaller counts a caller that was refused because of what it sent.
+func (m *requestMetrics) countRefusedCaller(c intake.Cause) {
+	m.callersRefused.WithLabelValues(string(c)).Inc()
+}
+
 // gauges returns the metrics whose values are read when they are collected.
 func (f *Front) gauges() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -108,6 +119,14 @@
 		gauge("directory_age_seconds", "Time since the endpoint directory was last known to be complete.", func() float64 {
 			return clock.Now().Sub(clock.Instant(f.directoryReadAt.Load())).Seconds()
 		}),
+		gauge("callers_bytes", "Memory charged for the heads and bodies of callers.", func() float64 {
+			held, _ := f.intake.callers.Held()
+			return float64(held)
+		}),
+		gauge("callers_connections", "Connections of callers.", func() float64 {
+			_, connections := f.intake.callers.Held()
+			return float64(connections)
+		}),
 		gauge("endpoints", "Endpoints that have a directory entry.", func() float64 { return float64(len(f.directory.Listed())) }),
 		gauge("nodes", "Nodes that share the limits.", func() float64 { return float64(f.peers.Count().Total) }),
 		gauge("nodes_silent", "Nodes among them without a recent digest.", func() float64 { return float64(f.peers.Count().Silent) }),
@@ -129,18 +148,18 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread, f.metrics.callersRefused)
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{Timeout: time.Second}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: connection.HeadTimeout}
 	return kernel.Service{
 		Name: ServiceMetrics,
 		Done: done,
 		Start: func(ctx context.Context) error {
 			address := net.JoinHostPort(f.Settings.IP, strconv.Itoa(f.Settings.InternalPorts[0]+MetricsPortOffset))
-			_, err := f.serve(ctx, server, address, done)
+			_, err := f.serve(ctx, server, otherGuard(&f.intake.metrics), address, done)
 			return err
 		},
 		Stop: func(context.Context) error { return server.Close() },
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,7 +4,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,6 +35,8 @@
 	ReasonUnknownKey          Reason = "unknown key"
 	ReasonQuotaExceeded       Reason = "over quota"
 	ReasonBodyTooLarge        Reason = "body too large"
+	ReasonNoRoomForBody       Reason = "no room for the body"
+	ReasonBodyTooSlow         Reason = "body too slow"
 	ReasonNoEndpoint          Reason = "no endpoint"
 	ReasonOverload            Reason = "cannot be served in time"
 	ReasonEndpointsFull       Reason = "endpoints are full"
@@ -81,9 +82,6 @@
 	// retryJitter is the share of a Retry-After time that is added at most as
 	// jitter, so that callers do not retry together.
 	retryJitter = 0.5
-	// defaultMaxBodyBytes is the size limit of a request body if the configuration
-	// sets none.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // Config is the configuration in force and the time at which it was last
@@ -283,25 +281,6 @@
 	return true
 }
 
-// readBody reads the request body. It refuses the request if the body exceeds the
-// limit or cannot be read.
-func (p *proxyRequest) readBody() bool {
-	limit := p.config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(p.writer, p.httpRequest.Body, limit))
-	if err != nil {
-		status, reason := http.StatusBadRequest, ReasonCallerGone
-		if int64(len(body)) >= limit {
-			status, reason = http.StatusRequestEntityTooLarge, ReasonBodyTooLarge
-		}
-		return p.refuse(status, reason, 0)
-	}
-	p.body = body
-	return true
-}
-
 // hashContent returns the hash that identifies the request's content, which is its
 // method, URI, key and body.
 func (p *proxyRequest) hashContent() uint64 {
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -140,6 +140,10 @@
 	// MaxBodyBytes is the maximum length of a request body; 0 if the configuration
 	// sets no limit.
 	MaxBodyBytes int64
+	// MaxHeadBytes is the maximum length of a head, HeadTimeout the time that it may take, and
+	// IdleTimeout the time between requests on a connection; 0 if the configuration sets none.
+	MaxHeadBytes             int64
+	HeadTimeout, IdleTimeout time.Duration
 }
 
 // BuildIndex prepares the lookups of routes and accounts. It is called once, before
