Do not copy long request bodies

The request to an endpoint was encoded into one buffer, so a long body was held twice while it was sent. Only the first 4 KiB are copied now.

--- a/pkg/forward/encode.go
+++ b/pkg/forward/encode.go
@@ -12,10 +12,12 @@
 // other requests.
 var ErrNoMatchingResponse = errors.New("received only responses to other requests")
 
-// encodeRequest returns the request in HTTP/1.1 wire format.
-func encodeRequest(req Request) []byte {
+// encodeRequest returns the request in HTTP/1.1 wire format in parts: at most
+// inlineWriteBytes that are written first, and the rest. The body is not copied beyond the
+// first part, since it may be large.
+func encodeRequest(req Request) (first []byte, rest [][]byte) {
 	var b bytes.Buffer
-	b.Grow(512 + len(req.Body))
+	b.Grow(512 + min(len(req.Body), inlineWriteBytes))
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.Target)
@@ -39,6 +41,14 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
-	return b.Bytes()
+	inline := min(len(req.Body), max(0, inlineWriteBytes-b.Len()))
+	b.Write(req.Body[:inline])
+	first = b.Bytes()
+	if len(first) > inlineWriteBytes {
+		first, rest = first[:inlineWriteBytes], append(rest, first[inlineWriteBytes:])
+	}
+	if inline < len(req.Body) {
+		rest = append(rest, req.Body[inline:])
+	}
+	return first, rest
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -199,21 +199,21 @@
 // accepted before the return; written reports whether the whole request was
 // accepted.
 func (c *conn) send(req Request) (written func() bool, sent int, err error) {
-	data := encodeRequest(req)
-	if len(data) <= inlineWriteBytes {
-		n, err := c.Write(data)
+	first, rest := encodeRequest(req)
+	n, err := c.Write(first)
+	if err != nil || len(rest) == 0 {
 		return func() bool { return err == nil }, n, err
 	}
-	n, err := c.Write(data[:inlineWriteBytes])
-	if err != nil {
-		return func() bool { return false }, n, err
-	}
 	done := make(chan struct{})
 	var restErr error
 	var group errgroup.Group
 	group.Go(func() error {
 		defer close(done)
-		_, restErr = c.Write(data[inlineWriteBytes:])
+		for _, part := range rest {
+			if _, restErr = c.Write(part); restErr != nil {
+				break
+			}
+		}
 		return restErr
 	})
 	return func() bool {
