--- a/pkg/trial/crowd/crowd_test.go
+++ b/pkg/trial/crowd/crowd_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -217,6 +218,7 @@
 			Expect(group.Wait()).To(Succeed())
 		}
 		Expect(n.post(&slowReader{left: maxBodyBytes, pause: 40 * time.Millisecond})).To(Equal(http.StatusOK))
+		Expect(n.post(iotest.OneByteReader(bytes.NewReader(make([]byte, maxBodyBytes))))).To(Equal(http.StatusOK), "in chunks of one byte")
 		n.expectBounded()
 	})
 })
