--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -180,7 +180,7 @@
 	}
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
-	f.intake.init(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
+	f.intake.setLimits(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
 	f.quotas.Slack = bounds.QuotaSlack
 	if !f.Settings.FirstStart {
@@ -267,7 +267,7 @@
 	done := make(chan struct{})
 	s := kernel.Service{Name: ServiceProbe, Done: done}
 	s.Start = func(ctx context.Context) error {
-		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: connection.HeadTimeout}
+		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness)}
 		_, err := f.serve(ctx, f.probeServer, otherGuard(&f.intake.probe), f.Settings.ProbeAddress, done)
 		return err
 	}
--- a/pkg/front/intake.go
+++ b/pkg/front/intake.go
@@ -37,8 +37,8 @@
 	reportedAt clock.Instant
 }
 
-// init sets the limits for a node with an amount of memory and a number of sockets.
-func (n *callerIntake) init(memory intake.Bytes, sockets int, onRefused func(intake.Cause)) {
+// setLimits sets the limits of a node with an amount of memory and a number of sockets.
+func (n *callerIntake) setLimits(memory intake.Bytes, sockets int, onRefused func(intake.Cause)) {
 	n.refused = make(map[intake.Cause]int)
 	n.callers.Limits = intake.LimitsOf(memory, sockets)
 	for _, b := range []*intake.Budget{&n.probe, &n.metrics, &n.snapshots} {
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -11,7 +11,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
-	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
 	"github.com/skylarkloom/skylarkloom/pkg/intake"
@@ -153,7 +152,7 @@
 	done := make(chan struct{})
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{Timeout: time.Second}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: connection.HeadTimeout}
+	server := &http.Server{Handler: mux}
 	return kernel.Service{
 		Name: ServiceMetrics,
 		Done: done,
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -14,7 +14,6 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
-	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/feed"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
@@ -65,7 +64,7 @@
 			return err
 		}
 		snapshotServerDone := make(chan struct{})
-		f.snapshotServer = &http.Server{Handler: http.HandlerFunc(f.serveSnapshot), ReadHeaderTimeout: connection.HeadTimeout}
+		f.snapshotServer = &http.Server{Handler: http.HandlerFunc(f.serveSnapshot)}
 		if _, err := f.serve(ctx, f.snapshotServer, otherGuard(&f.intake.snapshots), f.internalAddress(), snapshotServerDone); err != nil {
 			close(done)
 			return errors.CombineErrors(err, f.exchange.Close())
--- a/pkg/intake/budget.go
+++ b/pkg/intake/budget.go
@@ -210,7 +210,7 @@
 }
 
 // makePlace lets the slowest connection without a complete head give way to a new one, or
-// one whose body stalls.
+// one whose body stalls. It answers crowds of connections that stay silent.
 func (b *Budget) makePlace() bool {
 	s := b.slowest(func(s *Sender) bool {
 		switch s.phase {
@@ -352,7 +352,7 @@
 }
 
 // ensure reports whether n more bytes fit. If not, what stalls gives way to those that come
-// next.
+// next. It answers crowds of heads and of small bodies that stop short of their end.
 func (b *Budget) ensure(n Bytes) bool {
 	if b.fits(n, false) {
 		return true
@@ -429,7 +429,8 @@
 }
 
 // Reserve raises what the body of the current request may take to a total. A body over
-// SmallBody waits up to MaxWait for room.
+// SmallBody waits up to MaxWait for room. It answers many large bodies at once, which would
+// each hold a part and wait for the rest.
 func (s *Sender) Reserve(ctx context.Context, total Bytes) error {
 	if s == nil || s.budget == nil {
 		return nil
