connection: a head whose first part came early has its whole time

Once a response was sent, the guard took each deadline of net/http for the one between requests until a Read saw a byte. If at least four bytes of the next head had come with the request before, no Read lies between the two deadlines: that for the head was moved by idleTimeoutMs less a minute, into the past, and the connection was closed. The first deadline after a response is the one between requests now, each further one is for a head.

The new spec fails on the code before (the connection is closed at once) and passes now, with the other 10 of the package, under the race detector.

--- a/pkg/connection/guard.go
+++ b/pkg/connection/guard.go
@@ -86,7 +86,7 @@
 		c.sender.HeadComplete()
 	case http.StateIdle:
 		c.sender.RequestDone()
-		c.reused = true
+		c.idle = true
 		c.inHead.Store(true)
 	case http.StateClosed, http.StateHijacked:
 		g.Budget.Leave(&c.sender)
@@ -117,9 +117,10 @@
 	sender intake.Sender
 	// inHead reports whether the head of a request is due.
 	inHead atomic.Bool
-	// begun reports whether a part of the head has arrived, reused whether the connection has
-	// served a request. Only the goroutine that serves the connection uses them.
-	begun, reused bool
+	// begun reports whether a part of the head has arrived, idle whether the server is about
+	// to set the deadline between requests. Only the goroutine that serves the connection
+	// uses them.
+	begun, idle bool
 	// unyielded is what was read since others were let read.
 	unyielded int
 }
@@ -162,11 +163,13 @@
 }
 
 // SetReadDeadline implements net.Conn. While a head is due, it replaces the timeout of the
-// server by the one in force.
+// server by the one in force. The first deadline after a response is that between requests;
+// no Read need follow before the next, since the server may hold a part of the head.
 func (c *guardedConn) SetReadDeadline(t time.Time) error {
 	if c.inHead.Load() && !t.IsZero() {
 		l := c.guard.limits()
-		if c.reused && !c.begun {
+		if c.idle {
+			c.idle = false
 			t = t.Add(l.IdleTimeout + margin - IdleTimeout)
 		} else {
 			t = t.Add(l.HeadTimeout + margin - HeadTimeout)
--- a/pkg/connection/guard_test.go
+++ b/pkg/connection/guard_test.go
@@ -70,6 +70,27 @@
 		Expect(exchange(c, header)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
 
+	It("leaves the whole time to a head whose first part came with the request before", func() {
+		address := serveGuarded(&connection.Guard{Budget: &intake.Budget{}, Limits: func() intake.HeadLimits {
+			return intake.HeadLimits{IdleTimeout: time.Second}
+		}})
+		c := dial(address)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nokPOST / HTTP/1.1\r\nHo")
+		Expect(err).NotTo(HaveOccurred())
+		responses := bufio.NewReader(c)
+		res, err := http.ReadResponse(responses, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(io.ReadAll(res.Body)).To(Equal([]byte("ok")))
+		Expect(res.Body.Close()).To(Succeed())
+		Consistently(stateOf(c), "200ms").Should(Equal(connection.StateIdle))
+		_, err = io.WriteString(c, "st: h\r\nContent-Length: 2\r\n\r\nok")
+		Expect(err).NotTo(HaveOccurred())
+		res, err = http.ReadResponse(responses, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Body.Close()).To(Succeed())
+		Expect(res.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("closes a connection after the idle time, and one whose head does not end", func() {
 		address := serveGuarded(&connection.Guard{Budget: &intake.Budget{}, Limits: func() intake.HeadLimits {
 			return intake.HeadLimits{HeadTimeout: 100 * time.Millisecond, IdleTimeout: time.Millisecond}
