intake: the wait for room counts as time of a body

A body over 64 KiB waited up to 2 s for room however little time its request had left, and its time began anew once it had room: the answer could come two seconds after the route's timeout. The end of its time is an instant now, and the wait ends with it.

The new spec fails on the budget before, through a shim for the old call (the body was not ended), and passes now with the others of pkg/intake under the race detector.

--- a/pkg/gateway/intake.go
+++ b/pkg/gateway/intake.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/intake"
 )
@@ -36,7 +37,7 @@
 		limit = defaultMaxBodyBytes
 	}
 	r := bodyReader{sender: connection.SenderFrom(p.httpRequest.Context()), request: p.httpRequest, limit: limit}
-	r.sender.SetTimeout(p.remaining())
+	r.sender.SetDue(clock.Now().Add(p.remaining()))
 	body, err := r.read()
 	if err != nil {
 		// The rest of the body is not read.
--- a/pkg/intake/budget.go
+++ b/pkg/intake/budget.go
@@ -75,8 +75,9 @@
 	// Budget.mu guards the following.
 	head, body Bytes
 	large      bool
-	timeout    time.Duration
-	sample     sample
+	// due is the end of the time of the current body, 0 if none is set.
+	due    clock.Instant
+	sample sample
 }
 
 // sample is what Sweep has seen of a sender in its phase.
@@ -196,7 +197,7 @@
 			s.sample = sample{}
 		}
 		s.observe(now)
-		if s.phase == phaseBody && now.Sub(s.sample.since) > cmp.Or(s.timeout, bodyTimeout) {
+		if s.phase == phaseBody && s.overdue(now) {
 			b.stop(s, CauseTimeout)
 		}
 	}
@@ -286,6 +287,14 @@
 	}
 }
 
+// overdue reports whether the time of the current body is over.
+func (s *Sender) overdue(now clock.Instant) bool {
+	if s.due > 0 {
+		return now > s.due
+	}
+	return now.Sub(s.sample.since) > bodyTimeout
+}
+
 // stalled reports whether nothing has arrived for stallTime.
 func (s *Sender) stalled(now clock.Instant) bool {
 	return s.sample.since > 0 && now.Sub(s.sample.progress) >= stallTime
@@ -377,7 +386,7 @@
 func (s *Sender) HeadComplete() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.headBytes, s.headLines, s.bodyStart, s.timeout = 0, 0, s.arrived.Load(), 0
+	s.headBytes, s.headLines, s.bodyStart, s.due = 0, 0, s.arrived.Load(), 0
 	s.enter(phaseBody)
 }
 
@@ -409,14 +418,14 @@
 	s.enter(phaseIdle)
 }
 
-// SetTimeout sets how long the current body may take.
-func (s *Sender) SetTimeout(d time.Duration) {
+// SetDue sets when the current body must have arrived, also if it waits for room meanwhile.
+func (s *Sender) SetDue(at clock.Instant) {
 	if s == nil || s.budget == nil {
 		return
 	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.timeout = d
+	s.due = at
 }
 
 // BodyArrived returns what has arrived of the current body, as it was sent: with the framing
@@ -429,7 +438,7 @@
 }
 
 // Reserve raises what the body of the current request may take to a total. A body over
-// SmallBody waits up to MaxWait for room. It answers many large bodies at once, which would
+// SmallBody waits up to MaxWait for room, but not beyond its time. It answers many large bodies at once, which would
 // each hold a part and wait for the rest.
 func (s *Sender) Reserve(ctx context.Context, total Bytes) error {
 	if s == nil || s.budget == nil {
@@ -439,7 +448,11 @@
 	if w == nil {
 		return err
 	}
-	timer := time.NewTimer(MaxWait)
+	wait := MaxWait
+	if s.due > 0 {
+		wait = min(wait, s.due.Sub(clock.Now()))
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-w.ready:
--- a/pkg/intake/budget_test.go
+++ b/pkg/intake/budget_test.go
@@ -89,7 +89,7 @@
 	It("lets no caller give way in calm, however slow", func() {
 		b := &Budget{Limits: Limits{Memory: 8 * mib, Connections: 10}}
 		s, _ := body(b, longest)
-		s.SetTimeout(time.Minute)
+		s.SetDue(start.Add(time.Minute))
 		sweep(b, 0, 30*time.Second, func() {})
 		Expect(s.Stopped()).To(BeFalse())
 	})
@@ -119,11 +119,31 @@
 		var causes []Cause
 		b := &Budget{OnRefused: func(c Cause) { causes = append(causes, c) }}
 		s, _ := body(b, longest)
-		s.SetTimeout(2 * time.Second)
+		s.SetDue(start.Add(2 * time.Second))
 		sweep(b, 0, 3*time.Second, func() { s.Arrived(100 << 10) })
 		Expect(causes).To(Equal([]Cause{CauseTimeout}))
 	})
 
+	It("counts the wait for room as time of a body", func(ctx SpecContext) {
+		b := &Budget{Limits: Limits{Memory: 6 * mib}}
+		first, _ := body(b, longest)
+		s, _ := body(b, longest)
+		s.SetDue(start.Add(2 * time.Second))
+		sweep(b, 0, 1750*time.Millisecond, func() { first.Arrived(100 << 10) })
+		b.Leave(first)
+		sweep(b, 2*time.Second, 2250*time.Millisecond, func() { s.Arrived(100 << 10) })
+		Expect(s.Stopped()).To(BeTrue())
+
+		b = &Budget{Limits: Limits{Memory: 6 * mib}}
+		body(b, longest)
+		s = join(b, new(int))
+		s.HeadComplete()
+		s.SetDue(clock.Now().Add(time.Millisecond))
+		begun := time.Now()
+		Expect(s.Reserve(ctx, longest)).To(MatchError(ErrNoRoom))
+		Expect(time.Since(begun)).To(BeNumerically("<", MaxWait))
+	})
+
 	It("refuses heads over the limit, and those of short lines by what they take once parsed", func() {
 		b := &Budget{Limits: Limits{Memory: 64 << 10}}
 		long, short := join(b, new(int)), join(b, new(int))
