gateway: a body in chunks grows to the length of small bodies first

The buffer of a body without a length grew from 32 to 128 KiB. That is over SmallBody, so a body of 33 to 64 KiB in chunks counted as large: it reserved 5 MiB, where the configuration allows 4 MiB, and waited for room behind five others on the smallest machine.

The new spec fails on the code before (5,259,264 bytes held after 53,248) and passes now.

--- a/pkg/gateway/intake.go
+++ b/pkg/gateway/intake.go
@@ -111,6 +111,9 @@
 	for large := false; ; {
 		if len(body) == cap(body) {
 			size := min(max(firstBodyBytes, bodyGrowth*intake.Bytes(cap(body))), r.limit+1)
+			if intake.Bytes(cap(body)) < intake.SmallBody {
+				size = min(size, intake.SmallBody)
+			}
 			if err = r.reserve(size, &large); err != nil {
 				return nil, err
 			}
--- a/pkg/gateway/intake_test.go
+++ b/pkg/gateway/intake_test.go
@@ -47,6 +47,37 @@
 	Entry("too long in chunks", 1<<20+1, true, http.StatusRequestEntityTooLarge),
 )
 
+var _ = It("A body in chunks counts as large only beyond the length of small bodies", func() {
+	var budget intake.Budget
+	held := make(map[int]intake.Bytes)
+	guard := &connection.Guard{Budget: &budget}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		read := 0
+		body := r.Body
+		r.Body = io.NopCloser(readerFunc(func(p []byte) (int, error) {
+			n, err := body.Read(p[:min(len(p), 4<<10)])
+			if read += n; n > 0 {
+				held[read], _ = budget.Held()
+			}
+			return n, err
+		}))
+		_, err := (&bodyReader{sender: connection.SenderFrom(r.Context()), request: r, limit: 4 << 20}).read()
+		Expect(err).NotTo(HaveOccurred())
+	}))
+	server.Listener, guard.Listener = guard, server.Listener
+	server.Config.ConnContext, server.Config.ConnState = connection.NewContext, guard.SetState
+	server.Start()
+	DeferCleanup(server.Close)
+	// Without a length, a client sends chunks.
+	res, err := http.Post(server.URL, "", io.MultiReader(bytes.NewReader(make([]byte, 60<<10))))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Body.Close()).To(Succeed())
+	Expect(held).NotTo(BeEmpty())
+	for read, bytes := range held {
+		Expect(bytes).To(BeNumerically("<=", intake.SmallBody), "after %d bytes", read)
+	}
+})
+
 // readerFunc reads a body with a function.
 type readerFunc func([]byte) (int, error)
 
