intake: charge no body as part of a head

The guard charged all that arrived until net/http had parsed the head, so that the first part of a body in the same read was charged as head, each of its lines with 128 bytes more: 192 KiB for a head of three lines and 3,000 bytes of short lines, until the response was sent. What follows the empty line is not charged now; the limit on the length counts it as before.

The new spec fails on the code before (196,608 bytes held) and passes now.

--- a/pkg/intake/budget.go
+++ b/pkg/intake/budget.go
@@ -67,8 +67,9 @@
 
 	// phase is written by the goroutine that serves the connection, under Budget.mu.
 	phase phase
-	// headBytes and headLines are what has arrived of the current head.
-	headBytes, headLines Bytes
+	// headBytes is what has arrived since the current head began, headCost the memory that the
+	// head takes once it is parsed.
+	headBytes, headCost Bytes
 	// bodyStart is how many bytes had arrived when the current body began.
 	bodyStart int64
 
@@ -330,8 +331,10 @@
 		s.budget.mu.Unlock()
 	}
 	s.headBytes += Bytes(len(data))
-	s.headLines += Bytes(bytes.Count(data, []byte{'\n'}))
-	need := s.headBytes + s.headLines*lineBytes - freeHead
+	// What follows an empty line is no part of the head.
+	head, _, _ := bytes.Cut(data, []byte("\r\n\r\n"))
+	s.headCost += Bytes(len(head) + bytes.Count(head, []byte{'\n'})*lineBytes)
+	need := s.headCost - freeHead
 	switch {
 	case s.headBytes > limit:
 		refusal = CauseLongHead
@@ -386,7 +389,7 @@
 func (s *Sender) HeadComplete() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.headBytes, s.headLines, s.bodyStart, s.due = 0, 0, s.arrived.Load(), 0
+	s.headBytes, s.headCost, s.bodyStart, s.due = 0, 0, s.arrived.Load(), 0
 	s.enter(phaseBody)
 }
 
--- a/pkg/intake/budget_test.go
+++ b/pkg/intake/budget_test.go
@@ -152,6 +152,15 @@
 		Expect(short.ArrivedInHead([]byte(strings.Repeat("a:\n", 1000)), 16<<10)).To(Equal(CauseMemory))
 	})
 
+	It("charges a body that arrives with its head for no head", func() {
+		b := &Budget{}
+		s := join(b, new(int))
+		text := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("{\n", 1500)
+		Expect(s.ArrivedInHead([]byte(text), 16<<10)).To(BeEmpty())
+		held, _ := b.Held()
+		Expect(held).To(BeZero())
+	})
+
 	It("lets a connection without a head give way to a new one, never one between requests", func() {
 		b := &Budget{Limits: Limits{Connections: 2}}
 		stops := 0
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -37,7 +37,7 @@
 	// the other listeners.
 	connectionShare = 0.4
 	// lineBytes is what a parsed header line takes beside its text.
-	lineBytes Bytes = 128
+	lineBytes = 128
 	// freeHead is the part of a head that connectionBytes covers.
 	freeHead Bytes = 4 << 10
 	// headStep is the amount in which heads are charged.
