--- a/pkg/connection/guard.go
+++ b/pkg/connection/guard.go
@@ -61,7 +61,7 @@
 		if !ok {
 			return accepted, nil
 		}
-		c := &guardedConn{TCPConn: tcp, guard: g}
+		c := &guardedConn{trackedConn: &trackedConn{TCPConn: tcp, idle: true}, guard: g}
 		c.sender.Stop = c.stop
 		c.inHead.Store(true)
 		if g.Budget.Admit(&c.sender) {
@@ -86,7 +86,7 @@
 		c.sender.HeadComplete()
 	case http.StateIdle:
 		c.sender.RequestDone()
-		c.idle = true
+		c.between = true
 		c.inHead.Store(true)
 	case http.StateClosed, http.StateHijacked:
 		g.Budget.Leave(&c.sender)
@@ -112,15 +112,15 @@
 
 // guardedConn is a connection of a caller.
 type guardedConn struct {
-	*net.TCPConn
+	*trackedConn
 	guard  *Guard
 	sender intake.Sender
 	// inHead reports whether the head of a request is due.
 	inHead atomic.Bool
-	// begun reports whether a part of the head has arrived, idle whether the server is about
+	// begun reports whether a part of the head has arrived, between whether the server is about
 	// to set the deadline between requests. Only the goroutine that serves the connection
 	// uses them.
-	begun, idle bool
+	begun, between bool
 	// unyielded is what was read since others were let read.
 	unyielded int
 }
@@ -130,11 +130,11 @@
 	if c.sender.Stopped() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	n, err = c.TCPConn.Read(p)
+	n, err = c.trackedConn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.inHead.Load() && !c.begun && !c.sender.Stopped() && HasUnread(c.TCPConn) {
 		// The process was held up, and the request came in time.
 		if err = c.TCPConn.SetReadDeadline(time.Now().Add(c.guard.limits().HeadTimeout)); err == nil {
-			n, err = c.TCPConn.Read(p)
+			n, err = c.trackedConn.Read(p)
 		}
 	}
 	if n <= 0 {
@@ -168,8 +168,8 @@
 func (c *guardedConn) SetReadDeadline(t time.Time) error {
 	if c.inHead.Load() && !t.IsZero() {
 		l := c.guard.limits()
-		if c.idle {
-			c.idle = false
+		if c.between {
+			c.between = false
 			t = t.Add(l.IdleTimeout + margin - IdleTimeout)
 		} else {
 			t = t.Add(l.HeadTimeout + margin - HeadTimeout)
--- a/pkg/front/callers.go
+++ b/pkg/front/callers.go
@@ -43,6 +43,6 @@
 // does not accept connections any more.
 func (f *Front) drainCallers(ctx context.Context, served <-chan struct{}) error {
 	f.shutdown.Refuse()
-	err := f.callerConns.CloseIdle(ctx, f.callerServer, f.callerListener, served)
+	err := f.callerConns.CloseIdle(ctx, f.callerListener, served)
 	return errors.CombineErrors(err, f.callerConns.AwaitRequests(ctx))
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -62,10 +63,11 @@
 	choice   placement.Choice
 	prefill  *placement.Prefill
 	response *forward.Response
-	// begunAt is when the response header arrived, 0 before.
-	begunAt clock.Instant
-	// servedRecorded reports whether the attempt was recorded as served.
-	servedRecorded bool
+	// sentAt is when the attempt began, begunAt when the response header arrived, 0 before.
+	sentAt, begunAt clock.Instant
+	// startRecorded reports whether it was recorded that the endpoint has answered for some
+	// time.
+	startRecorded bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 	// started reports whether the endpoint has sent the first event or a complete
@@ -143,7 +145,8 @@
 
 // send sends the request to an endpoint and waits for the response header.
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
-	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
+	now := clock.Now()
+	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, now), sentAt: now}
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
@@ -194,7 +197,7 @@
 	if p.callerGone() || !p.handler.Accepts(e) || p.handler.Tracker.Paused(e, clock.Now()) {
 		return true
 	}
-	p.sent = true
+	p.sent.Store(true)
 	return false
 }
 
@@ -247,7 +250,7 @@
 		return
 	}
 	var unsent *forward.UnsentError
-	if errors.Is(err, forward.ErrAbandoned) {
+	if errors.IsAny(err, forward.ErrAbandoned, errOvertaken) {
 		return
 	}
 	if errors.As(err, &unsent) {
@@ -291,19 +294,24 @@
 }
 
 // recordBrokenOff records that the endpoint broke off the exchange, unless err has another
-// cause or the attempt counts as served already.
+// cause.
 func (a *attempt) recordBrokenOff(err error) {
-	if forward.BrokeOff(err) && !a.servedRecorded {
-		a.proxy.handler.RecordBroken(a.choice.Endpoint, a.proxy.subjects, clock.Now())
+	if forward.BrokeOff(err) {
+		a.proxy.handler.RecordBroken(a.choice.Endpoint, quarantine.Run{Subjects: a.proxy.subjects, Sent: a.sentAt, Broke: clock.Now(), Started: a.startRecorded})
 	}
 }
 
-// recordServed records that the endpoint served the request. Only the first call has
-// an effect.
+// recordServed records that the endpoint ran the request to its end.
 func (a *attempt) recordServed() {
-	if !a.servedRecorded {
-		a.servedRecorded = true
-		a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
+	a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
+}
+
+// recordStarted records that the endpoint has answered the request for some time. Only the
+// first call has an effect.
+func (a *attempt) recordStarted() {
+	if !a.startRecorded {
+		a.startRecorded = true
+		a.proxy.handler.RecordStarted(a.proxy.subjects, a.begunAt)
 	}
 }
 
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -28,8 +29,9 @@
 	probationFactor = 4
 	// reportTime is how long a crash or a success is reported to the other nodes.
 	reportTime = 10 * time.Second
-	// maxSuspicions is the maximum number of suspicions that are kept.
-	maxSuspicions = 512
+	// maxSuspicions is the maximum number of suspicions that are kept. Engines that are lost
+	// together have some hundred requests.
+	maxSuspicions = 2048
 	// maxReported is the maximum number of suspicions in one report and
 	// maxReportedSubjects that of their subjects. A report has to fit into a datagram.
 	maxReported, maxReportedSubjects = 96, 1150
@@ -71,6 +73,17 @@
 	return Subject(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("content"), content)))
 }
 
+// Run is the run of a request at an endpoint that broke it off.
+type Run struct {
+	Subjects []Subject
+	// Sent is when the request was sent to the endpoint, 0 if that is not known, Broke
+	// when the endpoint broke it off.
+	Sent, Broke clock.Instant
+	// Started reports whether the endpoint had answered for some time, so that it had read
+	// in the whole prompt. Its prefix blocks are not the cause then, its content may be.
+	Started bool
+}
+
 // Suspicion describes a request that was in flight at an endpoint when the endpoint
 // crashed, and that may have caused the crash.
 type Suspicion struct {
@@ -79,6 +92,10 @@
 	Subjects []Subject `cbor:"2,keyasint"`
 	// Age is the time since the crash.
 	Age time.Duration `cbor:"3,keyasint"`
+	// Ran is the time from when the request was sent to the crash, 0 if that is not known.
+	Ran time.Duration `cbor:"4,keyasint,omitempty"`
+	// Started reports whether the endpoint had answered the request for some time.
+	Started bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Success describes the last request with a subject that an endpoint served.
@@ -109,10 +126,40 @@
 	instance fleet.InstanceID
 	subjects []Subject
 	at       clock.Instant
+	// ran is the time from when the request was sent to the crash, 0 if that is not known.
+	ran time.Duration
+	// started reports whether the endpoint had answered the request for some time.
+	started bool
 	// local reports whether this node made the observation.
 	local bool
 }
 
+// sent returns when the request was sent. A request of which that is not known may have
+// been sent before any crash within crashSpacing.
+func (s *suspicion) sent() clock.Instant {
+	if s.ran <= 0 {
+		return s.at.Add(-crashSpacing)
+	}
+	return s.at.Add(-s.ran)
+}
+
+// period counts periods of servedPeriod.
+type period int64
+
+// servedPeriod is the precision with which it is known when anything was served.
+const servedPeriod = time.Second
+
+func periodOf(at clock.Instant) period { return period(at) / period(servedPeriod) }
+
+// servedMeanwhile reports whether endpoints served anything in servedLately before an
+// instant, and directly after it. The caller holds the lock.
+func (t *Tracker) servedMeanwhile(at clock.Instant) bool {
+	_, after := t.begun[periodOf(at)+1]
+	_, before := t.begun[periodOf(at)-1]
+	_, long := t.begun[periodOf(at.Add(-servedLately))]
+	return after && before && long
+}
+
 // maxCount bounds Quarantine.Count of a report. The length of a quarantine stops to grow
 // long before.
 const maxCount = 1000
@@ -141,29 +188,52 @@
 	suspicions []suspicion
 	// served holds when an endpoint began to answer the last request with a subject that
 	// it served.
-	served      *lru.Cache[Subject, clock.Instant]
+	served *lru.Cache[Subject, clock.Instant]
+	// begun holds the periods in which endpoints began to answer requests of this node that
+	// they served.
+	begun       map[period]struct{}
 	quarantined map[Subject]quarantine
 	// evaluateAt is when the crashes have to be evaluated again, 0 if there is no new one.
 	evaluateAt clock.Instant
 }
 
 // RecordCrash records that a request may have crashed an endpoint.
-func (t *Tracker) RecordCrash(instance fleet.InstanceID, subjects []Subject, at clock.Instant) {
+func (t *Tracker) RecordCrash(instance fleet.InstanceID, r Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addSuspicion(suspicion{instance: instance, subjects: subjects, at: at, local: true})
+	s := suspicion{instance: instance, subjects: r.Subjects, at: r.Broke, started: r.Started, local: true}
+	if r.Started {
+		s.subjects = contentOf(r.Subjects)
+	}
+	if r.Sent > 0 {
+		s.ran = r.Broke.Sub(r.Sent)
+	}
+	t.addSuspicion(s)
 }
 
-// RecordServed records that an endpoint served a request which it began to answer at
-// the given instant. This clears the subjects of crashes before it.
+// RecordServed records that an endpoint ran a request, which it began to answer at the
+// given instant, to its end. This clears the subjects of crashes before it.
 func (t *Tracker) RecordServed(subjects []Subject, begunAt clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.begun == nil {
+		t.begun = make(map[period]struct{})
+	}
+	t.begun[periodOf(begunAt)] = struct{}{}
 	for _, s := range subjects {
 		t.addServed(s, begunAt)
 	}
 }
 
+// RecordStarted records that an endpoint has answered a request for some time, as
+// RecordServed does for the prefix blocks of its prompt. The content may still crash it.
+func (t *Tracker) RecordStarted(subjects []Subject, begunAt clock.Instant) {
+	t.RecordServed(subjects[:len(subjects)-len(contentOf(subjects))], begunAt)
+}
+
+// contentOf returns the content among the subjects of a request.
+func contentOf(subjects []Subject) []Subject { return subjects[max(0, len(subjects)-1):] }
+
 // Quarantined reports whether any of the subjects is quarantined.
 func (t *Tracker) Quarantined(subjects []Subject, now clock.Instant) bool {
 	t.mu.Lock()
@@ -243,17 +313,23 @@
 	}
 	t.evaluateAt = 0
 	for _, s := range t.suspicions {
-		if due := s.at.Add(settleTime); due > now {
-			t.evaluateAt = max(due, now.Add(evaluationPause))
-			break
+		for _, due := range []clock.Instant{s.at.Add(settleTime), s.at.Add(togetherSettleTime)} {
+			if due > now && (t.evaluateAt == 0 || due < t.evaluateAt) {
+				t.evaluateAt = due
+			}
 		}
 	}
+	if t.evaluateAt > 0 {
+		t.evaluateAt = max(t.evaluateAt, now.Add(evaluationPause))
+	}
 	settled := func(c Crash) bool { return now.Sub(c.At) >= settleTime }
 	evidence := Evidence{
-		Crashes:       slices.DeleteFunc(groupCrashes(t.suspicions), func(c Crash) bool { return !settled(c) }),
-		LastServed:    t.lastServed,
-		IsQuarantined: func(s Subject) bool { return t.isQuarantined(s, now) },
-		OnProbation:   func(s Subject) bool { return t.quarantined[s].count > 0 },
+		Crashes:         slices.DeleteFunc(groupCrashes(t.suspicions), func(c Crash) bool { return !settled(c) }),
+		LastServed:      t.lastServed,
+		ServedMeanwhile: t.servedMeanwhile,
+		Now:             now,
+		IsQuarantined:   func(s Subject) bool { return t.isQuarantined(s, now) },
+		OnProbation:     func(s Subject) bool { return t.quarantined[s].count > 0 },
 	}
 	for _, s := range evidence.Culprits() {
 		q := quarantine{count: t.quarantined[s].count + 1}
@@ -291,7 +367,7 @@
 				continue
 			}
 			subjects += len(s.subjects)
-			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at)})
+			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran, Started: s.started})
 			for _, subject := range s.subjects {
 				if at := t.lastServed(subject); at > s.at && !served[subject] {
 					served[subject] = true
@@ -324,7 +400,7 @@
 		}
 	}
 	for _, s := range r.Suspicions {
-		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age)})
+		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age), ran: s.Ran, started: s.Started})
 	}
 	t.evaluate(now)
 }
@@ -334,8 +410,10 @@
 func (t *Tracker) Expire(now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evaluate(now)
 	t.suspicions = slices.DeleteFunc(t.suspicions, func(s suspicion) bool { return now.Sub(s.at) > crashTTL })
+	oldest := periodOf(now.Add(-crashTTL - servedLately))
+	maps.DeleteFunc(t.begun, func(p period, _ struct{}) bool { return p < oldest })
+	t.evaluate(now)
 	for s, q := range t.quarantined {
 		if now.Sub(q.until) > probationFactor*q.length() {
 			delete(t.quarantined, s)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -34,7 +34,7 @@
 	const start = clock.Instant(time.Hour)
 	at := start.Add
 	crash := func(t *quarantine.Tracker, id fleet.InstanceID, subjects []quarantine.Subject, when time.Duration) {
-		t.RecordCrash(id, subjects, at(when))
+		t.RecordCrash(id, quarantine.Run{Subjects: subjects, Broke: at(when)})
 	}
 	instances := []fleet.InstanceID{"a", "b", "c", "d", "e", "f"}
 
@@ -127,6 +127,102 @@
 		Expect(t.Count(at(2 * time.Second))).To(BeZero())
 	})
 
+	// Deadly bursts: eight crashes within 0.2 s, each of a request that was sent after the
+	// crash before it, counted as one.
+	It("counts crashes separately that lie close together if each request was sent after the crash before it", func() {
+		var first, second quarantine.Tracker
+		const ran = 20 * time.Millisecond
+		for i, t := range []*quarantine.Tracker{&first, &first, &second, &second, &first} {
+			broke := at(time.Duration(i+1) * (ran + time.Millisecond))
+			t.RecordCrash(instances[i], quarantine.Run{Subjects: subjects(7), Sent: broke.Add(-ran), Broke: broke})
+		}
+		now := at(900 * time.Millisecond)
+		first.Merge(second.Report(now), now)
+		second.Merge(first.Report(now), now)
+		Expect(first.Quarantined(subjects(7), now)).To(BeTrue())
+		Expect(second.Quarantined(subjects(7), now)).To(BeTrue())
+	})
+
+	// The soak's seed 916: two nodes sent requests with a deadly block to several endpoints at
+	// the same time, and nothing else tells such crashes from endpoints that are lost together
+	// than what is served before and after them.
+	DescribeTable("counts crashes at the same time separately if others are served meanwhile, and their subject is not",
+		func(othersFrom, othersUntil time.Duration, served []time.Duration, refusedAfter time.Duration) {
+			var t quarantine.Tracker
+			for when := othersFrom; when < othersUntil; when += 500 * time.Millisecond {
+				t.RecordServed(subjects(uint64(1000+when.Milliseconds()), "other"), at(when))
+			}
+			for i, id := range instances[:3] {
+				broke := at(time.Duration(i) * 50 * time.Millisecond)
+				t.RecordCrash(id, quarantine.Run{Subjects: subjects(uint64(i), "block"), Sent: broke.Add(-100 * time.Millisecond), Broke: broke})
+			}
+			for _, when := range served {
+				t.RecordStarted(subjects(9, "block"), at(when))
+			}
+			for when := time.Second; when < 4*time.Second; when += 100 * time.Millisecond {
+				refused := refusedAfter > 0 && when >= refusedAfter
+				Expect(t.Quarantined(subjects(9, "block"), at(when))).To(Equal(refused), "after %s", when)
+			}
+		},
+		Entry("a block that no endpoint serves", -20*time.Second, 5*time.Second, nil, 2100*time.Millisecond),
+		Entry("a block that is served after the crashes", -20*time.Second, 5*time.Second, []time.Duration{300 * time.Millisecond}, time.Duration(0)),
+		Entry("a block that was served not long before", -20*time.Second, 5*time.Second, []time.Duration{-8 * time.Second}, time.Duration(0)),
+		Entry("a block in a loss after which nothing is served", -20*time.Second, time.Duration(0), nil, time.Duration(0)),
+		Entry("a block on a node that has just started", -3*time.Second, 5*time.Second, nil, time.Duration(0)),
+	)
+
+	// All have the shared block in flight, and some requests go on to endpoints that are
+	// lost a moment later.
+	It("does not count endpoints separately that are lost together beside requests that were sent before", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			broke := at(time.Duration(i) * 20 * time.Millisecond)
+			for n, ran := range []time.Duration{5 * time.Millisecond, 150 * time.Millisecond, 3 * time.Second} {
+				t.RecordCrash(id, quarantine.Run{Subjects: subjects(uint64(10*i+n), "shared"), Sent: broke.Add(-ran), Broke: broke})
+			}
+		}
+		Expect(t.Count(at(2 * time.Second))).To(BeZero())
+	})
+
+	// A content that crashed engines a second after their first event was never refused.
+	It("quarantines a content that crashes endpoints late in its run, and none of its prefix blocks", func() {
+		var t quarantine.Tracker
+		late := func(id fleet.InstanceID, content uint64, sent, broke time.Duration) {
+			run := quarantine.Run{Subjects: subjects(content, "shared"), Sent: at(sent), Broke: at(broke), Started: true}
+			t.RecordStarted(run.Subjects, at(sent).Add(100*time.Millisecond))
+			t.RecordCrash(id, run)
+		}
+		for i, id := range instances[:3] {
+			begin := 2 * time.Duration(i) * time.Second
+			late(id, 7, begin, begin+1300*time.Millisecond)
+			late(id, uint64(20+i), begin-time.Second, begin+1300*time.Millisecond)
+		}
+		now := at(8 * time.Second)
+		Expect(t.Quarantined(subjects(7, "shared"), now)).To(BeTrue())
+		Expect(t.Quarantined(subjects(20, "shared"), now)).To(BeFalse())
+		Expect(t.Count(now)).To(Equal(1))
+	})
+
+	// Streams take longer than the time between the crashes, so none has ended since.
+	It("does not quarantine a content that many endpoints run at the same time for crashes of some of them", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			broke := at(time.Duration(i) * time.Second)
+			t.RecordCrash(id, quarantine.Run{Subjects: subjects(7, "shared"), Sent: broke.Add(-4 * time.Second), Broke: broke, Started: true})
+		}
+		Expect(t.Count(at(10 * time.Second))).To(BeZero())
+	})
+
+	It("clears a content by a complete run", func() {
+		var t quarantine.Tracker
+		for i, id := range instances {
+			begin := at(2 * time.Duration(i) * time.Second)
+			t.RecordCrash(id, quarantine.Run{Subjects: subjects(7), Sent: begin, Broke: begin.Add(1300 * time.Millisecond), Started: true})
+			t.RecordServed(subjects(7), begin.Add(1500*time.Millisecond))
+		}
+		Expect(t.Count(at(20 * time.Second))).To(BeZero())
+	})
+
 	// A node that had not heard yet of the others' requests at a crashed engine took its own
 	// for the cause, and refused blocks that most requests share.
 	It("waits for the reports of the other nodes before a crash counts", func() {
@@ -183,7 +279,7 @@
 		}
 		t.Expire(at(time.Hour))
 		Expect(t.Report(at(time.Hour)).Suspicions).To(BeEmpty())
-		t.RecordCrash("c", subjects(1), at(time.Hour))
+		crash(&t, "c", subjects(1), time.Hour)
 		Expect(t.Count(at(time.Hour + time.Second))).To(BeZero())
 	})
 
@@ -196,7 +292,7 @@
 		later := at(3 * time.Minute)
 		t.Expire(later)
 		Expect(t.Quarantined(subjects(9, "deadly"), later)).To(BeFalse())
-		t.RecordCrash("d", subjects(9, "deadly"), later)
+		crash(&t, "d", subjects(9, "deadly"), later.Sub(start))
 		Expect(t.Quarantined(subjects(10, "deadly"), later.Add(time.Second))).To(BeTrue())
 		Expect(t.Quarantined(subjects(10, "deadly"), later.Add(3*time.Minute))).To(BeTrue())
 	})
@@ -210,7 +306,7 @@
 		later := at(3 * time.Minute)
 		t.Expire(later)
 		t.RecordServed(subjects(9, "deadly"), later)
-		t.RecordCrash("d", subjects(10, "deadly"), later.Add(time.Second))
+		crash(&t, "d", subjects(10, "deadly"), later.Add(time.Second).Sub(start))
 		Expect(t.Count(later.Add(2 * time.Second))).To(BeZero())
 	})
 
@@ -243,7 +339,7 @@
 				blocks[b] = fmt.Sprint("block", i, ".", b)
 			}
 			request := subjects(uint64(i), blocks...)
-			t.RecordCrash(fleet.InstanceID(fmt.Sprintf("i-%010d", i)), request, now)
+			t.RecordCrash(fleet.InstanceID(fmt.Sprintf("i-%010d", i)), quarantine.Run{Subjects: request, Sent: now.Add(-time.Second), Broke: now})
 			t.RecordServed(request, now.Add(time.Millisecond))
 		}
 		data, err := cbor.Marshal(t.Report(now.Add(time.Second)))
