intake: look for the connection that gives way without sorting

Each connection beyond the limit sorted all others by their rate to take the first. What samples the progress of a sender has a file of its own.

--- a/pkg/intake/budget.go
+++ b/pkg/intake/budget.go
@@ -81,13 +81,6 @@
 	sample sample
 }
 
-// sample is what Sweep has seen of a sender in its phase.
-type sample struct {
-	since, progress clock.Instant
-	// first and last are what had arrived at since and progress.
-	first, last int64
-}
-
 // Admit opens the account of a new connection. It returns false if there are too many and
 // none gives way.
 func (b *Budget) Admit(s *Sender) bool {
@@ -214,29 +207,37 @@
 // makePlace lets the slowest connection without a complete head give way to a new one, or
 // one whose body stalls. It answers crowds of connections that stay silent.
 func (b *Budget) makePlace() bool {
-	s := b.slowest(func(s *Sender) bool {
-		switch s.phase {
-		case phaseHead:
-			return s.sample.since > 0 && b.now.Sub(s.sample.since) >= stallTime
-		case phaseBody:
-			return s.stalled(b.now)
-		case phaseIdle:
-			return b.IdleGivesWay
-		case phaseWaiting, phaseServed:
+	var slowest *Sender
+	for s := range b.senders {
+		if !s.stopped.Load() && b.givesPlace(s) && (slowest == nil || s.rate(b.now) < slowest.rate(b.now)) {
+			slowest = s
 		}
-		return false
-	}, 1)
-	if len(s) == 0 {
+	}
+	if slowest == nil {
 		return false
 	}
-	b.stop(s[0], CauseConnections)
+	b.stop(slowest, CauseConnections)
 	return true
 }
 
+// givesPlace reports whether the connection of a sender may give way to a new one.
+func (b *Budget) givesPlace(s *Sender) bool {
+	switch s.phase {
+	case phaseHead:
+		return s.sample.since > 0 && b.now.Sub(s.sample.since) >= stallTime
+	case phaseBody:
+		return s.stalled(b.now)
+	case phaseIdle:
+		return b.IdleGivesWay
+	case phaseWaiting, phaseServed:
+	}
+	return false
+}
+
 // makeRoom lets the slowest of the senders that may give way do so, until they have held n
 // bytes.
 func (b *Budget) makeRoom(n Bytes, may func(*Sender) bool) {
-	for _, s := range b.slowest(may, len(b.senders)) {
+	for _, s := range b.slowest(may) {
 		if n <= 0 {
 			return
 		}
@@ -245,15 +246,15 @@
 	}
 }
 
-// slowest returns at most n of the senders that may give way, the slowest first.
-func (b *Budget) slowest(may func(*Sender) bool, n int) (found []*Sender) {
+// slowest returns the senders that may give way, the slowest first.
+func (b *Budget) slowest(may func(*Sender) bool) (found []*Sender) {
 	for s := range b.senders {
 		if !s.stopped.Load() && may(s) {
 			found = append(found, s)
 		}
 	}
 	slices.SortFunc(found, func(x, y *Sender) int { return cmp.Compare(x.rate(b.now), y.rate(b.now)) })
-	return found[:min(n, len(found))]
+	return found
 }
 
 // stop makes a sender give way.
@@ -277,41 +278,6 @@
 	return true
 }
 
-// observe samples the progress of a sender.
-func (s *Sender) observe(now clock.Instant) {
-	arrived := s.arrived.Load()
-	if s.sample.since == 0 {
-		s.sample = sample{since: now, progress: now, first: arrived, last: arrived}
-	}
-	if arrived != s.sample.last {
-		s.sample.progress, s.sample.last = now, arrived
-	}
-}
-
-// overdue reports whether the time of the current body is over.
-func (s *Sender) overdue(now clock.Instant) bool {
-	if s.due > 0 {
-		return now > s.due
-	}
-	return now.Sub(s.sample.since) > bodyTimeout
-}
-
-// stalled reports whether nothing has arrived for stallTime.
-func (s *Sender) stalled(now clock.Instant) bool {
-	return s.sample.since > 0 && now.Sub(s.sample.progress) >= stallTime
-}
-
-// slow reports whether a body that others wait for stalls or arrives slowly.
-func (s *Sender) slow(now clock.Instant) bool {
-	return s.stalled(now) || s.sample.since > 0 && now.Sub(s.sample.since) >= minAge && s.rate(now) < slowRate
-}
-
-// rate returns the bytes per second that have arrived in the phase.
-func (s *Sender) rate(now clock.Instant) float64 {
-	age := max(now.Sub(s.sample.since), time.Millisecond)
-	return float64(s.sample.last-s.sample.first) / age.Seconds()
-}
-
 // enter begins a phase.
 func (s *Sender) enter(p phase) { s.phase, s.sample = p, sample{} }
 
