--- a/pkg/connection/drain.go
+++ b/pkg/connection/drain.go
@@ -39,7 +39,7 @@
 		return
 	}
 	t.states[c] = s
-	if tracked, ok := c.(*trackedConn); ok && s == http.StateIdle {
+	if tracked, ok := c.(idler); ok && s == http.StateIdle {
 		tracked.setIdle()
 	}
 }
@@ -60,7 +60,7 @@
 // closes served, and closes the idle connections, unless a request has just arrived on them.
 // Connections without a request so far have firstRequestWait to send one, which the server
 // answers, and are then closed. The responses of the server must close their connections;
-// idle connections that don't come from Listen stay open.
+// connections that come neither from Listen nor from a Guard stay open.
 func (t *Tracker) CloseIdle(ctx context.Context, l net.Listener, served <-chan struct{}) (err error) {
 	if err = l.Close(); errors.Is(err, net.ErrClosed) {
 		err = nil
@@ -75,7 +75,7 @@
 	if t.await(ctx, http.StateNew) != nil {
 		t.closeIdle(http.StateNew)
 		for _, c := range t.in(http.StateNew) {
-			if _, ok := c.(*trackedConn); !ok {
+			if _, ok := c.(idler); !ok {
 				// The connection is in no use, so an error has no consequence.
 				_ = c.Close()
 			}
@@ -87,7 +87,7 @@
 // closeIdle closes the connections in a state on which nothing has arrived.
 func (t *Tracker) closeIdle(s http.ConnState) {
 	for _, c := range t.in(s) {
-		if tracked, ok := c.(*trackedConn); ok {
+		if tracked, ok := c.(idler); ok {
 			tracked.closeIdle()
 		}
 	}
--- a/pkg/connection/idle.go
+++ b/pkg/connection/idle.go
@@ -21,6 +21,12 @@
 	return c, err
 }
 
+// idler is a trackedConn or a connection that embeds one.
+type idler interface {
+	setIdle()
+	closeIdle()
+}
+
 // trackedConn is a connection that can be closed while it is idle without losing a request
 // that was just read.
 type trackedConn struct {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -62,6 +62,7 @@
 	serveEvents,
 	waitingEvents,
 	canaryEvents,
+	intakeEvents,
 )
 
 func sortByID(tables ...[]Definition) []Definition {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -72,10 +73,6 @@
 	revokeMargin = 400 * time.Millisecond
 	// housekeepInterval is the pause between two runs of housekeep.
 	housekeepInterval = time.Second
-	// headerTimeout and idleTimeout limit connections whose requests are not yet
-	// limited by a configuration.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// assumedNodes is the usual number of nodes in a deployment. At least as many are
 	// assumed to share the limits until the list of nodes has been read.
 	assumedNodes = 8
@@ -166,6 +163,7 @@
 	callerListener net.Listener
 	callerServer   *http.Server
 	probeServer    *http.Server
+	intake         callerIntake
 }
 
 // Start starts the services, which run within the context.
@@ -200,6 +198,7 @@
 	f.configureCanary()
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
+	f.intake.setLimits(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
 	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
 	f.quotas.Slack = bounds.QuotaSlack
@@ -288,26 +287,24 @@
 	done := make(chan struct{})
 	s := kernel.Service{Name: ServiceProbe, Done: done}
 	s.Start = func(ctx context.Context) error {
-		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: headerTimeout}
-		_, err := f.serve(ctx, f.probeServer, f.Settings.ProbeAddress, done, nil)
+		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness)}
+		_, err := f.serve(ctx, f.probeServer, otherGuard(&f.intake.probe), f.Settings.ProbeAddress, done)
 		return err
 	}
 	s.Stop = func(context.Context) error { return f.probeServer.Close() }
 	return s
 }
 
-// serve listens on an address and serves in the background until the server or the
-// listener is closed. It closes done afterwards, or if it cannot listen.
-func (f *Front) serve(ctx context.Context, server *http.Server, address string, done chan struct{}, wrap func(net.Listener) net.Listener) (listener net.Listener, err error) {
+// serve listens on an address and serves in the background, through a guard, until the
+// server or the listener is closed. It closes done afterwards, or if it cannot listen.
+func (f *Front) serve(ctx context.Context, server *http.Server, guard *connection.Guard, address string, done chan struct{}) (listener net.Listener, err error) {
 	var listenConfig net.ListenConfig
 	listener, err = listenConfig.Listen(ctx, "tcp", address)
 	if err != nil {
 		close(done)
 		return nil, err
 	}
-	if wrap != nil {
-		listener = wrap(listener)
-	}
+	listener = guardServer(server, guard, listener)
 	f.group.Go(func() error {
 		defer close(done)
 		if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 )
 
@@ -37,6 +38,7 @@
 	speedSpread       *prometheus.GaugeVec
 	speedEvidence     *prometheus.GaugeVec
 	waitMetrics
+	callersRefused *prometheus.CounterVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -69,6 +71,9 @@
 			Name: "skylarkloom_front_speed_evidence", Help: "Recent streams and responses of all nodes by which the speeds of a pool's endpoints are known.",
 		}, []string{"pool"}),
 		waitMetrics: newWaitMetrics(),
+		callersRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_front_callers_refused_total", Help: "Callers that were refused or cut off because of what they sent, by cause.",
+		}, []string{"cause"}),
 	}
 }
 
@@ -97,6 +102,11 @@
 	m.unread.WithLabelValues(string(pool), string(cause)).Inc()
 }
 
+// countRefusedCaller counts a caller that was refused because of what it sent.
+func (m *requestMetrics) countRefusedCaller(c intake.Cause) {
+	m.callersRefused.WithLabelValues(string(c)).Inc()
+}
+
 // gauges returns the metrics whose values are read when they are collected.
 func (f *Front) gauges() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -118,6 +128,14 @@
 		gauge("directory_age_seconds", "Time since the endpoint directory was last known to be complete.", func() float64 {
 			return clock.Now().Sub(clock.Instant(f.directoryReadAt.Load())).Seconds()
 		}),
+		gauge("callers_bytes", "Memory charged for the heads and bodies of callers.", func() float64 {
+			held, _ := f.intake.callers.Held()
+			return float64(held)
+		}),
+		gauge("callers_connections", "Connections of callers.", func() float64 {
+			_, connections := f.intake.callers.Held()
+			return float64(connections)
+		}),
 		gauge("endpoints", "Endpoints that have a directory entry.", func() float64 { return float64(len(f.directory.Listed())) }),
 		gauge("nodes", "Nodes that share the limits.", func() float64 { return float64(f.peers.Count().Total) }),
 		gauge("nodes_silent", "Nodes among them without a recent digest.", func() float64 { return float64(f.peers.Count().Silent) }),
@@ -152,19 +170,19 @@
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread,
-		f.metrics.speedSpread, f.metrics.speedEvidence, f.metrics.waits, f.metrics.returns)
+		f.metrics.speedSpread, f.metrics.speedEvidence, f.metrics.callersRefused, f.metrics.waits, f.metrics.returns)
 	registry.MustRegister(f.newWaitingCollector())
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{Timeout: time.Second}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux}
 	return kernel.Service{
 		Name: ServiceMetrics,
 		Done: done,
 		Start: func(ctx context.Context) error {
 			address := net.JoinHostPort(f.Settings.IP, strconv.Itoa(f.Settings.InternalPorts[0]+MetricsPortOffset))
-			_, err := f.serve(ctx, server, address, done, nil)
+			_, err := f.serve(ctx, server, otherGuard(&f.intake.metrics), address, done)
 			return err
 		},
 		Stop: func(context.Context) error { return server.Close() },
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -64,8 +64,8 @@
 			return err
 		}
 		snapshotServerDone := make(chan struct{})
-		f.snapshotServer = &http.Server{Handler: http.HandlerFunc(f.serveSnapshot), ReadHeaderTimeout: headerTimeout}
-		if _, err := f.serve(ctx, f.snapshotServer, f.internalAddress(), snapshotServerDone, nil); err != nil {
+		f.snapshotServer = &http.Server{Handler: http.HandlerFunc(f.serveSnapshot)}
+		if _, err := f.serve(ctx, f.snapshotServer, otherGuard(&f.intake.snapshots), f.internalAddress(), snapshotServerDone); err != nil {
 			close(done)
 			return errors.CombineErrors(err, f.exchange.Close())
 		}
