Provision: a demand that is no number doesn't stay

A node's report of NaN or infinity is a sum that never decays: the duty holder would have planned for it until its restart. Such a sum counts as missing. The new test fails before.

--- a/pkg/provision/demand.go
+++ b/pkg/provision/demand.go
@@ -98,8 +98,12 @@
 	updated clock.Instant
 }
 
-// Observe returns the demand to plan for, given the sum of what the nodes report now.
+// Observe returns the demand to plan for, given the sum of what the nodes report now. A
+// sum that is no finite number counts as missing.
 func (r *ReportedDemand) Observe(sum float64, now clock.Instant) float64 {
+	if math.IsNaN(sum) || math.IsInf(sum, 0) {
+		sum = 0
+	}
 	if r.updated != 0 {
 		sum = max(sum, r.last*math.Exp(-now.Sub(r.updated).Seconds()/averagingTime.Seconds()))
 	}
--- a/pkg/provision/provision_test.go
+++ b/pkg/provision/provision_test.go
@@ -1,6 +1,7 @@
 package provision_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -215,6 +216,18 @@
 		Expect(r.Observe(3, now)).To(Equal(3.0))
 	})
 
+	It("recovers from a report that is no number", func() {
+		var r provision.ReportedDemand
+		now := clock.Instant(time.Hour)
+		for _, sum := range []float64{math.NaN(), math.Inf(1)} {
+			Expect(r.Observe(sum, now)).To(BeZero())
+			now = now.Add(time.Second)
+		}
+		Expect(r.Observe(5, now)).To(Equal(5.0))
+		now = now.Add(time.Second)
+		Expect(r.Observe(math.NaN(), now)).To(BeNumerically("~", 3.9, 0.1))
+	})
+
 	It("falls when the requests end", func() {
 		var d provision.DemandMeter
 		now := clock.Instant(time.Hour)
