Placement: late views beside a draining engine and slow services

While the first preferred engine of a prompt drains, the next one is the preferred one in the cost, but the sampling considered only rank 1, so the prompt was sent to drawn engines without its cache. Services whose requests take longer than the views are old were drawn too, a full one beside a free one; there the shortest wait is known. Both tests fail before.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -140,7 +140,7 @@
 		return c, false
 	}
 	if late {
-		best = sample(q.View, loads, costs, best)
+		best = sample(q.View, loads, isPreferred, costs, best)
 	}
 	_, c = engineCost(q, loads[best], isPreferred(loads[best]))
 	if q.FetchesKV {
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -37,9 +37,9 @@
 }
 
 // ChooseService returns the endpoint of a plain service with the shortest
-// predicted wait, including penalties. If there are fewer slots than nodes and their
-// views are late, it draws one instead, so that the nodes don't all send their requests
-// to the endpoint that was free a moment ago.
+// predicted wait, including penalties. If there are fewer slots than nodes and requests
+// end before the views of other nodes show them, it draws one instead, so that the nodes
+// don't all send their requests to the endpoint that was free a moment ago.
 func ChooseService(v View, loads []Load) (c Choice, ok bool) {
 	best := math.Inf(1)
 	slots := 0
@@ -50,7 +50,7 @@
 			best, c, ok = cost, choice, true
 		}
 	}
-	if !v.late() || slots >= v.Nodes || len(loads) < 2 {
+	if !v.late() || slots >= v.Nodes || len(loads) < 2 || loads[0].UnitTime > v.Lag {
 		return c, ok
 	}
 	shortest := math.Inf(1)
--- a/pkg/placement/service_test.go
+++ b/pkg/placement/service_test.go
@@ -109,3 +109,15 @@
 		Expect(c.Endpoint.ID).To(Equal(fleet.InstanceID("well")))
 	}
 })
+
+var _ = It("chooses the shortest wait among services that take longer than the views are old", func() {
+	loads := []placement.Load{
+		{Endpoint: serving.Endpoint{ID: "full", Slots: 6}, Running: 6, UnitTime: 3 * time.Second},
+		{Endpoint: serving.Endpoint{ID: "free", Slots: 6}, UnitTime: 3 * time.Second},
+	}
+	for i := range 100 {
+		c, ok := placement.ChooseService(placement.View{Lag: 450 * time.Millisecond, Nodes: 76, Draw: float64(i) / 100}, loads)
+		Expect(ok).To(BeTrue())
+		Expect(c.Endpoint.ID).To(Equal(fleet.InstanceID("free")))
+	}
+})
--- a/pkg/placement/uneven.go
+++ b/pkg/placement/uneven.go
@@ -51,7 +51,7 @@
 // answers many nodes that see the same late loads and would all choose the same engine.
 // Others are drawn while these cost far more than the best of all, which has the given
 // index.
-func sample(v View, loads []Load, costs []float64, best int) int {
+func sample(v View, loads []Load, isPreferred func(Load) bool, costs []float64, best int) int {
 	weight := func(i int) float64 {
 		if l := loads[i]; !l.Avoid && !l.DataCentreUnreachable && !math.IsInf(costs[i], 1) {
 			return l.relativeSpeed()
@@ -65,7 +65,7 @@
 		}
 	}
 	for i, l := range loads {
-		if l.PreferenceRank == 1 {
+		if isPreferred(l) {
 			consider(i)
 		}
 	}
--- a/pkg/placement/uneven_test.go
+++ b/pkg/placement/uneven_test.go
@@ -268,3 +268,19 @@
 		}
 	})
 })
+
+var _ = It("considers the next preferred engine by a late view while the first one drains", func() {
+	loads := []placement.Load{
+		{Endpoint: serving.Endpoint{ID: "draining", Slots: 16}, Speed: 1, PreferenceRank: 1, Draining: true},
+		{Endpoint: serving.Endpoint{ID: "next", Slots: 16}, Speed: 1, PreferenceRank: 2},
+	}
+	for i := range 20 {
+		loads = append(loads, placement.Load{Endpoint: serving.Endpoint{ID: fleet.InstanceID(fmt.Sprint("e", i)), Slots: 16}, Speed: 1})
+	}
+	for i := range 100 {
+		q := placement.Query{PromptTokens: 3000, SharedTokens: 2800, View: placement.View{Lag: 450 * time.Millisecond, Nodes: 76, Draw: float64(i) / 100}}
+		c, ok := placement.ChooseEngine(q, loads)
+		Expect(ok).To(BeTrue())
+		Expect(c.Endpoint.ID).To(Equal(fleet.InstanceID("next")))
+	}
+})
