Gateway: the wait for a first event counts from the arrival

Among uneven engines an attempt was given until another engine has to start for the objective, counted from the start of the attempt: a second attempt at a dark engine, or the continuation of a stream, waited as long again, although the objective had nearly passed. The time since the arrival is left out of it.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -171,19 +171,19 @@
 // firstEventTimeout returns how long an attempt may take until the first event.
 func (s *streamRequest) firstEventTimeout(c placement.Choice) time.Duration {
 	if s.hasMoreAttempts() {
-		return stallTimeout(s.route.Objective, c)
+		return stallTimeout(s.route.Objective, time.Since(s.started), c)
 	}
 	return s.remaining()
 }
 
 // stallTimeout returns the time without a first event after which a stream is sent to
-// another engine, if the route allows it. Where engines differ, one that stalls for a
-// moment may take until just before another one has to start for the objective: to cancel
-// it sooner would waste its work.
-func stallTimeout(objective time.Duration, c placement.Choice) time.Duration {
+// another engine, if the route allows it. passed is the time since the request arrived.
+// Where engines differ, one that stalls for a moment may take until just before another one
+// has to start for the objective: to cancel it sooner would waste its work.
+func stallTimeout(objective, passed time.Duration, c placement.Choice) time.Duration {
 	least := minStallObjectives * float64(objective)
 	if c.Elsewhere > 0 {
-		least = max(least, float64(objective)-elsewhereFactor*float64(c.Elsewhere))
+		least = max(least, float64(objective-passed)-elsewhereFactor*float64(c.Elsewhere))
 	}
 	return time.Duration(min(max(stallPredictedFactor*float64(c.TimeToFirstEvent), least), maxStallObjectives*float64(objective)))
 }
