Pace: no rate from noise, and estimates without the lock

A rate has to exceed twice its standard error; otherwise the node's own estimate applies, as before.

--- a/pkg/pace/estimate.go
+++ b/pkg/pace/estimate.go
@@ -137,6 +137,9 @@
 	minBinWeight = 4.0
 	// minFitRatio is the smallest ratio of two prompts from which a rate follows.
 	minFitRatio = 2.0
+	// promptNoise is the standard deviation of the logarithm of a time to the first event, and
+	// minRiseErrors the number of standard errors by which the times have to rise with the size.
+	promptNoise, minRiseErrors = 0.5, 2.0
 	// minFirstStep and maxFirstStep bound the constant part of the time to the first event.
 	minFirstStep, maxFirstStep = 2.0, 500.0
 )
@@ -152,7 +155,8 @@
 }
 
 // fitPrompts fits a line through the times to the first event by prompt size, weighted
-// by evidence and relative to the times. It returns 0 if the sizes differ too little.
+// by evidence and relative to the times. It returns 0 if the sizes differ too little, or the
+// times so little that the rate could be any.
 func fitPrompts(pool fleet.PoolName, evidence Evidence) (firstStep time.Duration, prefill float64) {
 	var w, wx, wy, wxx, wxy float64
 	smallest, largest := math.Inf(1), 0.0
@@ -171,7 +175,7 @@
 		return 0, 0
 	}
 	slope := (w*wxy - wx*wy) / (w*wxx - wx*wx)
-	if !(slope > 0) {
+	if standardError := promptNoise * math.Sqrt(w/(w*wxx-wx*wx)); !(slope >= minRiseErrors*standardError) {
 		return 0, 0
 	}
 	intercept := min(max((wy-slope*wx)/w, minFirstStep), maxFirstStep)
--- a/pkg/pace/model.go
+++ b/pkg/pace/model.go
@@ -132,10 +132,12 @@
 // Update estimates the speeds of a pool's endpoints anew. evidence is that of all nodes,
 // this one included.
 func (m *Model) Update(pool fleet.PoolName, endpoints []serving.Endpoint, evidence Evidence) {
+	// Requests wait for the lock, and the estimate of a large pool takes milliseconds.
+	p := estimate(pool, endpoints, evidence, m.Pool(pool).Uneven)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.pools == nil {
 		m.pools = make(map[fleet.PoolName]*Pool)
 	}
-	m.pools[pool] = estimate(pool, endpoints, evidence, m.pool(pool).Uneven)
+	m.pools[pool] = p
 }
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -150,6 +150,22 @@
 		Expect(first.Seconds()).To(BeNumerically("~", 0.11, 0.015))
 		Expect(prefill).To(BeNumerically("~", 70, 10))
 	})
+
+	It("takes no rate from times that differ by less than chance", func() {
+		property(func(t *rapid.T) {
+			var m Model
+			now := clock.Instant(time.Hour)
+			for _, tokens := range []fleet.Tokens{200, 800, 3000} {
+				for range rapid.IntRange(5, 30).Draw(t, "prompts") {
+					took := 110 * time.Duration(rapid.IntRange(990_000, 1_010_000).Draw(t, "took"))
+					m.AddPrompt(serving.Endpoint{ID: "e", Pool: pool}, tokens, took, now)
+				}
+			}
+			if _, prefill := fitPrompts(pool, m.Evidence(now)); prefill != 0 {
+				t.Fatalf("%v tokens a millisecond", prefill)
+			}
+		})
+	})
 })
 
 var _ = Describe("A report", func() {
