Gossip: a relay adds up the evidence for speeds once in a round

A relay added the evidence of all nodes up for each reply: with 100 nodes in its data centre and evidence about 300 endpoints 1.3 ms a reply with the encoding, 2.9 ms at 800, under the table's lock, which at one round in three is 0.15 and 0.33 cores. In a mesh too only one digest in three carries evidence.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -144,6 +144,7 @@
 	groupConsumed, otherConsumed map[fleet.AccountName]float64
 	// cachedCount is the result of Count, or nil if the nodes have to be counted again.
 	cachedCount *allotment.Nodes
+	pace        paceTotal
 }
 
 // Apply stores a received digest. It ignores digests of earlier incarnations and
--- a/pkg/gossip/pace_test.go
+++ b/pkg/gossip/pace_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -63,6 +64,38 @@
 		}
 	})
 
+	It("is sent to each node without its own, also if it reported anew in the same round", func() {
+		f := newFleet(1, 28)
+		f.run(2 * time.Second)
+		relay := f.nodes[0]
+		for _, n := range f.nodes {
+			if n.table.IsRelay() {
+				relay = n
+			}
+		}
+		now := clock.Instant(paceRounds * RoundInterval * 10_000)
+		a, b, other := pace.EndpointKey("a", 1), pace.EndpointKey("b", 1), pace.EndpointKey("other", 1)
+		var nodes []*testNode
+		for _, n := range f.nodes {
+			if n != relay {
+				nodes = append(nodes, n)
+			}
+		}
+		report := func(n *testNode, r pace.Evidence) {
+			d := n.Describe()
+			d.Pace = r
+			relay.table.Apply(d, ScopeRelayGroup, now)
+		}
+		report(nodes[0], pace.Evidence{a: {Weight: 1, Log: 1}, other: {Weight: 4, Log: 8}})
+		report(nodes[1], pace.Evidence{other: {Weight: 2, Log: 4}})
+		sentTo := func(n *testNode) pace.Evidence {
+			return relay.table.Summarise(relay.Describe(), ScopeFleet, fleet.NodeName(n.name()), now).Pace
+		}
+		Expect(sentTo(nodes[1])).To(Equal(pace.Evidence{a: {Weight: 1, Log: 1}, other: {Weight: 4, Log: 8}}))
+		report(nodes[0], pace.Evidence{b: {Weight: 1, Log: 1}, other: {Weight: 6, Log: 12}})
+		Expect(sentTo(nodes[0])).To(Equal(pace.Evidence{other: {Weight: 2, Log: 4}}))
+	})
+
 	It("about 300 engines fits into datagrams and links beside their load", func() {
 		f := newFleet(3, 8)
 		for _, n := range f.nodes {
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -285,6 +285,9 @@
 func (t *Table) Summarise(local Digest, scope Scope, recipient fleet.NodeName, now clock.Instant) Digest {
 	switch scope {
 	case ScopeNode:
+		if !carriesPace(now) {
+			local.Pace = nil
+		}
 		return local
 	case ScopeUsage:
 		return Digest{Node: local.Node, DataCentre: local.DataCentre, Address: local.Address, Usage: local.Usage}
@@ -307,7 +310,7 @@
 	d.Work, d.Demand = make(map[fleet.InstanceID]placement.Work), make(map[fleet.PoolName]float64)
 	addWork(d.Work, local.Work)
 	maps.Copy(d.Demand, local.Demand)
-	d.Pace = summarisePace(local.Pace, t.peers, include, now)
+	d.Pace = t.summarisePace(local.Pace, scope, recipient, now)
 	for _, p := range t.peers {
 		if include(p) {
 			mergePeer(&d, p, now)
--- a/pkg/pace/evidence.go
+++ b/pkg/pace/evidence.go
@@ -72,21 +72,58 @@
 
 func decodeWeight(b byte) float64 { return (math.Exp2(float64(b)/weightScale) - 1) / weightUnit }
 
+// Remove removes the sums of a report that was added.
+func (r Evidence) Remove(other Evidence) {
+	for k, s := range other {
+		total, ok := r[k]
+		if !ok {
+			continue
+		}
+		rest := Sum{total.Weight - s.Weight, total.Log - s.Log}
+		// What rounding leaves is no evidence.
+		if encodeWeight(rest.Weight) == 0 {
+			delete(r, k)
+			continue
+		}
+		r[k] = rest
+	}
+}
+
+// weightBound returns the least encoded weight of the maxEntries largest ones, and how many
+// of that weight are among them.
+func weightBound(weights []byte) (bound byte, room int) {
+	var counts [math.MaxUint8 + 1]int
+	for _, w := range weights {
+		counts[w]++
+	}
+	room = maxEntries
+	for bound = math.MaxUint8; bound > 0 && counts[bound] < room; bound-- {
+		room -= counts[bound]
+	}
+	return bound, room
+}
+
 // MarshalBinary encodes the sums with the largest weights, in the order of their keys.
 func (r Evidence) MarshalBinary() ([]byte, error) {
 	keys := slices.Sorted(maps.Keys(r))
-	if len(keys) > maxEntries {
-		slices.SortStableFunc(keys, func(a, b Key) int { return int(encodeWeight(r[b].Weight)) - int(encodeWeight(r[a].Weight)) })
-		keys = keys[:maxEntries]
-		slices.Sort(keys)
+	weights := make([]byte, len(keys))
+	for i, k := range keys {
+		weights[i] = encodeWeight(r[k].Weight)
 	}
-	data := make([]byte, 0, entryBytes*len(keys))
-	for _, k := range keys {
-		weight := encodeWeight(r[k].Weight)
+	bound, room := weightBound(weights)
+	data := make([]byte, 0, entryBytes*min(len(keys), maxEntries))
+	for i, k := range keys {
+		weight := weights[i]
 		mean := math.Round((r[k].Mean() + meanOffset) * meanScale)
-		if weight == 0 || math.IsNaN(mean) {
+		if weight < bound || weight == 0 || math.IsNaN(mean) {
 			continue
 		}
+		if weight == bound {
+			if room == 0 {
+				continue
+			}
+			room--
+		}
 		data = binary.LittleEndian.AppendUint32(data, uint32(k))
 		data = binary.LittleEndian.AppendUint16(data, uint16(min(max(mean, 0), math.MaxUint16)))
 		data = append(data, weight)
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -196,6 +196,43 @@
 		})
 	})
 
+	It("is the same after another one was added and removed", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			a, b, sum := report.Draw(t, "a"), report.Draw(t, "b"), make(Evidence)
+			sum.Add(b)
+			sum.Add(a)
+			sum.Remove(b)
+			if len(sum) != len(a) {
+				t.Fatalf("%d sums instead of %d", len(sum), len(a))
+			}
+			for k, s := range a {
+				if math.Abs(s.Weight-sum[k].Weight) > 1e-6 || math.Abs(s.Log-sum[k].Log) > 1e-6 {
+					t.Fatalf("%v became %v", s, sum[k])
+				}
+			}
+		})
+	})
+
+	It("keeps the largest weights within its bound", func() {
+		large := make(Evidence)
+		for i := range 3 * maxEntries {
+			large[Key(i)] = Sum{float64(1 + i%4), 1}
+		}
+		data, err := large.MarshalBinary()
+		Expect(err).NotTo(HaveOccurred())
+		var kept Evidence
+		Expect(kept.UnmarshalBinary(data)).To(Succeed())
+		Expect(kept).To(HaveLen(maxEntries))
+		heaviest := 0
+		for k := range kept {
+			Expect(k % 4).To(BeNumerically(">=", 2))
+			if k%4 == 3 {
+				heaviest++
+			}
+		}
+		Expect(heaviest).To(Equal(3 * maxEntries / 4))
+	})
+
 	It("keeps means and weights when it is encoded, within its bound", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			r := report.Draw(t, "report")
