Front: every node follows the reported demand, not only the holder of the duties

The demand outlasts missing reports only if it was seen before. A node that got the duties while relays were replaced, as after the loss of the holder's relay, began with the sum that was left, planned for it, released engines, and took its return for growth. All nodes now observe it once a second. The new test fails before: 3 engines on demand for a demand of 48.

--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -128,9 +128,9 @@
 		}
 	}
 	if f.trends[p.Name] == nil {
-		f.trends[p.Name], f.reported[p.Name], f.holds[p.Name] = &provision.Trend{}, &provision.ReportedDemand{}, &provision.Hold{}
+		f.trends[p.Name], f.holds[p.Name] = &provision.Trend{}, &provision.Hold{}
 	}
-	demand = f.reported[p.Name].Observe(demand, now)
+	demand = f.observeReported(p.Name, demand, now)
 	forecast := demand
 	if measured {
 		// The rise from nothing when callers arrive says nothing of the growth after it.
@@ -170,6 +170,34 @@
 	}
 }
 
+// observeDemand follows the demand that the nodes report on each pool, so that a node that
+// gets the duties while reports are missing knows what they were.
+func (f *Front) observeDemand() {
+	c := f.config.Load()
+	if c == nil || !f.Settings.Cloud.Scale {
+		return
+	}
+	f.dutyMu.Lock()
+	defer f.dutyMu.Unlock()
+	demand := f.totalDemand()
+	for name, p := range c.Pools {
+		if p.Scale != nil {
+			f.observeReported(name, demand[name], clock.Now())
+		}
+	}
+}
+
+// observeReported returns the demand on a pool to plan for, given the sum that the nodes
+// report now. The caller holds the lock.
+func (f *Front) observeReported(pool fleet.PoolName, sum float64, now clock.Instant) float64 {
+	r := f.reported[pool]
+	if r == nil {
+		r = &provision.ReportedDemand{}
+		f.reported[pool] = r
+	}
+	return r.Observe(sum, now)
+}
+
 // logPlan logs the targets of a pool when they change.
 func (f *Front) logPlan(pool fleet.PoolName, demand, forecast float64, targets []provision.Target) {
 	if slices.Equal(f.lastPlans[pool], targets) {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -355,13 +355,14 @@
 	return f.Settings.Bounds.MaxRevocationDelay - revokeMargin
 }
 
-// housekeep removes expired state and updates the initial endpoint counts.
+// housekeep removes expired state and updates the initial endpoint counts and the demand.
 func (f *Front) housekeep(context.Context) {
 	f.directory.Expire(clock.Now())
 	f.connections.CloseExpired(time.Now())
 	f.expireGossipState()
 	f.updatePace()
 	f.countInitialEndpoints()
+	f.observeDemand()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
 		return ok
