--- a/pkg/gossip/pace_test.go
+++ b/pkg/gossip/pace_test.go
@@ -89,7 +89,7 @@
 		report(nodes[0], pace.Evidence{a: {Weight: 1, Log: 1}, other: {Weight: 4, Log: 8}})
 		report(nodes[1], pace.Evidence{other: {Weight: 2, Log: 4}})
 		sentTo := func(n *testNode) pace.Evidence {
-			return relay.table.Summarise(relay.Describe(), ScopeFleet, fleet.NodeName(n.name()), now).Pace
+			return relay.table.Summarise(relay.Describe(), ScopeFleet, n.name(), now).Pace
 		}
 		Expect(sentTo(nodes[1])).To(Equal(pace.Evidence{a: {Weight: 1, Log: 1}, other: {Weight: 4, Log: 8}}))
 		report(nodes[0], pace.Evidence{b: {Weight: 1, Log: 1}, other: {Weight: 6, Log: 12}})
