--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -374,7 +374,7 @@
 	return f.Settings.Bounds.MaxRevocationDelay - revokeMargin
 }
 
-// housekeep removes expired state and updates the initial endpoint counts.
+// housekeep removes expired state and updates the initial endpoint counts and the demand.
 func (f *Front) housekeep(context.Context) {
 	f.directory.Expire(clock.Now())
 	f.connections.CloseExpired(time.Now())
@@ -382,6 +382,7 @@
 	f.updatePace()
 	f.countInitialEndpoints()
 	f.logShortage()
+	f.observeDemand()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
 		return ok
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -150,6 +150,22 @@
 		Expect(first.Seconds()).To(BeNumerically("~", 0.11, 0.015))
 		Expect(prefill).To(BeNumerically("~", 70, 10))
 	})
+
+	It("takes no rate from times that differ by less than chance", func() {
+		property(func(t *rapid.T) {
+			var m Model
+			now := clock.Instant(time.Hour)
+			for _, tokens := range []fleet.Tokens{200, 800, 3000} {
+				for range rapid.IntRange(5, 30).Draw(t, "prompts") {
+					took := 110 * time.Duration(rapid.IntRange(990_000, 1_010_000).Draw(t, "took"))
+					m.AddPrompt(serving.Endpoint{ID: "e", Pool: pool}, tokens, took, now)
+				}
+			}
+			if _, prefill := fitPrompts(pool, m.Evidence(now)); prefill != 0 {
+				t.Fatalf("%v tokens a millisecond", prefill)
+			}
+		})
+	})
 })
 
 var _ = Describe("A report", func() {
@@ -180,6 +196,43 @@
 		})
 	})
 
+	It("is the same after another one was added and removed", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			a, b, sum := report.Draw(t, "a"), report.Draw(t, "b"), make(Evidence)
+			sum.Add(b)
+			sum.Add(a)
+			sum.Remove(b)
+			if len(sum) != len(a) {
+				t.Fatalf("%d sums instead of %d", len(sum), len(a))
+			}
+			for k, s := range a {
+				if math.Abs(s.Weight-sum[k].Weight) > 1e-6 || math.Abs(s.Log-sum[k].Log) > 1e-6 {
+					t.Fatalf("%v became %v", s, sum[k])
+				}
+			}
+		})
+	})
+
+	It("keeps the largest weights within its bound", func() {
+		large := make(Evidence)
+		for i := range 3 * maxEntries {
+			large[Key(i)] = Sum{float64(1 + i%4), 1}
+		}
+		data, err := large.MarshalBinary()
+		Expect(err).NotTo(HaveOccurred())
+		var kept Evidence
+		Expect(kept.UnmarshalBinary(data)).To(Succeed())
+		Expect(kept).To(HaveLen(maxEntries))
+		heaviest := 0
+		for k := range kept {
+			Expect(k % 4).To(BeNumerically(">=", 2))
+			if k%4 == 3 {
+				heaviest++
+			}
+		}
+		Expect(heaviest).To(Equal(3 * maxEntries / 4))
+	})
+
 	It("keeps means and weights when it is encoded, within its bound", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			r := report.Draw(t, "report")
