Gateway: a stream goes to the endpoint with which it was admitted

Cause: by late views the engine is drawn, and the request was judged by one draw and sent by another: it could be sent to an engine on which it would have been refused (found by the reviewer of engines). Change: the first attempt takes the choice of the admission. Result: the new spec failed before (3 draws before the endpoint got the request, now 2).

--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -64,7 +64,7 @@
 	var unreachable []fleet.InstanceID
 	reason = ReasonNoEndpoint
 	for p.takeAttempt() && len(unreachable) < maxUnsentAttempts {
-		c, ok := p.chooseEndpoint(clock.Now(), unreachable)
+		c, ok := p.nextEndpoint(unreachable)
 		if !ok && p.paused {
 			return ReasonEndpointsPaused, false
 		}
@@ -91,6 +91,16 @@
 	return reason, false
 }
 
+// nextEndpoint returns the endpoint for the next attempt: for the first one that with which
+// the request was admitted, as another draw might choose a slower one.
+func (p *proxyRequest) nextEndpoint(unreachable []fleet.InstanceID) (c placement.Choice, ok bool) {
+	c, p.admitted = p.admitted, placement.Choice{}
+	if c.Endpoint.ID != "" {
+		return c, true
+	}
+	return p.chooseEndpoint(clock.Now(), unreachable)
+}
+
 // attemptTimeout returns the timeout of one attempt. While another attempt is
 // allowed, it leaves time for that attempt, but is not shorter than twice the
 // objective as long as that much time remains.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -188,6 +188,8 @@
 	sent atomic.Bool
 	// timeout is the maximum duration of the request with all attempts.
 	timeout time.Duration
+	// admitted is the choice with which the request was admitted, until it is sent there.
+	admitted placement.Choice
 	// tried lists the endpoints to which the request was sent.
 	tried []fleet.InstanceID
 	// mayHaveRun reports whether an endpoint may have run the request.
--- a/pkg/gateway/pauses_test.go
+++ b/pkg/gateway/pauses_test.go
@@ -157,3 +157,19 @@
 	ginkgo.Entry("when it is reused", 0),
 	ginkgo.Entry("when it is reused and the endpoint repeats its refusal", 1),
 )
+
+var _ = ginkgo.It("A stream is sent to the endpoint with which it was admitted", func() {
+	var draws, drawsAtEndpoint atomic.Int64
+	e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, _, _ int64) bool {
+		drawsAtEndpoint.Store(draws.Load())
+		write(w, refusal(attemptID(r), ""))
+		return true
+	}}
+	h := newHandler(e.start())
+	h.Random = func() float64 {
+		draws.Add(1)
+		return 0
+	}
+	call(startNode(h, nil), "/tale/1", "drawn-once")
+	Expect(drawsAtEndpoint.Load()).To(BeEquivalentTo(2), "one for the pool and one for the endpoint")
+})
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -64,6 +64,7 @@
 	}
 	if c, ok := p.chooseEndpoint(clock.Now(), nil); ok {
 		p.recordDemand(c.UncachedTokens)
+		p.admitted = c
 		if !p.awaitRoom(c, s.hasLastEvent) {
 			return
 		}
--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -168,6 +168,7 @@
 // tryRoom takes the first request from the queue if there is room for it.
 func (w *roomWait) tryRoom(now clock.Instant) bool {
 	c, ok := w.chooseEndpoint(now, nil)
+	w.admitted = c
 	if !ok {
 		// The attempts find no endpoint either, and respond accordingly.
 		w.queue.Remove(w.ticket, now)
