Quotas: count what a stopping node admitted last

A node that stops sends a last digest, but its peers removed it without adding what it had consumed since the digest before: up to a round of its admissions was lost to every other node's count. In a large fleet the last digest also came in another scope than those before it, so that it could not be compared with them.

The last digest now has the scope in which each peer knows the node, is counted before the node is removed, and is sent twice since no later one makes up for a lost datagram. The new test fails before (0 of 100 counted) and passes with 6 and 30 nodes.

--- a/pkg/gossip/exchange.go
+++ b/pkg/gossip/exchange.go
@@ -23,6 +23,8 @@
 	// maxPacketBytes is the maximum size of an encoded packet. It keeps a packet
 	// within one UDP datagram.
 	maxPacketBytes = 60 << 10
+	// leaveNotices is the number of times that a node sends its last digest.
+	leaveNotices = 2
 )
 
 // packet is the content of one datagram. A reply echoes SentAt of its request,
@@ -146,7 +148,12 @@
 	case ScopeNode, ScopeRelayGroup:
 		x.Table.Apply(p.Digest, p.Scope, now)
 		x.OnDigest(p.Digest)
-	case ScopeProbe, ScopeFleet:
+	case ScopeFleet:
+		if p.Digest.Draining {
+			x.Table.Apply(p.Digest, p.Scope, now)
+			x.OnDigest(p.Digest)
+		}
+	case ScopeProbe:
 	}
 	if p.Digest.Draining {
 		return
@@ -196,12 +203,17 @@
 	}
 }
 
-// Leave notifies the other nodes that this node shuts down.
+// Leave notifies the other nodes that this node shuts down, with the quota that it
+// consumed last. No later digest carries it, so the notice is sent leaveNotices times.
 func (x *Exchange) Leave() {
+	now := x.now()
 	d := x.Describe()
 	d.Draining = true
 	for _, t := range x.Table.PeerTargets() {
-		x.request(t, d)
+		summary := x.Table.Summarise(d, t.Scope, t.Name, now)
+		for range leaveNotices {
+			x.request(t, summary)
+		}
 	}
 }
 
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -141,8 +141,8 @@
 	cachedCount *allotment.Nodes
 }
 
-// Apply stores a received digest. It ignores digests of earlier incarnations and
-// removes a node that drains.
+// Apply stores a received digest. It ignores digests of earlier incarnations. It
+// counts what a node that drains consumed last, and removes the node.
 func (t *Table) Apply(d Digest, scope Scope, now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -153,6 +153,9 @@
 		return
 	}
 	if d.Draining {
+		if p != nil && p.scope == scope {
+			t.addConsumed(p, &d, now)
+		}
 		delete(t.peers, name)
 		delete(t.announced, name)
 		return
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -172,13 +172,21 @@
 	return targets
 }
 
-// PeerTargets returns all nodes that send digests directly to this one.
+// PeerTargets returns all nodes that send digests directly to this one, with the
+// scope in which each knows this node.
 func (t *Table) PeerTargets() []Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	targets := make([]Target, 0, len(t.peers))
 	for name, p := range t.peers {
-		targets = append(targets, Target{Name: name, Address: p.digest.Address, Scope: ScopeNode})
+		target := Target{Name: name, Address: p.digest.Address, Scope: p.scope}
+		switch {
+		case p.scope == ScopeFleet:
+			target.Scope = ScopeRelayGroup
+		case t.inRelayGroup(p):
+			target.Scope = ScopeFleet
+		}
+		targets = append(targets, target)
 	}
 	return targets
 }
--- a/pkg/gossip/relay_test.go
+++ b/pkg/gossip/relay_test.go
@@ -286,3 +286,26 @@
 		}
 	})
 })
+
+var _ = Describe("A fleet of any size", func() {
+	It("counts what a stopping node admitted last", func() {
+		for _, nodesEach := range []int{2, 10} {
+			f := newFleet(3, nodesEach)
+			f.run(3 * time.Second)
+			before := make([]float64, len(f.nodes))
+			for i, n := range f.nodes {
+				before[i] = n.received
+			}
+			leaving := f.nodes[nodesEach-1]
+			leaving.consumed += 100
+			leaving.Leave()
+			leaving.down = true
+			f.run(2 * time.Second)
+			for i, n := range f.nodes {
+				if n != leaving {
+					Expect(n.received-before[i]).To(Equal(100.0), fmt.Sprintf("reported to %s of %d", n.name(), len(f.nodes)))
+				}
+			}
+		}
+	})
+})
