Quotas: a node that starts learns what is used, and what it admits first is counted

Each such node admits that half second and what was over the burst again; the next one to start forgets that too. Besides, a peer's total in its first digest counted as old, also that of a node that had just started.

Digests now carry the used part of each quota (27, at most 200 accounts).

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -54,6 +54,8 @@
 
 	mu      sync.Mutex
 	buckets map[fleet.AccountName]*Bucket
+	// informed is set once a node that knows what is used has reported since Started.
+	informed bool
 }
 
 // capacity returns the bucket size of an account: its burst and the usable slack,
@@ -134,7 +136,7 @@
 // request of any size, and then up to resyncShares even shares of the quota that
 // was refilled since the nodes were terminated.
 func (qs *QuotaLimiter) resyncWait(b *Bucket, q serving.Quota, amount float64, n Nodes, now clock.Instant) time.Duration {
-	if qs.Started == 0 || b.localTotal == 0 || now.Sub(qs.Started) >= resyncTime {
+	if !qs.assuming(now) || b.localTotal == 0 {
 		return 0
 	}
 	share := resyncShares * q.Rate / float64(max(1, n.Total))
--- /dev/null
+++ b/pkg/allotment/report_test.go
@@ -0,0 +1,77 @@
+package allotment_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/serving"
+)
+
+var _ = Describe("The report of a node's quotas", func() {
+	now := clock.Instant(time.Hour)
+	account := serving.Account{Name: "acc", Quota: serving.Quota{Rate: 100, Burst: 100}}
+	nodes := allotment.Nodes{Total: 2}
+	restarted := func() *allotment.QuotaLimiter {
+		q := &allotment.QuotaLimiter{Started: now}
+		q.Track([]serving.Account{account}, nodes, now)
+		return q
+	}
+	admits := func(q *allotment.QuotaLimiter, amount float64) bool {
+		ok, _ := q.Take(&account, amount, nodes, now)
+		return ok
+	}
+	known := func(level float64) allotment.Report {
+		return allotment.Report{Known: true, Levels: map[fleet.AccountName]float64{"acc": level}}
+	}
+
+	It("replaces the assumption of a node that restarted, beside what that node admitted", func() {
+		q := restarted()
+		Expect(admits(q, 50)).To(BeTrue())
+		q.Adopt(known(30), now)
+		Expect(admits(q, 30)).To(BeFalse())
+		Expect(admits(q, 20)).To(BeTrue())
+		q = restarted()
+		q.Adopt(allotment.Report{Known: true}, now)
+		Expect(admits(q, 100)).To(BeTrue(), "a quota without a level is unused")
+	})
+
+	It("only raises the level of a node that knows it", func() {
+		q := restarted()
+		q.Adopt(known(60), now)
+		q.Adopt(known(20), now)
+		Expect(admits(q, 50)).To(BeFalse())
+		q.Adopt(known(90), now)
+		Expect(admits(q, 20)).To(BeFalse())
+	})
+
+	It("is ignored if its sender only assumes, and bounded if it is wrong", func() {
+		q := restarted()
+		q.Adopt(restarted().Report(now), now)
+		Expect(admits(q, 60)).To(BeFalse())
+		for _, level := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e300} {
+			q = restarted()
+			q.Adopt(known(level), now)
+			ok, _ := q.Take(&account, 10, nodes, now.Add(2500*time.Millisecond))
+			Expect(ok).To(BeTrue(), fmt.Sprint(level))
+			ok, _ = q.Take(&account, 120, nodes, now.Add(2500*time.Millisecond))
+			Expect(ok).To(BeFalse(), fmt.Sprint(level))
+		}
+	})
+
+	It("names a bounded number of accounts, those with the fullest quotas", func() {
+		q := &allotment.QuotaLimiter{}
+		for i := range 300 {
+			a := serving.Account{Name: fleet.AccountName(fmt.Sprint("a", i)), Quota: serving.Quota{Rate: 1, Burst: 1000}}
+			ok, _ := q.Take(&a, float64(1+i), nodes, now)
+			Expect(ok).To(BeTrue())
+		}
+		Expect(q.Report(now).Levels).To(And(HaveLen(200), HaveKey(fleet.AccountName("a299")), Not(HaveKey(fleet.AccountName("a99")))))
+	})
+})
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -166,7 +166,7 @@
 	f.initialCounts = make(map[fleet.PoolName]*provision.InitialCount)
 	f.trends = make(map[fleet.PoolName]*provision.Trend)
 	f.peers.Self, f.peers.DataCentre = f.self.Name, f.Settings.DataCentre
-	f.peers.OnConsumed = f.quotas.AddPeerUsage
+	f.peers.OnConsumed, f.peers.OnFirstReport = f.quotas.AddPeerUsage, f.quotas.Adopt
 	f.tracker.DataCentreSilent = func(name fleet.DataCentreName) bool { return f.peers.DataCentreSilent(name, clock.Now()) }
 	f.tracker.PoolPrefillRate = func(pool fleet.PoolName) float64 { return f.engines.Speeds(pool).Prefill }
 	f.tracker.OnPrefill = f.engines.AddPrefill
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -186,6 +186,7 @@
 		Address:    f.internalAddress(),
 		Work:       f.tracker.LocalWork(),
 		Consumed:   f.quotas.LocalTotals(),
+		Quotas:     f.quotas.Report(clock.Now()),
 		Quarantine: f.quarantine.Report(clock.Now()),
 		Demand:     f.demand.ByPool(),
 		Leaving:    f.directory.Announced(),
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -98,6 +98,8 @@
 	Leaving map[fleet.InstanceID]int64 `cbor:"21,keyasint,omitempty"`
 	// Speeds are the known speeds of engines, by pool, for nodes that have not measured any.
 	Speeds map[fleet.PoolName]provision.Speeds `cbor:"22,keyasint,omitempty"`
+	// Quotas is the state of the sender's quotas.
+	Quotas allotment.Report `cbor:"27,keyasint"`
 }
 
 // nodes returns the number of live nodes that the digest covers.
@@ -112,7 +114,7 @@
 	clockOffset    time.Duration
 	hasClockOffset bool
 	silent         bool
-	// consumed is the quota that the peer reported since its first digest.
+	// consumed is the quota of the peer that was counted.
 	consumed map[fleet.AccountName]float64
 }
 
@@ -125,6 +127,9 @@
 	// OnConsumed, if set, is called with the quota that other nodes consumed since
 	// their previous digest.
 	OnConsumed func(fleet.AccountName, float64, clock.Instant)
+	// OnFirstReport, if set, is called with the state of the quotas in the first digest of
+	// a node, from which on its increases are counted.
+	OnFirstReport func(allotment.Report, clock.Instant)
 	// OnLivenessChange, if set, is called when a node becomes live or silent.
 	OnLivenessChange func(node fleet.NodeName, live bool)
 
@@ -161,14 +166,13 @@
 		return
 	}
 	t.removeSuperseded(&d, scope, now)
-	if p == nil {
-		p = &peer{silent: true, consumed: make(map[fleet.AccountName]float64)}
-		if t.peers == nil {
-			t.peers = make(map[fleet.NodeName]*peer)
-		}
-		t.peers[name] = p
-	} else if p.scope == scope {
+	switch {
+	case p == nil:
+		p = t.addPeer(&d, scope, now)
+	case p.scope == scope:
 		t.addConsumed(p, &d, now)
+	case t.OnFirstReport != nil:
+		t.OnFirstReport(d.Quotas, now)
 	}
 	if p.silent && t.OnLivenessChange != nil {
 		t.OnLivenessChange(name, true)
@@ -176,6 +180,28 @@
 	p.digest, p.scope, p.lastSeen, p.silent = d, scope, now, false
 }
 
+// addPeer adds a peer with its first digest. What it consumed before is counted only if
+// it started lately: otherwise it may be old, and is in the peer's report. The total
+// that a relay has of other nodes counts if no other relay reported them before. The
+// caller holds the lock.
+func (t *Table) addPeer(d *Digest, scope Scope, now clock.Instant) *peer {
+	p := &peer{
+		digest: Digest{Node: d.Node, DataCentre: d.DataCentre}, scope: scope,
+		silent: true, consumed: make(map[fleet.AccountName]float64),
+	}
+	if t.peers == nil {
+		t.peers = make(map[fleet.NodeName]*peer)
+	}
+	t.peers[d.Node.Name] = p
+	if d.Quotas.Young && (scope != ScopeFleet || len(t.otherConsumed) == 0) {
+		t.addConsumed(p, d, now)
+	}
+	if t.OnFirstReport != nil {
+		t.OnFirstReport(d.Quotas, now)
+	}
+	return p
+}
+
 // removeSuperseded removes the peers whose own digests are superseded by an
 // aggregate that covers them. The caller holds the lock.
 func (t *Table) removeSuperseded(d *Digest, scope Scope, now clock.Instant) {
@@ -195,8 +221,7 @@
 }
 
 // addConsumed adds and reports the quota that a peer consumed since its last
-// digest. Consumption before its first digest is not counted, as it may be old.
-// The caller holds the lock.
+// digest. The caller holds the lock.
 func (t *Table) addConsumed(p *peer, d *Digest, now clock.Instant) {
 	previous := p.digest.Consumed
 	if d.Node.Incarnation != p.digest.Node.Incarnation {
