Quotas: after the loss of all nodes, use the rule's room and know of each other sooner

Of the requests in the first half second after all nodes were lost most were refused, told to return in 0.05 s and refused again. Causes: a node that starts counts all others as silent, so its capacity and refill are a 70th; its own share is less than the callers that waited for it; the estimate of unreported usage takes what was admitted at once for a rate; and the first refusal holds the account to its even share for 2 s, though nothing but an assumption was exceeded.

Until most nodes report, or 1.2 s, those that have not started are no longer taken as cut off: a node's share limits it, of what was refilled and of a quarter of what the rule allows beyond the quota (quotaOver, quotaWindowS and quotaSlack of the settings). In this time nodes exchange each 0.1 s, and a refusal names the usual end of it instead of the share's next refill. While the list of nodes is not read, the limit stays as it was.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -19,6 +19,8 @@
 	Total int
 	// Silent is the number of nodes without a recent report.
 	Silent int
+	// Assumed is set while the list of nodes is not known and Total is a guess.
+	Assumed bool
 	// Lag is the average age of the usage in the latest reports of the peers.
 	Lag time.Duration
 }
@@ -43,19 +45,26 @@
 // The rest covers what the nodes admit before they receive each other's reports.
 const slackFraction = 0.15
 
+// restartFraction is the part of the excess over a quota that is used after a restart.
+const restartFraction = 0.25
+
 // QuotaLimiter holds a token bucket for each account. The zero value is ready to use.
 type QuotaLimiter struct {
-	// Slack is the amount by which an account may exceed its quota over all nodes.
-	Slack float64
+	// Slack and Tolerance, a part of the quota, are by how much an account may exceed its
+	// quota over all nodes in Window.
+	Slack, Tolerance float64
+	Window           time.Duration
 	// Started is when the node started. What the nodes admitted before is unknown,
-	// so each quota is assumed to have been used up minRestartTime before Started.
-	// If Started is 0, quotas begin unused.
+	// so each quota is assumed to have been used up minRestartTime before Started, and
+	// restartRoom of what it may be exceeded by is used. If Started is 0, quotas begin
+	// unused.
 	Started clock.Instant
 
 	mu      sync.Mutex
 	buckets map[fleet.AccountName]*Bucket
-	// informed is set once a node that knows what is used has reported since Started.
-	informed bool
+	// informed is set once a node that knows what is used has reported since Started,
+	// resynced once most nodes have.
+	informed, resynced bool
 }
 
 // capacity returns the bucket size of an account: its burst and the usable slack,
@@ -64,6 +73,20 @@
 	return (q.Burst + slackFraction*qs.Slack) * n.reportingShare()
 }
 
+// restartRoom returns what an account may use beyond its quota after the loss of all
+// nodes. Those that were lost may have used a part of the excess in the same window.
+func (qs *QuotaLimiter) restartRoom(q serving.Quota, n Nodes) float64 {
+	if n.Assumed {
+		return 0
+	}
+	return restartFraction * (qs.Tolerance*(q.Rate*qs.Window.Seconds()+q.Burst) + (1-slackFraction)*qs.Slack)
+}
+
+// restartLevel returns the used part of a quota that is assumed after a restart.
+func (qs *QuotaLimiter) restartLevel(q serving.Quota, n Nodes) float64 {
+	return max(0, qs.capacity(q, n)-qs.restartRoom(q, n))
+}
+
 // bucket returns an account's bucket, refilled up to now. The caller holds the lock.
 func (qs *QuotaLimiter) bucket(a *serving.Account, n Nodes, now clock.Instant) *Bucket {
 	if qs.buckets == nil {
@@ -73,10 +96,17 @@
 	if b == nil {
 		b = &Bucket{refilledAt: now, usualDemand: decayingRate{rate: a.Quota.Rate / float64(max(1, n.Total)), updatedAt: now}}
 		if qs.Started != 0 {
-			b.consumed, b.refilledAt = qs.capacity(a.Quota, n), qs.Started.Add(-minRestartTime)
+			b.assumedLevel = qs.restartLevel(a.Quota, n)
+			b.consumed, b.refilledAt = b.assumedLevel, qs.Started.Add(-minRestartTime)
+			b.fromAssumedNodes = n.Assumed
 		}
 		qs.buckets[a.Name] = b
 	}
+	if b.fromAssumedNodes && !n.Assumed {
+		notRefilled := a.Quota.Rate * now.Sub(qs.Started.Add(-minRestartTime)).Seconds() * (1 - b.nodes.reportingShare())
+		b.consumed = max(0, b.consumed+qs.restartLevel(a.Quota, n)-b.assumedLevel-notRefilled)
+		b.fromAssumedNodes = false
+	}
 	b.refill(a.Quota, n, now)
 	return b
 }
@@ -86,6 +116,7 @@
 func (qs *QuotaLimiter) Track(accounts []serving.Account, n Nodes, now clock.Instant) {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
+	n = qs.resync(n, now)
 	for i := range accounts {
 		if a := &accounts[i]; a.Quota.Rate > 0 {
 			qs.bucket(a, n, now)
@@ -102,6 +133,7 @@
 	}
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
+	n = qs.resync(n, now)
 	b := qs.bucket(a, n, now)
 	b.recentDemand.add(amount, recentPeriod, now)
 	b.usualDemand.add(amount, usualPeriod, now)
@@ -115,7 +147,8 @@
 	capacity := qs.capacity(a.Quota, n)
 	// While most of the quota is free, the account is not saturated: other nodes have no
 	// callers of it, and the even share would refuse what is within the quota.
-	mostlyFree := b.consumed <= maxFreeUse*capacity
+	// What is only assumed to be used is no demand either.
+	mostlyFree := b.consumed <= maxFreeUse*capacity || qs.Started != 0 && !qs.informed && now.Sub(qs.Started) < resyncTime
 	if available := capacity - estimate; amount > available && estimate > 0 {
 		b.recordRefusal(mostlyFree, n, now)
 		return false, time.Duration((amount - available) / a.Quota.Rate * float64(time.Second))
@@ -130,19 +163,43 @@
 	return true, 0
 }
 
-// resyncWait returns how long an amount has to wait during resyncTime after a
-// restart, while peer reports are incomplete. All nodes may have been killed
+// resync ends the resynchronisation after a restart once most nodes report. Until then
+// it returns the counts without silent nodes: those have not started yet, or report
+// shortly, and resyncWait limits what each node may admit without their reports.
+func (qs *QuotaLimiter) resync(n Nodes, now clock.Instant) Nodes {
+	if !qs.assuming(now) {
+		return n
+	}
+	// Nodes that started together exchange faster.
+	n.Lag /= startLagDivisor
+	if n.Total > 1 && !n.Assumed && n.reportingShare() >= resyncReporting && now.Sub(qs.Started) >= minResyncTime {
+		qs.resynced = true
+	}
+	if !qs.resynced && !n.Assumed {
+		n.Silent = 0
+	}
+	return n
+}
+
+// resyncWait returns how long an amount has to wait while peer reports are incomplete
+// after a restart, at most until the end of that time. All nodes may have been killed
 // together, and callers then return to each of them. In this time a node admits one
-// request of any size, and then up to resyncShares even shares of the quota that
-// was refilled since the nodes were terminated.
+// request of any size, and then up to resyncShares even shares of what was refilled
+// since the nodes were terminated and of the restart room.
 func (qs *QuotaLimiter) resyncWait(b *Bucket, q serving.Quota, amount float64, n Nodes, now clock.Instant) time.Duration {
-	if !qs.assuming(now) || b.localTotal == 0 {
+	if !qs.assuming(now) || qs.resynced || b.localTotal == 0 {
 		return 0
 	}
-	share := resyncShares * q.Rate / float64(max(1, n.Total))
 	sinceStart := now.Sub(qs.Started)
-	wait := time.Duration((b.localTotal+amount)/share*float64(time.Second)) - sinceStart - minRestartTime
-	return min(wait, resyncTime-sinceStart)
+	refilled := q.Rate * (sinceStart + minRestartTime).Seconds()
+	share := resyncShares * (refilled + qs.restartRoom(q, n)) / float64(max(1, n.Total))
+	if b.localTotal+amount <= share {
+		return 0
+	}
+	if sinceStart < usualResyncTime {
+		return usualResyncTime - sinceStart
+	}
+	return resyncTime - sinceStart
 }
 
 // maxFreeUse is the part of the capacity in use up to which a refusal does not make an
@@ -150,9 +207,15 @@
 const maxFreeUse = 0.5
 
 const (
-	// resyncTime is how long after a restart peer reports are taken as incomplete;
-	// several exchange rounds.
-	resyncTime = 1200 * time.Millisecond
+	// resyncTime is how long after a restart peer reports are taken as incomplete at
+	// most; several exchange rounds. It usually ends after usualResyncTime, when
+	// resyncReporting of the nodes report, and not before minResyncTime.
+	resyncTime      = 1200 * time.Millisecond
+	usualResyncTime = 600 * time.Millisecond
+	minResyncTime   = 300 * time.Millisecond
+	resyncReporting = 0.9
+	// startLagDivisor is by how much shorter the interval of exchanges is in that time.
+	startLagDivisor = 3
 	// resyncShares is the number of even shares that a node may admit in that time.
 	// It is more than 1 because load balancers spread callers unevenly.
 	resyncShares = 3
--- a/pkg/allotment/bucket.go
+++ b/pkg/allotment/bucket.go
@@ -16,6 +16,10 @@
 	// consumed is the part of the capacity in use, over all nodes.
 	consumed   float64
 	refilledAt clock.Instant
+	// assumedLevel is what was assumed as consumed after a restart, and fromAssumedNodes
+	// is set while it rests on a guess of the number of nodes.
+	assumedLevel     float64
+	fromAssumedNodes bool
 	// localTotal is the amount (requests or tokens) that this node has admitted since
 	// its start, less refunds.
 	localTotal float64
--- a/pkg/allotment/report_test.go
+++ b/pkg/allotment/report_test.go
@@ -74,4 +74,14 @@
 		}
 		Expect(q.Report(now).Levels).To(And(HaveLen(200), HaveKey(fleet.AccountName("a299")), Not(HaveKey(fleet.AccountName("a99")))))
 	})
+
+	It("takes the whole quota as used once the list of nodes is known", func() {
+		q := &allotment.QuotaLimiter{Started: now}
+		guess := allotment.Nodes{Total: 8, Silent: 7, Assumed: true}
+		q.Track([]serving.Account{account}, guess, now)
+		listed := allotment.Nodes{Total: 2, Silent: 1}
+		ok, wait := q.Take(&account, 80, listed, now)
+		Expect(ok).To(BeFalse())
+		Expect(wait).To(BeNumerically("~", 300*time.Millisecond, time.Millisecond))
+	})
 })
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -183,7 +183,7 @@
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
-	f.quotas.Slack = bounds.QuotaSlack
+	f.quotas.Slack, f.quotas.Tolerance, f.quotas.Window = bounds.QuotaSlack, bounds.QuotaTolerance, bounds.QuotaWindow
 	if !f.Settings.FirstStart {
 		f.quotas.Started = f.startInstant
 	}
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -227,7 +227,8 @@
 func (f *Front) nodes() allotment.Nodes {
 	n := f.peers.Count()
 	n.Lag = f.peers.Lag()
-	if !f.nodesLoaded.Load() && n.Total < assumedNodes {
+	n.Assumed = !f.nodesLoaded.Load()
+	if n.Assumed && n.Total < assumedNodes {
 		n.Silent += assumedNodes - n.Total
 		n.Total = assumedNodes
 	}
--- a/pkg/gossip/exchange.go
+++ b/pkg/gossip/exchange.go
@@ -20,6 +20,9 @@
 const (
 	// RoundInterval is the time between two rounds of requests to other nodes.
 	RoundInterval = 300 * time.Millisecond
+	// startRoundInterval is the time between two rounds within startTime after the start.
+	startRoundInterval = 100 * time.Millisecond
+	startTime          = 1200 * time.Millisecond
 	// maxPacketBytes is the maximum size of an encoded packet. It keeps a packet
 	// within one UDP datagram.
 	maxPacketBytes = 60 << 10
@@ -186,12 +189,18 @@
 	x.OnReply(p.Digest, p.Delta, p.SentAt)
 }
 
-// Run queries the other nodes every RoundInterval until the context is done.
+// Run queries the other nodes every RoundInterval until the context is done, and
+// faster directly after the start: all nodes may have been lost together, and each
+// limits its callers until it knows what the others admit.
 func (x *Exchange) Run(ctx context.Context) {
-	interval.Run(ctx, RoundInterval, func(context.Context) {
+	round := func(context.Context) {
 		x.Table.Expire(x.now())
 		x.QueryPeers()
-	})
+	}
+	starting, cancel := context.WithTimeout(ctx, startTime)
+	interval.Run(starting, startRoundInterval, round)
+	cancel()
+	interval.Run(ctx, RoundInterval, round)
 }
 
 // QueryPeers sends a request to each target of the current round.
