--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -179,7 +179,7 @@
 	f.reported = make(map[fleet.PoolName]*provision.ReportedDemand)
 	f.holds = make(map[fleet.PoolName]*provision.Hold)
 	f.peers.Self, f.peers.DataCentre = f.self.Name, f.Settings.DataCentre
-	f.peers.OnConsumed = f.quotas.AddPeerUsage
+	f.peers.OnConsumed, f.peers.OnFirstReport = f.quotas.AddPeerUsage, f.quotas.Adopt
 	f.tracker.DataCentreSilent = func(name fleet.DataCentreName) bool { return f.peers.DataCentreSilent(name, clock.Now()) }
 	f.tracker.PoolPrefillRate = func(pool fleet.PoolName) float64 { return f.engines.Speeds(pool).Prefill }
 	f.tracker.OnPrefill = f.engines.AddPrefill
@@ -201,7 +201,7 @@
 	f.intake.setLimits(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
 	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
-	f.quotas.Slack = bounds.QuotaSlack
+	f.quotas.Slack, f.quotas.Tolerance, f.quotas.Window = bounds.QuotaSlack, bounds.QuotaTolerance, bounds.QuotaWindow
 	if !f.Settings.FirstStart {
 		f.quotas.Started = f.startInstant
 	}
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -186,6 +186,7 @@
 		Address:    f.internalAddress(),
 		Work:       f.tracker.LocalWork(),
 		Consumed:   f.quotas.LocalTotals(),
+		Quotas:     f.quotas.Report(clock.Now()),
 		Quarantine: f.quarantine.Report(clock.Now()),
 		Demand:     f.demand.ByPool(),
 		Leaving:    f.directory.Announced(),
@@ -233,7 +234,8 @@
 func (f *Front) nodes() allotment.Nodes {
 	n := f.peers.Count()
 	n.Lag = f.peers.Lag()
-	if !f.nodesLoaded.Load() && n.Total < assumedNodes {
+	n.Assumed = !f.nodesLoaded.Load()
+	if n.Assumed && n.Total < assumedNodes {
 		n.Silent += assumedNodes - n.Total
 		n.Total = assumedNodes
 	}
--- a/pkg/gossip/exchange.go
+++ b/pkg/gossip/exchange.go
@@ -20,9 +20,14 @@
 const (
 	// RoundInterval is the time between two rounds of requests to other nodes.
 	RoundInterval = 300 * time.Millisecond
+	// startRoundInterval is the time between two rounds within startTime after the start.
+	startRoundInterval = 100 * time.Millisecond
+	startTime          = 1200 * time.Millisecond
 	// maxPacketBytes is the maximum size of an encoded packet. It keeps a packet
 	// within one UDP datagram.
 	maxPacketBytes = 60 << 10
+	// leaveNotices is the number of times that a node sends its last digest.
+	leaveNotices = 2
 )
 
 // packet is the content of one datagram. A reply echoes SentAt of its request,
@@ -146,7 +151,12 @@
 	case ScopeNode, ScopeRelayGroup:
 		x.Table.Apply(p.Digest, p.Scope, now)
 		x.OnDigest(p.Digest)
-	case ScopeProbe, ScopeFleet:
+	case ScopeFleet:
+		if p.Digest.Draining {
+			x.Table.Apply(p.Digest, p.Scope, now)
+			x.OnDigest(p.Digest)
+		}
+	case ScopeProbe:
 	}
 	if p.Digest.Draining {
 		return
@@ -179,12 +189,18 @@
 	x.OnReply(p.Digest, p.Delta, p.SentAt)
 }
 
-// Run queries the other nodes every RoundInterval until the context is done.
+// Run queries the other nodes every RoundInterval until the context is done, and
+// faster directly after the start: all nodes may have been lost together, and each
+// limits its callers until it knows what the others admit.
 func (x *Exchange) Run(ctx context.Context) {
-	interval.Run(ctx, RoundInterval, func(context.Context) {
+	round := func(context.Context) {
 		x.Table.Expire(x.now())
 		x.QueryPeers()
-	})
+	}
+	starting, cancel := context.WithTimeout(ctx, startTime)
+	interval.Run(starting, startRoundInterval, round)
+	cancel()
+	interval.Run(ctx, RoundInterval, round)
 }
 
 // QueryPeers sends a request to each target of the current round.
@@ -196,12 +212,17 @@
 	}
 }
 
-// Leave notifies the other nodes that this node shuts down.
+// Leave notifies the other nodes that this node shuts down, with the quota that it
+// consumed last. No later digest carries it, so the notice is sent leaveNotices times.
 func (x *Exchange) Leave() {
+	now := x.now()
 	d := x.Describe()
 	d.Draining = true
 	for _, t := range x.Table.PeerTargets() {
-		x.request(t, d)
+		summary := x.Table.Summarise(d, t.Scope, t.Name, now)
+		for range leaveNotices {
+			x.request(t, summary)
+		}
 	}
 }
 
