Roll-outs: a late status never replaces a later one; the test of the stopped decider stops it

A node that froze between the verdict and the status, or an append executed late, could write "running" over "done" or "rolled_back"; the decider took its status for written and it stayed. The status is now appended directly after what was read, and not at all if it is there already. The new test executes the first status after the verdict; it failed before with "running v9". The test of the stopped decider stopped the first node, whether it decided or not; it stops the holder of the duties now.

--- a/pkg/front/canary.go
+++ b/pkg/front/canary.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -213,7 +214,8 @@
 	return nil
 }
 
-// writeStatus writes the status of a state, unless it was written.
+// writeStatus writes the status of a state, unless it was written. It is appended directly after what was read, so that a
+// node that froze before the append, or an append that is executed late, never replaces a later status.
 func (d *decider) writeStatus(ctx context.Context, s canary.State) {
 	r, err := platform.RolloutStatus(s)
 	if err == nil && bytes.Equal(d.statuses[s.Order.Pool], r.Value) {
@@ -222,7 +224,15 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, canaryCallTimeout)
 		defer cancel()
-		_, err = d.front.store.Append(ctx, platform.TopicStatus, r)
+		var b platform.Batch
+		b, err = d.front.store.Newest(ctx, platform.TopicStatus)
+		if err == nil && slices.ContainsFunc(b.Records, func(w platform.Record) bool { return w.Key == r.Key && bytes.Equal(w.Value, r.Value) }) {
+			d.statuses[s.Order.Pool] = r.Value
+			return
+		}
+		if err == nil {
+			err = d.front.store.AppendAt(ctx, platform.TopicStatus, r, b.End)
+		}
 	}
 	pool := zap.String("pool", string(s.Order.Pool))
 	if err != nil {
--- a/pkg/front/canary_test.go
+++ b/pkg/front/canary_test.go
@@ -1,10 +1,14 @@
 package front_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -182,14 +186,43 @@
 	It("is finished by another node when the one that decides stops", func() {
 		bad = nil
 		start()
-		stop, served, _ := traffic(nodes[1:]...)
+		decides := func(n *node) bool { return strings.Contains(n.metrics(), "skylarkloom_front_duties 1") }
+		Eventually(func() bool { return slices.ContainsFunc(nodes, decides) }, eventuallyTimeout).Should(BeTrue())
+		decider := nodes[slices.IndexFunc(nodes, decides)]
+		others := slices.DeleteFunc(slices.Clone(nodes), func(n *node) bool { return n == decider })
+		stop, served, _ := traffic(others...)
 		defer stop()
 		Eventually(served.Load, eventuallyTimeout).Should(BeNumerically(">", 50))
 		order()
 		Eventually(d.rolloutState, eventuallyTimeout).Should(Equal("running v2"))
-		Expect(nodes[0].front.Stop(context.Background())).To(Succeed())
+		Expect(decides(decider)).To(BeTrue())
+		Expect(decider.front.Stop(context.Background())).To(Succeed())
 		Eventually(d.rolloutState, duration).Should(Equal("done v2"))
-		Expect(nodes[0].ready()).To(BeFalse())
+		Expect(decider.ready()).To(BeFalse())
+	})
+
+	It("keeps its verdict when an earlier status arrives late", func() {
+		d = newDeployment()
+		d.extraBounds = rolloutBounds
+		d.publish("k1")
+		d.versionedEndpoint("old-0", "v1", nil)
+		var first atomic.Pointer[http.Request]
+		n := d.startNodeAt(startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/log-append" && r.URL.Query().Get("topic") == "keyed.status" && first.Load() == nil {
+				body, _ := io.ReadAll(r.Body)
+				late := r.Clone(context.Background())
+				late.Body = io.NopCloser(bytes.NewReader(body))
+				first.Store(late)
+				panic(http.ErrAbortHandler)
+			}
+			d.store.ServeHTTP(w, r)
+		})), "a")
+		Eventually(n.ready, eventuallyTimeout).Should(BeTrue())
+		// No endpoint has the version.
+		d.order("v9", 2*time.Second)
+		Eventually(d.rolloutState, eventuallyTimeout).Should(Equal("rolled_back v9"))
+		d.store.ServeHTTP(httptest.NewRecorder(), first.Load())
+		Consistently(d.rolloutState, time.Second).Should(Equal("rolled_back v9"))
 	})
 
 	It("stops exposing a bad version while the store is away", func() {
