Roll-outs: a node that reads the order late gets no second slack

A node that restarted and could read the store only 5 s or more after its start took the order for newer than itself and got its slack again; the record's time of the order came later and did not take it away. Every restart of all nodes with the store away gave the slack once more. The budget is now corrected when an earlier time of the order is known.

--- a/pkg/canary/tracker.go
+++ b/pkg/canary/tracker.go
@@ -114,18 +114,30 @@
 	case p.ordered && p.order.To == o.To && p.order.Offset <= o.Offset:
 		// An order that is repeated keeps its time; its first offset is not known to all nodes.
 		p.order.Offset = o.Offset
-		p.orderedAt = min(p.orderedAt, at)
+		t.backdate(p, at)
 	case p.ordered && p.order.To == o.To:
-		p.orderedAt = min(p.orderedAt, at)
+		t.backdate(p, at)
 	case p.ordered && p.order.Offset >= o.Offset:
 	default:
 		p.order, p.ordered, p.orderedAt = o, true, at
-		before := at.Sub(t.Started) > startMargin
-		p.reset(NewBudget(t.Bounds, t.Nodes(), before, luck(string(t.Node), &o)))
+		p.reset(NewBudget(t.Bounds, t.Nodes(), t.startedBefore(at), luck(string(t.Node), &o)))
 	}
 	return p
 }
 
+func (t *Tracker) startedBefore(at clock.Instant) bool { return at.Sub(t.Started) > startMargin }
+
+// backdate applies an earlier time of the order. The node may have read the order long after it was written.
+func (t *Tracker) backdate(p *pool, at clock.Instant) {
+	if at >= p.orderedAt {
+		return
+	}
+	p.orderedAt = at
+	if !t.startedBefore(at) {
+		p.budget.Slack = 0
+	}
+}
+
 // SetState applies a state that was read from the store, or written there.
 func (t *Tracker) SetState(s State, now clock.Instant) {
 	if !t.Bounds.Enabled() {
