Roll-outs: an order for the version in use is done at once

After v2 done and v3 rolled back, an order for v2 began to sample v2: the pool had no other endpoints, so all but a tenth of its requests were refused until the verdict. If no other version is listed, there is nothing to move.

--- a/pkg/canary/canary.go
+++ b/pkg/canary/canary.go
@@ -44,6 +44,7 @@
 	ReasonNoEndpoints Reason = "no endpoints of the version"
 	ReasonCounts      Reason = "counts kept"
 	ReasonSwitched    Reason = "old endpoints have finished"
+	ReasonInUse       Reason = "no other version in use"
 	ReasonTimeUp      Reason = "no time left for the old endpoints"
 )
 
@@ -207,6 +208,9 @@
 		if slices.Contains(next.Barred, in.Order.To) {
 			return move(PhaseRolledBack, ReasonBarred)
 		}
+		if len(next.Old) == 0 && in.ReadyNew > 0 {
+			return move(PhaseDone, ReasonInUse)
+		}
 		return move(PhaseSampling, ReasonOrdered)
 	}
 	order, left := &next.Order, in.Order.Duration-in.Elapsed
