Roll-outs: versions that wait for an order never cost a pool its endpoints

A version that appears beside others waits 4 s, and while the store is away as long as that lasts. A request that had tried all others, or that met only draining engines, got no endpoint; a pool of 3 whose endpoints are replaced one after the other served with 2 or 1 of them meanwhile; after a roll-out the held version had no way out at all. Now a request without another ready endpoint goes there, and the waiting ends when ready endpoints of other versions are fewer than 3/4 of the most in the last 30 s. While a version is sampled, a request without a ready old endpoint may use the node's budget at once. Without orders and held versions the endpoints are not copied any more; a part of the endpoints does not count as what was there from the start.

--- a/pkg/canary/pool.go
+++ b/pkg/canary/pool.go
@@ -15,6 +15,11 @@
 const (
 	// announceTime is how long a version that appears beside others gets nothing unless an order names it.
 	announceTime = 4 * time.Second
+	// capacityTime is how long a pool's former capacity is remembered, and minOldCapacity the part of it that
+	// endpoints of other versions must have while a version waits. Where endpoints are replaced without an
+	// order, the new ones come in the place of others.
+	capacityTime   = 30 * time.Second
+	minOldCapacity = 0.75
 	// minPulsePeriod and maxPulsePeriod bound the period in which the sampled requests come together, so
 	// that the sampled endpoints have the load of others for a part of it. An order has pulsesPerOrder.
 	minPulsePeriod = time.Second
@@ -56,8 +61,9 @@
 	comparing bool
 	// seen is when each version was first seen; 0 if from the start.
 	seen map[serving.Version]clock.Instant
-	// oldListed reports whether there are ready endpoints that are neither new nor held.
-	oldListed bool
+	// most is the largest number of ready endpoints that got requests in the last capacityTime, seen at mostAt.
+	most   int
+	mostAt clock.Instant
 	// peers are the reported counts of the other nodes.
 	peers        []Tally
 	acknowledged int
@@ -98,6 +104,18 @@
 	return now.Sub(at) < announceTime || t.Confirmed != nil && t.Confirmed().Sub(at) < announceTime/2
 }
 
+// release ends the waiting of all versions if the ready endpoints of the others are much fewer than lately.
+func (p *pool) release(ready int, now clock.Instant) {
+	if ready >= p.most || now.Sub(p.mostAt) > capacityTime {
+		p.most, p.mostAt = ready, now
+	}
+	if float64(ready) < minOldCapacity*float64(p.most) {
+		for version := range p.seen {
+			p.seen[version] = 0
+		}
+	}
+}
+
 // class returns the class of an endpoint's version. Without an order all are old.
 func (p *pool) class(version serving.Version) Class {
 	if !p.ordered {
@@ -106,22 +124,26 @@
 	return Classify(&p.order, &p.state, version)
 }
 
-// split divides the endpoints into those of the old version and of the new one, without barred and held ones.
-func (t *Tracker) split(p *pool, endpoints []serving.Endpoint, now clock.Instant) (old, fresh []serving.Endpoint) {
+// split divides the endpoints into those of the old version, of the new one, and held ones, without barred ones.
+func (t *Tracker) split(p *pool, endpoints []serving.Endpoint, now clock.Instant) (old, fresh, held []serving.Endpoint) {
 	for _, e := range endpoints {
 		switch p.class(e.Version) {
 		case ClassNew:
 			fresh = append(fresh, e)
 		case ClassOld:
-			if !t.held(p, e.Version, now) {
+			if t.held(p, e.Version, now) {
+				held = append(held, e)
+			} else {
 				old = append(old, e)
 			}
 		case ClassBarred:
 		}
 	}
-	return old, fresh
+	return old, fresh, held
 }
 
+func isReady(e serving.Endpoint) bool { return e.State == serving.StateReady }
+
 func (p *pool) phase() Phase {
 	if !p.ordered || !p.state.Concerns(&p.order) {
 		return PhaseUnknown
@@ -146,7 +168,7 @@
 // sampledEndpoints returns the new endpoints that are sampled: so many that the share of the requests gives them
 // the load of the others. Those that are slow after their start come last.
 func sampledEndpoints(share float64, fresh []serving.Endpoint) []serving.Endpoint {
-	ready := slices.DeleteFunc(slices.Clone(fresh), func(e serving.Endpoint) bool { return e.State != serving.StateReady })
+	ready := slices.DeleteFunc(slices.Clone(fresh), func(e serving.Endpoint) bool { return !isReady(e) })
 	slices.SortFunc(ready, func(a, b serving.Endpoint) int {
 		return cmp.Or(cmp.Compare(min(a.Cold, 1), min(b.Cold, 1)), cmp.Compare(hash(string(a.ID)), hash(string(b.ID))))
 	})
@@ -156,7 +178,10 @@
 // sampleRate returns the probability with which a request is sampled, so that the sampled endpoints have the load
 // of the old ones during pulses.
 func (p *pool) sampleRate(share float64, old, sampled int, unixTime int64, elapsed time.Duration) float64 {
-	if old == 0 || float64(p.budget.passed) < slowRate*max(1, elapsed.Seconds()) {
+	if old == 0 {
+		return 1
+	}
+	if float64(p.budget.passed) < slowRate*max(1, elapsed.Seconds()) {
 		return slowSampleRate
 	}
 	pulse := share * float64(old) / float64(sampled)
--- a/pkg/canary/tracker.go
+++ b/pkg/canary/tracker.go
@@ -174,8 +174,13 @@
 	defer t.mu.Unlock()
 	p := t.pool(name)
 	p.observe(endpoints, now)
-	old, _ := t.split(p, endpoints, now)
-	p.oldListed = slices.ContainsFunc(old, func(e serving.Endpoint) bool { return e.State == serving.StateReady })
+	ready := 0
+	for _, e := range endpoints {
+		if isReady(e) && (p.class(e.Version) != ClassOld || !t.held(p, e.Version, now)) {
+			ready++
+		}
+	}
+	p.release(ready, now)
 }
 
 // Filter returns the endpoints that a request to a pool may be sent to now.
@@ -186,8 +191,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pool(name)
-	p.observe(endpoints, now)
-	old, fresh := t.split(p, endpoints, now)
+	// These may be a part of the endpoints; what is there at the start shows in all.
+	if len(p.seen) > 0 {
+		p.observe(endpoints, now)
+	}
+	if !p.ordered && !slices.ContainsFunc(endpoints, func(e serving.Endpoint) bool { return t.held(p, e.Version, now) }) {
+		return endpoints
+	}
+	old, fresh, held := t.split(p, endpoints, now)
+	// No order forbids the held ones: a request that has no other endpoint goes there.
+	moved := p.phase() == PhaseDone || p.phase() == PhaseSwitching
+	if !slices.ContainsFunc(old, isReady) && (!moved || !slices.ContainsFunc(fresh, isReady)) {
+		old = append(old, held...)
+	}
 	switch p.phase() {
 	case PhaseSampling:
 		sampled := sampledEndpoints(t.Bounds.ExposeShare, fresh)
@@ -200,7 +216,7 @@
 		}
 		return sampled
 	case PhaseSwitching:
-		if ready := slices.ContainsFunc(fresh, func(e serving.Endpoint) bool { return e.State == serving.StateReady }); ready && !p.stopped && !p.told {
+		if slices.ContainsFunc(fresh, isReady) && !p.stopped && !p.told {
 			return fresh
 		}
 		return old
@@ -214,9 +230,21 @@
 	if len(old) == 0 && len(fresh) > 0 && !t.knowsOld(p) {
 		return fresh
 	}
-	if len(old) == 0 && !p.ordered && !p.oldListed {
-		return endpoints
+	return old
+}
+
+// Unsampled returns the endpoints of the old version while the new one is sampled, and nil otherwise.
+func (t *Tracker) Unsampled(name fleet.PoolName, endpoints []serving.Endpoint, now clock.Instant) []serving.Endpoint {
+	if t == nil || !t.Bounds.Enabled() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pool(name)
+	if p.phase() != PhaseSampling {
+		return nil
 	}
+	old, _, _ := t.split(p, endpoints, now)
 	return old
 }
 
