Gateway: requests that the sampled endpoints cannot serve go to the old version

The few sampled endpoints could be overloaded or cold, and the request was then refused although old ones had room. The test failed before: the request was refused and no endpoint got it.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -89,13 +89,12 @@
 		}
 	}
 	candidates, pauseEnd := p.handler.Tracker.Available(candidates, now)
-	candidates = p.handler.Versions.Filter(p.pool.Name, candidates, now)
-	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
-	if p.pool.Engine == nil {
-		c, ok = placement.ChooseService(loads)
-	} else {
-		query := placement.Query{PromptTokens: p.request.PromptTokens, SharedTokens: placement.SharedTokens(p.request.PrefixBlocks), FetchesKV: p.pool.Engine.FetchesKV}
-		c, ok = placement.ChooseEngine(query, loads)
+	c, ok = p.chooseAmong(p.handler.Versions.Filter(p.pool.Name, candidates, now), now)
+	// The new version of a roll-out is sampled only with requests that it can serve.
+	if old := p.handler.Versions.Unsampled(p.pool.Name, candidates, now); len(old) > 0 && (!ok || !p.canStartInTime(c)) {
+		if other, found := p.chooseAmong(old, now); found {
+			c, ok = other, true
+		}
 	}
 	if p.paused = !ok && pauseEnd > 0; p.paused {
 		p.retryAfter = pauseEnd.Sub(now)
@@ -103,6 +102,15 @@
 	return c, ok
 }
 
+func (p *proxyRequest) chooseAmong(candidates []serving.Endpoint, now clock.Instant) (c placement.Choice, ok bool) {
+	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
+	if p.pool.Engine == nil {
+		return placement.ChooseService(loads)
+	}
+	query := placement.Query{PromptTokens: p.request.PromptTokens, SharedTokens: placement.SharedTokens(p.request.PrefixBlocks), FetchesKV: p.pool.Engine.FetchesKV}
+	return placement.ChooseEngine(query, loads)
+}
+
 // recordAnnouncements records what the endpoint of an attempt announces of itself in the
 // header of a response, which may arrive after the end of the attempt. The endpoint was
 // born before it accepted the connection, possibly later than its entry says.
