--- a/pkg/front/canary.go
+++ b/pkg/front/canary.go
@@ -101,6 +101,7 @@
 			f.canary.Observe(name, f.directory.Endpoints(name), now)
 		}
 	}
+	f.canary.Merge(nil, f.peers.Rollouts(), now)
 	f.canary.Check(now)
 }
 
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -219,7 +219,7 @@
 		f.directory.MarkLeaving(id, born, clock.Now())
 	}
 	if len(d.Rollouts) > 0 {
-		f.canary.Merge(d.Rollouts, f.peers.Rollouts(), clock.Now())
+		f.canary.Merge(d.Rollouts, nil, clock.Now())
 	}
 	f.tracker.SetPeerWork(f.peers.Work())
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
