Roll-outs: a node that wakes does not write the status of an old state

A holder of the duties that was frozen between its state and the status found the later status, took it for another's and replaced it by "running". It reads the states again after the status now, and writes only the newest. Each call has its own time, for a store that is slow. The new test failed before: the status was appended.

--- a/pkg/front/canary.go
+++ b/pkg/front/canary.go
@@ -215,31 +215,48 @@
 	return nil
 }
 
-// writeStatus writes the status of a state, unless it was written. It is appended directly after what was read, so that a
-// node that froze before the append, or an append that is executed late, never replaces a later status.
+// isNewest reports whether the node knows no later state of the pool.
+func (d *decider) isNewest(s canary.State) bool {
+	return !slices.ContainsFunc(d.front.canary.States(), func(o canary.State) bool { return o.Order.Pool == s.Order.Pool && o.Number > s.Number })
+}
+
+// writeStatus writes the status of a state, unless it was written.
 func (d *decider) writeStatus(ctx context.Context, s canary.State) {
 	r, err := platform.RolloutStatus(s)
 	if err == nil && bytes.Equal(d.statuses[s.Order.Pool], r.Value) {
 		return
 	}
+	written := false
 	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, canaryCallTimeout)
-		defer cancel()
-		var b platform.Batch
-		b, err = d.front.store.Newest(ctx, platform.TopicStatus)
-		if err == nil && slices.ContainsFunc(b.Records, func(w platform.Record) bool { return w.Key == r.Key && bytes.Equal(w.Value, r.Value) }) {
-			d.statuses[s.Order.Pool] = r.Value
-			return
-		}
-		if err == nil {
-			err = d.front.store.AppendAt(ctx, platform.TopicStatus, r, b.End)
-		}
+		written, err = d.appendStatus(ctx, s, r)
 	}
 	pool := zap.String("pool", string(s.Order.Pool))
-	if err != nil {
+	switch {
+	case err != nil:
 		d.front.Logs.Emit(event.CanaryStatusNotWritten, pool, zap.Error(err))
-		return
+	case written:
+		d.statuses[s.Order.Pool] = r.Value
+		d.front.Logs.Emit(event.CanaryStatusWritten, pool, zap.ByteString("status", r.Value))
+	}
+}
+
+// appendStatus appends the status of a state unless it is there or there is a later state. It is appended directly after
+// what was read, so that a node that was frozen, or an append that is executed late, never replaces a later status.
+func (d *decider) appendStatus(ctx context.Context, s canary.State, r platform.Record) (written bool, err error) {
+	readCtx, cancel := context.WithTimeout(ctx, canaryCallTimeout)
+	defer cancel()
+	b, err := d.front.store.Newest(readCtx, platform.TopicStatus)
+	if err != nil {
+		return false, err
+	}
+	// A status that was written before this read has a state that was written before too.
+	if err = d.load(ctx); err != nil || !d.isNewest(s) {
+		return false, err
+	}
+	if slices.ContainsFunc(b.Records, func(w platform.Record) bool { return w.Key == r.Key && bytes.Equal(w.Value, r.Value) }) {
+		return true, nil
 	}
-	d.statuses[s.Order.Pool] = r.Value
-	d.front.Logs.Emit(event.CanaryStatusWritten, pool, zap.ByteString("status", r.Value))
+	writeCtx, cancelWrite := context.WithTimeout(ctx, canaryCallTimeout)
+	defer cancelWrite()
+	return true, d.front.store.AppendAt(writeCtx, platform.TopicStatus, r, b.End)
 }
--- a/pkg/front/canary_test.go
+++ b/pkg/front/canary_test.go
@@ -201,6 +201,30 @@
 		Expect(decider.ready()).To(BeFalse())
 	})
 
+	It("keeps the status of a later state that the node has not read", func() {
+		d = newDeployment()
+		d.extraBounds = rolloutBounds
+		d.publish("k1")
+		d.versionedEndpoint("old-0", "v1", nil)
+		var decided, written atomic.Bool
+		n := d.startNodeAt(startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if topic := r.URL.Query().Get("topic"); topic == "keyed.status" {
+				written.Store(written.Load() || r.URL.Path == "/log-append")
+				// Another node decides while this one is frozen.
+				if decided.CompareAndSwap(false, true) {
+					d.store.Put("keyed.rollouts", "desk", []byte(`{"order":{"pool":"desk","to":"v9","duration":60000000000},"phase":"done","number":9}`))
+					d.store.Put("keyed.status", "rollout/desk", []byte(`{"state":"done","to":"v9"}`))
+				}
+			}
+			d.store.ServeHTTP(w, r)
+		})), "a")
+		Eventually(n.ready, eventuallyTimeout).Should(BeTrue())
+		d.order("v9", time.Minute)
+		Eventually(decided.Load, eventuallyTimeout).Should(BeTrue())
+		Consistently(written.Load, 2*time.Second).Should(BeFalse())
+		Expect(d.rolloutState()).To(Equal("done v9"))
+	})
+
 	It("keeps its verdict when an earlier status arrives late", func() {
 		d = newDeployment()
 		d.extraBounds = rolloutBounds
