--- a/pkg/canary/tracker.go
+++ b/pkg/canary/tracker.go
@@ -176,7 +176,8 @@
 	p.observe(endpoints, now)
 	ready := 0
 	for _, e := range endpoints {
-		if isReady(e) && (p.class(e.Version) != ClassOld || !t.held(p, e.Version, now)) {
+		class := p.class(e.Version)
+		if isReady(e) && (class == ClassOld && !t.held(p, e.Version, now) || class == ClassNew && p.phase() == PhaseDone) {
 			ready++
 		}
 	}
