--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -106,21 +106,12 @@
 		}
 	}
 	candidates, pauseEnd := p.handler.Tracker.Available(candidates, now)
-	candidates = p.handler.Versions.Filter(p.pool.Name, candidates, now)
-	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
-	n := p.handler.Nodes()
-	view := placement.View{Lag: n.Lag, Nodes: n.Total, Draw: p.handler.Random()}
-	if p.pool.Engine == nil {
-		c, ok = placement.ChooseService(view, loads)
-	} else {
-		query := placement.Query{
-			PromptTokens: p.request.PromptTokens,
-			SharedTokens: placement.SharedTokens(p.request.PrefixBlocks),
-			OutputTokens: p.request.MaxOutputTokens,
-			FetchesKV:    p.pool.Engine.FetchesKV,
-			View:         view,
+	c, ok = p.chooseAmong(p.handler.Versions.Filter(p.pool.Name, candidates, now), now)
+	// The new version of a roll-out is sampled only with requests that it can serve.
+	if old := p.handler.Versions.Unsampled(p.pool.Name, candidates, now); len(old) > 0 && (!ok || !p.canStartInTime(c)) {
+		if other, found := p.chooseAmong(old, now); found {
+			c, ok = other, true
 		}
-		c, ok = placement.ChooseEngine(query, loads)
 	}
 	if p.paused = !ok && pauseEnd > 0; p.paused {
 		p.retryAfter = pauseEnd.Sub(now)
@@ -128,6 +119,22 @@
 	return c, ok
 }
 
+func (p *proxyRequest) chooseAmong(candidates []serving.Endpoint, now clock.Instant) (c placement.Choice, ok bool) {
+	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
+	n := p.handler.Nodes()
+	view := placement.View{Lag: n.Lag, Nodes: n.Total, Draw: p.handler.Random()}
+	if p.pool.Engine == nil {
+		return placement.ChooseService(view, loads)
+	}
+	return placement.ChooseEngine(placement.Query{
+		PromptTokens: p.request.PromptTokens,
+		SharedTokens: placement.SharedTokens(p.request.PrefixBlocks),
+		OutputTokens: p.request.MaxOutputTokens,
+		FetchesKV:    p.pool.Engine.FetchesKV,
+		View:         view,
+	}, loads)
+}
+
 // recordAnnouncements records what the endpoint of an attempt announces of itself in the
 // header of a response, which may arrive after the end of the attempt. The endpoint was
 // born before it accepted the connection, possibly later than its entry says.
