--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -57,8 +57,12 @@
 	entryEvents,
 	capacityEvents,
 	rolloutEvents,
+	paceEvents,
 	operatorEvents,
 	serveEvents,
+	waitingEvents,
+	canaryEvents,
+	intakeEvents,
 )
 
 func sortByID(tables ...[]Definition) []Definition {
--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -128,12 +128,17 @@
 		}
 	}
 	if f.trends[p.Name] == nil {
-		f.trends[p.Name] = &provision.Trend{}
+		f.trends[p.Name], f.holds[p.Name] = &provision.Trend{}, &provision.Hold{}
+	}
+	demand = f.observeReported(p.Name, demand, now)
+	forecast := demand
+	if measured {
+		// The rise from nothing when callers arrive says nothing of the growth after it.
+		forecast = f.trends[p.Name].Forecast(demand, p.Scale.BootTime, now)
 	}
-	forecast := f.trends[p.Name].Forecast(demand, p.Scale.BootTime, now)
 	policy := provision.DefaultPolicy
-	required := policy.RequiredEngines(forecast, measured, initial)
-	targets := provision.Plan(policy, required, *p.Scale, supplies)
+	targets := provision.Plan(policy, policy.Require(forecast, measured, initial), *p.Scale, supplies)
+	f.holds[p.Name].Apply(targets, supplies, *p.Scale, now)
 	desired := make([]duty.DesiredScale, 0, 2*len(targets))
 	for _, t := range targets {
 		for market, n := range map[fleet.Market]int{fleet.MarketOnDemand: t.OnDemand, fleet.MarketReclaimable: t.Reclaimable} {
@@ -165,6 +170,34 @@
 	}
 }
 
+// observeDemand follows the demand that the nodes report on each pool, so that a node that
+// gets the duties while reports are missing knows what they were.
+func (f *Front) observeDemand() {
+	c := f.config.Load()
+	if c == nil || !f.Settings.Cloud.Scale {
+		return
+	}
+	f.dutyMu.Lock()
+	defer f.dutyMu.Unlock()
+	demand := f.totalDemand()
+	for name, p := range c.Pools {
+		if p.Scale != nil {
+			f.observeReported(name, demand[name], clock.Now())
+		}
+	}
+}
+
+// observeReported returns the demand on a pool to plan for, given the sum that the nodes
+// report now. The caller holds the lock.
+func (f *Front) observeReported(pool fleet.PoolName, sum float64, now clock.Instant) float64 {
+	r := f.reported[pool]
+	if r == nil {
+		r = &provision.ReportedDemand{}
+		f.reported[pool] = r
+	}
+	return r.Observe(sum, now)
+}
+
 // logPlan logs the targets of a pool when they change.
 func (f *Front) logPlan(pool fleet.PoolName, demand, forecast float64, targets []provision.Target) {
 	if slices.Equal(f.lastPlans[pool], targets) {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
@@ -26,12 +27,16 @@
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/pkg/usage"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
@@ -68,10 +73,6 @@
 	revokeMargin = 400 * time.Millisecond
 	// housekeepInterval is the pause between two runs of housekeep.
 	housekeepInterval = time.Second
-	// headerTimeout and idleTimeout limit connections whose requests are not yet
-	// limited by a configuration.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// assumedNodes is the usual number of nodes in a deployment. At least as many are
 	// assumed to share the limits until the list of nodes has been read.
 	assumedNodes = 8
@@ -134,18 +135,27 @@
 	crashes      quarantine.Detector
 	demand       provision.DemandMeter
 	engines      provision.EngineModel
-	// dutyMu guards lastPlans, initialCounts and trends.
+	// dutyMu guards lastPlans, initialCounts, reported, trends and holds.
 	dutyMu        sync.Mutex
 	lastPlans     map[fleet.PoolName][]provision.Target
 	initialCounts map[fleet.PoolName]*provision.InitialCount
 	trends        map[fleet.PoolName]*provision.Trend
+	reported      map[fleet.PoolName]*provision.ReportedDemand
+	holds         map[fleet.PoolName]*provision.Hold
 
-	metrics     *requestMetrics
-	directory   directory.Directory
-	history     directory.History
-	tracker     placement.Tracker
-	quotas      allotment.QuotaLimiter
-	retries     allotment.RetryBudget
+	metrics   *requestMetrics
+	directory directory.Directory
+	history   directory.History
+	tracker   placement.Tracker
+	pace      pace.Model
+	quotas    allotment.QuotaLimiter
+	retries   allotment.RetryBudget
+	waiting   waiting.Queues
+	returns   returning.Schedule
+	visitors  returning.Visitors
+	// short is whether housekeep last found too little room for the requests.
+	short       bool
+	canary      canary.Tracker
 	connections forward.Pool
 	// shutdown is the state of a planned stop.
 	shutdown       gateway.Shutdown
@@ -153,6 +163,7 @@
 	callerListener net.Listener
 	callerServer   *http.Server
 	probeServer    *http.Server
+	intake         callerIntake
 }
 
 // Start starts the services, which run within the context.
@@ -165,11 +176,15 @@
 	f.lastPlans = make(map[fleet.PoolName][]provision.Target)
 	f.initialCounts = make(map[fleet.PoolName]*provision.InitialCount)
 	f.trends = make(map[fleet.PoolName]*provision.Trend)
+	f.reported = make(map[fleet.PoolName]*provision.ReportedDemand)
+	f.holds = make(map[fleet.PoolName]*provision.Hold)
 	f.peers.Self, f.peers.DataCentre = f.self.Name, f.Settings.DataCentre
-	f.peers.OnConsumed = f.quotas.AddPeerUsage
+	f.peers.OnConsumed, f.peers.OnFirstReport = f.quotas.AddPeerUsage, f.quotas.Adopt
 	f.tracker.DataCentreSilent = func(name fleet.DataCentreName) bool { return f.peers.DataCentreSilent(name, clock.Now()) }
 	f.tracker.PoolPrefillRate = func(pool fleet.PoolName) float64 { return f.engines.Speeds(pool).Prefill }
 	f.tracker.OnPrefill = f.engines.AddPrefill
+	f.tracker.Pace = &f.pace
+	f.engines.Usual = f.usualSpeeds
 	f.directory.OnChange = f.logEndpointChange
 	f.peers.OnLivenessChange = f.logPeerLiveness
 	f.quarantine.OnQuarantined = func(q quarantine.Quarantine, found bool) { f.handleQuarantined(ctx, q, found) }
@@ -180,10 +195,13 @@
 			return nil
 		})
 	}
+	f.configureCanary()
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
+	f.intake.setLimits(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
 	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
-	f.quotas.Slack = bounds.QuotaSlack
+	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
+	f.quotas.Slack, f.quotas.Tolerance, f.quotas.Window = bounds.QuotaSlack, bounds.QuotaTolerance, bounds.QuotaWindow
 	if !f.Settings.FirstStart {
 		f.quotas.Started = f.startInstant
 	}
@@ -193,6 +211,7 @@
 		f.directoryService(),
 		f.gossipService(),
 		f.dutiesService(),
+		f.rolloutsService(),
 		f.metricsService(),
 		f.callersService(),
 		f.probeService(),
@@ -268,23 +287,24 @@
 	done := make(chan struct{})
 	s := kernel.Service{Name: ServiceProbe, Done: done}
 	s.Start = func(ctx context.Context) error {
-		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ReadHeaderTimeout: headerTimeout}
-		_, err := f.serve(ctx, f.probeServer, f.Settings.ProbeAddress, done)
+		f.probeServer = &http.Server{Handler: http.HandlerFunc(f.serveReadiness)}
+		_, err := f.serve(ctx, f.probeServer, otherGuard(&f.intake.probe), f.Settings.ProbeAddress, done)
 		return err
 	}
 	s.Stop = func(context.Context) error { return f.probeServer.Close() }
 	return s
 }
 
-// serve listens on an address and serves in the background until the server or the
-// listener is closed. It closes done afterwards, or if it cannot listen.
-func (f *Front) serve(ctx context.Context, server *http.Server, address string, done chan struct{}) (listener net.Listener, err error) {
+// serve listens on an address and serves in the background, through a guard, until the
+// server or the listener is closed. It closes done afterwards, or if it cannot listen.
+func (f *Front) serve(ctx context.Context, server *http.Server, guard *connection.Guard, address string, done chan struct{}) (listener net.Listener, err error) {
 	var listenConfig net.ListenConfig
 	listener, err = listenConfig.Listen(ctx, "tcp", address)
 	if err != nil {
 		close(done)
 		return nil, err
 	}
+	listener = guardServer(server, guard, listener)
 	f.group.Go(func() error {
 		defer close(done)
 		if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
@@ -319,13 +339,20 @@
 		IsQuarantined:  func(subjects []quarantine.Subject) bool { return f.quarantine.Quarantined(subjects, clock.Now()) },
 		RecordBroken:   f.crashes.RecordBroken,
 		RecordServed:   f.quarantine.RecordServed,
+		RecordStarted:  f.quarantine.RecordStarted,
 		RecordStart:    f.recordStart,
 		RecordDemand:   f.demand.Add,
 		OnFinish:       f.metrics.observe,
 		OnCallerLeft:   f.metrics.countCallerLeft,
 		OnAnnouncement: f.metrics.countAnnouncement,
 		OnUnread:       f.metrics.countUnread,
+		OnWait:         f.metrics.observeWait,
+		OnReturn:       f.metrics.countReturn,
 		Tracker:        &f.tracker,
+		Waiting:        &f.waiting,
+		Returns:        &f.returns,
+		Visitors:       &f.visitors,
+		Versions:       &f.canary,
 		Engines:        &f.engines,
 		Quotas:         &f.quotas,
 		Retries:        &f.retries,
@@ -347,12 +374,15 @@
 	return f.Settings.Bounds.MaxRevocationDelay - revokeMargin
 }
 
-// housekeep removes expired state and updates the initial endpoint counts.
+// housekeep removes expired state and updates the initial endpoint counts and the demand.
 func (f *Front) housekeep(context.Context) {
 	f.directory.Expire(clock.Now())
 	f.connections.CloseExpired(time.Now())
 	f.expireGossipState()
+	f.updatePace()
 	f.countInitialEndpoints()
+	f.logShortage()
+	f.observeDemand()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
 		_, ok := f.directory.Find(id)
 		return ok
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/gateway"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 )
 
@@ -34,6 +35,10 @@
 	callersLeft       *prometheus.CounterVec
 	announcements     *prometheus.CounterVec
 	unread            *prometheus.CounterVec
+	speedSpread       *prometheus.GaugeVec
+	speedEvidence     *prometheus.GaugeVec
+	waitMetrics
+	callersRefused *prometheus.CounterVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -59,6 +64,16 @@
 		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_front_unread_total", Help: "Requests given up before the endpoint responded, by pool and cause (caller left, timeout).",
 		}, []string{"pool", "cause"}),
+		speedSpread: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "skylarkloom_front_speed_spread", Help: "Ratio of the speeds of fast and slow endpoints of a pool; 0 while unknown.",
+		}, []string{"pool"}),
+		speedEvidence: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "skylarkloom_front_speed_evidence", Help: "Recent streams and responses of all nodes by which the speeds of a pool's endpoints are known.",
+		}, []string{"pool"}),
+		waitMetrics: newWaitMetrics(),
+		callersRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_front_callers_refused_total", Help: "Callers that were refused or cut off because of what they sent, by cause.",
+		}, []string{"cause"}),
 	}
 }
 
@@ -87,6 +102,11 @@
 	m.unread.WithLabelValues(string(pool), string(cause)).Inc()
 }
 
+// countRefusedCaller counts a caller that was refused because of what it sent.
+func (m *requestMetrics) countRefusedCaller(c intake.Cause) {
+	m.callersRefused.WithLabelValues(string(c)).Inc()
+}
+
 // gauges returns the metrics whose values are read when they are collected.
 func (f *Front) gauges() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -108,12 +128,32 @@
 		gauge("directory_age_seconds", "Time since the endpoint directory was last known to be complete.", func() float64 {
 			return clock.Now().Sub(clock.Instant(f.directoryReadAt.Load())).Seconds()
 		}),
+		gauge("callers_bytes", "Memory charged for the heads and bodies of callers.", func() float64 {
+			held, _ := f.intake.callers.Held()
+			return float64(held)
+		}),
+		gauge("callers_connections", "Connections of callers.", func() float64 {
+			_, connections := f.intake.callers.Held()
+			return float64(connections)
+		}),
 		gauge("endpoints", "Endpoints that have a directory entry.", func() float64 { return float64(len(f.directory.Listed())) }),
 		gauge("nodes", "Nodes that share the limits.", func() float64 { return float64(f.peers.Count().Total) }),
 		gauge("nodes_silent", "Nodes among them without a recent digest.", func() float64 { return float64(f.peers.Count().Silent) }),
 		gauge("quarantined", "Contents and prefix blocks that are refused because they crash endpoints.", func() float64 {
 			return float64(f.quarantine.Count(clock.Now()))
 		}),
+		gauge("rollouts", "Roll-outs ordered by the operator that have no verdict.", func() float64 {
+			unfinished, _ := f.canary.Unfinished()
+			return float64(len(unfinished))
+		}),
+		gauge("rollout_passed", "Requests passed on to pools since their last roll-out was ordered.", func() float64 {
+			passed, _ := f.canary.Exposed()
+			return passed
+		}),
+		gauge("rollout_exposed", "Attempts among them at endpoints of the new version.", func() float64 {
+			_, exposed := f.canary.Exposed()
+			return exposed
+		}),
 		gauge("duties", "1 while the node holds the duties.", func() float64 {
 			if f.holdsDuties.Load() {
 				return 1
@@ -129,18 +169,20 @@
 // metricsService serves the Prometheus metrics over HTTP.
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread)
+	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread,
+		f.metrics.speedSpread, f.metrics.speedEvidence, f.metrics.callersRefused, f.metrics.waits, f.metrics.returns)
+	registry.MustRegister(f.newWaitingCollector())
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{Timeout: time.Second}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux}
 	return kernel.Service{
 		Name: ServiceMetrics,
 		Done: done,
 		Start: func(ctx context.Context) error {
 			address := net.JoinHostPort(f.Settings.IP, strconv.Itoa(f.Settings.InternalPorts[0]+MetricsPortOffset))
-			_, err := f.serve(ctx, server, address, done)
+			_, err := f.serve(ctx, server, otherGuard(&f.intake.metrics), address, done)
 			return err
 		},
 		Stop: func(context.Context) error { return server.Close() },
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -64,8 +64,8 @@
 			return err
 		}
 		snapshotServerDone := make(chan struct{})
-		f.snapshotServer = &http.Server{Handler: http.HandlerFunc(f.serveSnapshot), ReadHeaderTimeout: headerTimeout}
-		if _, err := f.serve(ctx, f.snapshotServer, f.internalAddress(), snapshotServerDone); err != nil {
+		f.snapshotServer = &http.Server{Handler: http.HandlerFunc(f.serveSnapshot)}
+		if _, err := f.serve(ctx, f.snapshotServer, otherGuard(&f.intake.snapshots), f.internalAddress(), snapshotServerDone); err != nil {
 			close(done)
 			return errors.CombineErrors(err, f.exchange.Close())
 		}
@@ -186,11 +186,15 @@
 		Address:    f.internalAddress(),
 		Work:       f.tracker.LocalWork(),
 		Consumed:   f.quotas.LocalTotals(),
+		Quotas:     f.quotas.Report(clock.Now()),
 		Quarantine: f.quarantine.Report(clock.Now()),
 		Demand:     f.demand.ByPool(),
 		Leaving:    f.directory.Announced(),
 		Speeds:     f.engines.Known(),
+		Pace:       f.pace.Evidence(clock.Now()),
+		Rollouts:   f.canary.Reports(clock.Now()),
 		Clock:      f.wallClock(),
+		Shortage:   f.shortage(),
 	}
 	if f.holdsDuties.Load() {
 		d.DutyHolder, d.DutyHolderAddress = f.self.Name, f.internalAddress()
@@ -217,7 +221,11 @@
 	for id, born := range d.Leaving {
 		f.directory.MarkLeaving(id, born, clock.Now())
 	}
+	if len(d.Rollouts) > 0 {
+		f.canary.Merge(d.Rollouts, nil, clock.Now())
+	}
 	f.tracker.SetPeerWork(f.peers.Work())
+	f.applyShortage()
 	f.newestConfigVersion.Store(max(f.newestConfigVersion.Load(), d.ConfigVersion))
 }
 
@@ -226,7 +234,8 @@
 func (f *Front) nodes() allotment.Nodes {
 	n := f.peers.Count()
 	n.Lag = f.peers.Lag()
-	if !f.nodesLoaded.Load() && n.Total < assumedNodes {
+	n.Assumed = !f.nodesLoaded.Load()
+	if n.Assumed && n.Total < assumedNodes {
 		n.Silent += assumedNodes - n.Total
 		n.Total = assumedNodes
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -14,7 +14,9 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
+	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -45,6 +47,17 @@
 	ReadAbandoned ReadStage = "abandoned"
 )
 
+// Announcement is what an endpoint may announce of itself in a response.
+type Announcement string
+
+// The announcements. Their values are labels of metrics.
+const (
+	// AnnounceLeaving means that the endpoint is about to leave.
+	AnnounceLeaving Announcement = "leaving"
+	// AnnouncePause means that the endpoint wants no requests for some time.
+	AnnouncePause Announcement = "pause"
+)
+
 // UnreadCause is why a request was given up before the endpoint responded.
 type UnreadCause string
 
@@ -62,10 +75,13 @@
 	choice   placement.Choice
 	prefill  *placement.Prefill
 	response *forward.Response
-	// begunAt is when the response header arrived, 0 before.
-	begunAt clock.Instant
-	// servedRecorded reports whether the attempt was recorded as served.
-	servedRecorded bool
+	// sentAt is when the attempt began, begunAt when the response header arrived and firstAt
+	// when the first event or the response did; 0 before.
+	sentAt, begunAt, firstAt clock.Instant
+	gaps                     pace.Gaps
+	// startRecorded reports whether it was recorded that the endpoint has answered for some
+	// time, servedRecorded whether the attempt was recorded as served.
+	startRecorded, servedRecorded bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 	// started reports whether the endpoint has sent the first event or a complete
@@ -74,6 +90,7 @@
 	// ended reports whether the attempt ended before the head of a response was read.
 	ended    atomic.Bool
 	finished bool
+	version  versionSample
 }
 
 // chooseEndpoint picks an endpoint that was not tried, is not in unreachable and has not
@@ -81,6 +98,7 @@
 // engines.
 func (p *proxyRequest) chooseEndpoint(now clock.Instant, unreachable []fleet.InstanceID) (c placement.Choice, ok bool) {
 	endpoints := p.handler.Endpoints(p.pool.Name)
+	p.poolSize = len(endpoints)
 	candidates := make([]serving.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
 		if (e.State == serving.StateReady || p.pool.Engine != nil) && !slices.Contains(p.tried, e.ID) && !slices.Contains(unreachable, e.ID) {
@@ -88,12 +106,12 @@
 		}
 	}
 	candidates, pauseEnd := p.handler.Tracker.Available(candidates, now)
-	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
-	if p.pool.Engine == nil {
-		c, ok = placement.ChooseService(loads)
-	} else {
-		query := placement.Query{PromptTokens: p.request.PromptTokens, SharedTokens: placement.SharedTokens(p.request.PrefixBlocks), FetchesKV: p.pool.Engine.FetchesKV}
-		c, ok = placement.ChooseEngine(query, loads)
+	c, ok = p.chooseAmong(p.handler.Versions.Filter(p.pool.Name, candidates, now), now)
+	// The new version of a roll-out is sampled only with requests that it can serve.
+	if old := p.handler.Versions.Unsampled(p.pool.Name, candidates, now); len(old) > 0 && (!ok || !p.canStartInTime(c)) {
+		if other, found := p.chooseAmong(old, now); found {
+			c, ok = other, true
+		}
 	}
 	if p.paused = !ok && pauseEnd > 0; p.paused {
 		p.retryAfter = pauseEnd.Sub(now)
@@ -101,6 +119,22 @@
 	return c, ok
 }
 
+func (p *proxyRequest) chooseAmong(candidates []serving.Endpoint, now clock.Instant) (c placement.Choice, ok bool) {
+	loads := p.handler.Tracker.Loads(candidates, p.request.PrefixBlocks, p.handler.DataCentre, now)
+	n := p.handler.Nodes()
+	view := placement.View{Lag: n.Lag, Nodes: n.Total, Draw: p.handler.Random()}
+	if p.pool.Engine == nil {
+		return placement.ChooseService(view, loads)
+	}
+	return placement.ChooseEngine(placement.Query{
+		PromptTokens: p.request.PromptTokens,
+		SharedTokens: placement.SharedTokens(p.request.PrefixBlocks),
+		OutputTokens: p.request.MaxOutputTokens,
+		FetchesKV:    p.pool.Engine.FetchesKV,
+		View:         view,
+	}, loads)
+}
+
 // recordAnnouncements records what the endpoint of an attempt announces of itself in the
 // header of a response, which may arrive after the end of the attempt. The endpoint was
 // born before it accepted the connection, possibly later than its entry says.
@@ -143,8 +177,15 @@
 
 // send sends the request to an endpoint and waits for the response header.
 func (p *proxyRequest) send(ctx context.Context, c placement.Choice, resumeAfter *serving.EventID) (sent *attempt, err error) {
-	a := &attempt{proxy: p, choice: c, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, clock.Now())}
+	now := clock.Now()
+	a := &attempt{proxy: p, choice: c, sentAt: now, prefill: p.handler.Tracker.Begin(c.Endpoint.ID, c.UncachedTokens, now)}
+	// The next waiting request may look for room now that the load counts this one.
+	p.wakeWaiting()
 	ctx, a.cancel = context.WithCancel(ctx)
+	if !a.beginVersion() {
+		a.finish()
+		return nil, &forward.UnsentError{Address: c.Endpoint.Address, Cause: errVersionNotAccepted}
+	}
 	a.watchCaller(ctx)
 	dispatch := platform.Dispatch{
 		Instance: c.Endpoint.ID,
@@ -170,10 +211,11 @@
 		Matches:        p.responseMatches,
 		OnHead:         a.recordAnnouncements,
 		Expires:        time.Now().Add(dispatch.Timeout),
-		Abandoned:      func() bool { return p.abandonUnsent(c.Endpoint) },
+		Abandoned:      func() bool { return !a.version.sample.Accepts(clock.Now()) || p.abandonUnsent(c.Endpoint) },
 	})
 	if err != nil {
 		a.ended.Store(true)
+		a.recordVersionError(err)
 		p.recordSendFailure(a, err)
 		a.finish()
 		return nil, err
@@ -194,7 +236,7 @@
 	if p.callerGone() || !p.handler.Accepts(e) || p.handler.Tracker.Paused(e, clock.Now()) {
 		return true
 	}
-	p.sent = true
+	p.sent.Store(true)
 	return false
 }
 
@@ -247,7 +289,7 @@
 		return
 	}
 	var unsent *forward.UnsentError
-	if errors.Is(err, forward.ErrAbandoned) {
+	if errors.IsAny(err, forward.ErrAbandoned, errOvertaken) {
 		return
 	}
 	if errors.As(err, &unsent) {
@@ -256,7 +298,7 @@
 			p.handler.Tracker.RecordUnreachable(id, clock.Now())
 		}
 	} else {
-		p.handler.Tracker.RecordOutcome(id, false)
+		a.recordOutcome(false)
 		a.recordBrokenOff(err)
 	}
 	p.logEndpointFailure(a, err)
@@ -291,28 +333,57 @@
 }
 
 // recordBrokenOff records that the endpoint broke off the exchange, unless err has another
-// cause or the attempt counts as served already.
+// cause.
 func (a *attempt) recordBrokenOff(err error) {
-	if forward.BrokeOff(err) && !a.servedRecorded {
-		a.proxy.handler.RecordBroken(a.choice.Endpoint, a.proxy.subjects, clock.Now())
+	a.version.brokeOff = forward.BrokeOff(err)
+	if a.version.brokeOff {
+		a.proxy.handler.RecordBroken(a.choice.Endpoint, quarantine.Run{Subjects: a.proxy.subjects, Sent: a.sentAt, Broke: clock.Now(), Started: a.startRecorded})
 	}
 }
 
-// recordServed records that the endpoint served the request. Only the first call has
-// an effect.
+// recordServed records that the endpoint ran the request to its end.
 func (a *attempt) recordServed() {
-	if !a.servedRecorded {
-		a.servedRecorded = true
-		a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
-	}
+	a.servedRecorded = true
+	a.proxy.handler.RecordServed(a.proxy.subjects, a.begunAt)
 }
 
-// recordFirstEvent records that the endpoint has processed the prompt. Only the
+// recordStarted records that the endpoint has answered the request for some time. Only the
 // first call has an effect.
-func (a *attempt) recordFirstEvent() {
-	a.started.Store(true)
+func (a *attempt) recordStarted() {
+	if !a.startRecorded {
+		a.startRecorded = true
+		a.proxy.handler.RecordStarted(a.proxy.subjects, a.begunAt)
+	}
+}
+
+// recordEvent records an event or the response. The first one shows that the endpoint
+// has processed the prompt.
+func (a *attempt) recordEvent() {
+	now := clock.Now()
+	first := !a.started.Swap(true)
+	if first {
+		a.firstAt = now
+	}
+	a.gaps.Add(now)
+	a.recordVersionEvent()
 	a.proxy.recordStart()
-	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, clock.Now())
+	a.proxy.handler.Tracker.RecordFirstEvent(a.prefill, a.proxy.request.PrefixBlocks, now)
+	if first {
+		a.proxy.wakeWaiting()
+	}
+}
+
+// recordPace records how fast the endpoint served the request. A response of a plain
+// service counts if the endpoint had a free slot.
+func (a *attempt) recordPace() {
+	t, e := a.proxy.handler.Tracker, a.choice.Endpoint
+	switch engine := a.proxy.pool.Engine; {
+	case t.Pace == nil:
+	case engine != nil:
+		t.Pace.AddUnit(e, a.gaps.Usual()/time.Duration(max(1, engine.TokensPerEvent)), clock.Now())
+	case a.servedRecorded && a.choice.Idle && a.response.Status < http.StatusInternalServerError:
+		t.Pace.AddUnit(e, a.firstAt.Sub(a.sentAt), clock.Now())
+	}
 }
 
 // finish closes the response and removes the attempt from the endpoint's load.
@@ -321,11 +392,14 @@
 		return
 	}
 	a.finished = true
+	a.recordPace()
+	a.endVersion()
 	if a.response != nil {
 		a.response.Close()
 	}
 	a.cancel()
 	a.proxy.handler.Tracker.End(a.prefill)
+	a.proxy.wakeWaiting()
 }
 
 // takeAttempt reports whether the request may be sent to another endpoint, and
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -63,7 +64,7 @@
 	var unreachable []fleet.InstanceID
 	reason = ReasonNoEndpoint
 	for p.takeAttempt() && len(unreachable) < maxUnsentAttempts {
-		c, ok := p.chooseEndpoint(clock.Now(), unreachable)
+		c, ok := p.nextEndpoint(unreachable)
 		if !ok && p.paused {
 			return ReasonEndpointsPaused, false
 		}
@@ -78,7 +79,8 @@
 		case outcomeResponded:
 			return reason, true
 		case outcomeUnsent:
-			p.tried = p.tried[:len(p.tried)-1]
+			// A stream may have been sent to another endpoint since.
+			p.tried = slices.DeleteFunc(p.tried, func(t fleet.InstanceID) bool { return t == id })
 			unreachable = append(unreachable, id)
 		case outcomeLost:
 			p.mayHaveRun = true
@@ -89,6 +91,16 @@
 	return reason, false
 }
 
+// nextEndpoint returns the endpoint for the next attempt: for the first one that with which
+// the request was admitted, as another draw might choose a slower one.
+func (p *proxyRequest) nextEndpoint(unreachable []fleet.InstanceID) (c placement.Choice, ok bool) {
+	c, p.admitted = p.admitted, placement.Choice{}
+	if c.Endpoint.ID != "" {
+		return c, true
+	}
+	return p.chooseEndpoint(clock.Now(), unreachable)
+}
+
 // attemptTimeout returns the timeout of one attempt. While another attempt is
 // allowed, it leaves time for that attempt, but is not shorter than twice the
 // objective as long as that much time remains.
@@ -117,15 +129,15 @@
 	}
 	body, err := readBounded(a.response)
 	if err != nil || !metadata.Sealed || a.response.Header.Get("Content-Encoding") != "" {
-		p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
+		a.recordOutcome(false)
 		a.recordBrokenOff(err)
 		p.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
 	}
-	a.recordFirstEvent()
+	a.recordEvent()
 	a.recordServed()
 	failed := a.response.Status >= http.StatusInternalServerError
-	p.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, !failed)
+	a.recordOutcome(!failed)
 	if failed && p.route.Repeatable() && p.takeAttempt() {
 		p.attemptTaken = true
 		return outcomeLost, ReasonEndpointFailed
@@ -171,6 +183,7 @@
 // the address now belongs to another instance or because the endpoint is full.
 func (p *proxyRequest) handleNotRun(a *attempt) (outcome, Reason) {
 	drainBody(a)
+	a.version.notRun = true
 	id, now := a.choice.Endpoint.ID, clock.Now()
 	if a.response.Status == http.StatusMisdirectedRequest {
 		p.handler.Tracker.RecordUnreachable(id, now)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,15 +4,16 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/skylarkloom/skylarkloom/pkg/allotment"
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
@@ -21,7 +22,9 @@
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
@@ -36,8 +39,11 @@
 	ReasonUnknownKey          Reason = "unknown key"
 	ReasonQuotaExceeded       Reason = "over quota"
 	ReasonBodyTooLarge        Reason = "body too large"
+	ReasonNoRoomForBody       Reason = "no room for the body"
+	ReasonBodyTooSlow         Reason = "body too slow"
 	ReasonNoEndpoint          Reason = "no endpoint"
 	ReasonOverload            Reason = "cannot be served in time"
+	ReasonNoRoom              Reason = "waited without room"
 	ReasonEndpointsFull       Reason = "endpoints are full"
 	ReasonEndpointsPaused     Reason = "endpoints ask for a pause"
 	ReasonEndpointUnreachable Reason = "endpoint unreachable"
@@ -61,17 +67,6 @@
 	LeaveSent LeaveStage = "sent"
 )
 
-// Announcement is what an endpoint may announce of itself in a response.
-type Announcement string
-
-// The announcements. Their values are labels of metrics.
-const (
-	// AnnounceLeaving means that the endpoint is about to leave.
-	AnnounceLeaving Announcement = "leaving"
-	// AnnouncePause means that the endpoint wants no requests for some time.
-	AnnouncePause Announcement = "pause"
-)
-
 const (
 	// retryAfterTransient is the Retry-After time for a transient failure.
 	retryAfterTransient = 100 * time.Millisecond
@@ -81,9 +76,6 @@
 	// retryJitter is the share of a Retry-After time that is added at most as
 	// jitter, so that callers do not retry together.
 	retryJitter = 0.5
-	// defaultMaxBodyBytes is the size limit of a request body if the configuration
-	// sets none.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // Config is the configuration in force and the time at which it was last
@@ -113,12 +105,11 @@
 	// IsQuarantined reports whether requests with any of the subjects must not be sent to
 	// endpoints.
 	IsQuarantined func([]quarantine.Subject) bool
-	// RecordBroken records that an endpoint broke off a request that it had just begun to
-	// answer, or not yet.
-	RecordBroken func(serving.Endpoint, []quarantine.Subject, clock.Instant)
-	// RecordServed records that an endpoint served a request which it began to answer at
-	// the given instant.
-	RecordServed func(subjects []quarantine.Subject, begunAt clock.Instant)
+	// RecordBroken records that an endpoint broke off a request.
+	RecordBroken func(serving.Endpoint, quarantine.Run)
+	// RecordServed records that an endpoint ran a request, which it began to answer at the
+	// given instant, to its end; RecordStarted that it has answered it for some time.
+	RecordServed, RecordStarted func(subjects []quarantine.Subject, begunAt clock.Instant)
 	// RecordStart records that an endpoint started work on a request of an account.
 	RecordStart func(fleet.AccountName)
 	// RecordDemand adds the engine milliseconds of a request to the demand of a pool.
@@ -134,7 +125,21 @@
 	// the head of its response was read, if set.
 	OnUnread func(fleet.PoolName, UnreadCause)
 
+	// OnWait is called at the end of each wait for room at the engines of a pool, if set.
+	OnWait func(fleet.PoolName, Wait)
+	// OnReturn is called for each caller that is told to come back for a pool, and for each
+	// that does, if set.
+	OnReturn func(fleet.PoolName, Return)
+
 	Tracker *placement.Tracker
+	// Waiting holds the requests that wait for room.
+	Waiting *waiting.Queues
+	// Returns is the schedule of the callers that are told to come back, and Visitors
+	// recognises those that do.
+	Returns  *returning.Schedule
+	Visitors *returning.Visitors
+	// Versions decides which versions of endpoints get requests; nil stands for all.
+	Versions *canary.Tracker
 	// Engines holds the measured speeds of the engines.
 	Engines *provision.EngineModel
 	Quotas  *allotment.QuotaLimiter
@@ -180,9 +185,11 @@
 	subjects []quarantine.Subject
 	started  time.Time
 	// sent reports whether the request was sent to an endpoint.
-	sent bool
+	sent atomic.Bool
 	// timeout is the maximum duration of the request with all attempts.
 	timeout time.Duration
+	// admitted is the choice with which the request was admitted, until it is sent there.
+	admitted placement.Choice
 	// tried lists the endpoints to which the request was sent.
 	tried []fleet.InstanceID
 	// mayHaveRun reports whether an endpoint may have run the request.
@@ -196,6 +203,10 @@
 	// limit, or how long all endpoints want a pause. A refusal sends it as Retry-After
 	// time.
 	retryAfter time.Duration
+	// poolSize is the number of endpoints in the pool.
+	poolSize int
+	// spentBefore is how long a caller that came back has waited since its first attempt.
+	spentBefore time.Duration
 	// paused reports whether the last choice found only endpoints that want a pause.
 	paused bool
 	reason Reason
@@ -283,25 +294,6 @@
 	return true
 }
 
-// readBody reads the request body. It refuses the request if the body exceeds the
-// limit or cannot be read.
-func (p *proxyRequest) readBody() bool {
-	limit := p.config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(p.writer, p.httpRequest.Body, limit))
-	if err != nil {
-		status, reason := http.StatusBadRequest, ReasonCallerGone
-		if int64(len(body)) >= limit {
-			status, reason = http.StatusRequestEntityTooLarge, ReasonBodyTooLarge
-		}
-		return p.refuse(status, reason, 0)
-	}
-	p.body = body
-	return true
-}
-
 // hashContent returns the hash that identifies the request's content, which is its
 // method, URI, key and body.
 func (p *proxyRequest) hashContent() uint64 {
@@ -385,6 +377,13 @@
 func (p *proxyRequest) refuse(status int, reason Reason, retryAfter time.Duration) bool {
 	if retryAfter > 0 {
 		retryAfter += time.Duration(p.handler.Random() * retryJitter * float64(retryAfter))
+	}
+	return p.refuseUntil(status, reason, retryAfter)
+}
+
+// refuseUntil is like refuse, but adds no jitter to the Retry-After time.
+func (p *proxyRequest) refuseUntil(status int, reason Reason, retryAfter time.Duration) bool {
+	if retryAfter > 0 {
 		p.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	p.reason = reason
@@ -467,7 +466,7 @@
 func (p *proxyRequest) abandon(fields ...zap.Field) {
 	p.reason = ReasonCallerGone
 	stage := LeaveUnsent
-	if p.sent {
+	if p.sent.Load() {
 		stage = LeaveSent
 	}
 	p.handler.Logs.Emit(event.RequestAborted, p.logFields(append(fields, zap.String("stage", string(stage)))...)...)
--- a/pkg/gateway/handler_test.go
+++ b/pkg/gateway/handler_test.go
@@ -24,7 +24,9 @@
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
+	"github.com/skylarkloom/skylarkloom/pkg/returning"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
+	"github.com/skylarkloom/skylarkloom/pkg/waiting"
 )
 
 // newHandler returns the handler of a node with endpoints at the given addresses. The
@@ -54,11 +56,15 @@
 		UnixTime:      func(at clock.Instant) int64 { return time.Now().Add(at.Sub(clock.Now())).UnixMilli() },
 		Nodes:         func() allotment.Nodes { return allotment.Nodes{Total: 1} },
 		IsQuarantined: func([]quarantine.Subject) bool { return false },
-		RecordBroken:  func(serving.Endpoint, []quarantine.Subject, clock.Instant) {},
+		RecordBroken:  func(serving.Endpoint, quarantine.Run) {},
 		RecordServed:  func([]quarantine.Subject, clock.Instant) {},
+		RecordStarted: func([]quarantine.Subject, clock.Instant) {},
 		RecordStart:   func(fleet.AccountName) {},
 		RecordDemand:  func(fleet.PoolName, float64) {},
 		Tracker:       &placement.Tracker{},
+		Waiting:       &waiting.Queues{},
+		Returns:       &returning.Schedule{Random: func() float64 { return 0 }},
+		Visitors:      &returning.Visitors{},
 		Engines:       &provision.EngineModel{},
 		Quotas:        &allotment.QuotaLimiter{},
 		Retries:       &allotment.RetryBudget{Ratio: 1, Slack: 50, Window: 10 * time.Second},
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,20 +28,16 @@
 	stallPredictedFactor = 3
 	minStallObjectives   = 0.5
 	maxStallObjectives   = 1.6
-	// lateStartFactor times the route's objective is the highest predicted time to
-	// the first event that is admitted. It exceeds 1 because predictions err and a
-	// late response still has some value.
-	lateStartFactor = 1.5
-	// servedTime is the time after the start of its response after which a stream is not
-	// taken for the cause of a crash any more.
-	servedTime = time.Second
+	// elsewhereFactor times the predicted time at another engine is the time that is left
+	// for it before the objective, where speeds differ.
+	elsewhereFactor = 1.5
+	// startTime is the time after the start of its response after which the prompt of a
+	// stream is not taken for the cause of a crash any more.
+	startTime = time.Second
 	// eventBufferBytes is the size of a stream's read buffer.
 	eventBufferBytes = 4 << 10
 )
 
-// errStalled cancels an attempt that sent no event in time.
-var errStalled = errors.New("stream stalled: no event in time")
-
 // streamRequest is a request whose response is a stream of events, with the
 // state of the response to the caller.
 type streamRequest struct {
@@ -54,6 +50,7 @@
 	lastEvent    serving.EventID
 	hasLastEvent bool
 	controller   *http.ResponseController
+	move         streamMove
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -67,9 +64,8 @@
 	}
 	if c, ok := p.chooseEndpoint(clock.Now(), nil); ok {
 		p.recordDemand(c.UncachedTokens)
-		if !p.canStartInTime(c) {
-			p.refundQuota()
-			p.refuse(http.StatusServiceUnavailable, ReasonOverload, p.retryAfter)
+		p.admitted = c
+		if !p.awaitRoom(c, s.hasLastEvent) {
 			return
 		}
 		if !p.canFinishBeforeStop(p.expectedDuration(c)) {
@@ -83,18 +79,6 @@
 	}
 }
 
-// canStartInTime reports whether the first event is predicted to come in time.
-// It sheds load that exceeds the capacity of the engines: if all requests were
-// admitted, none would be in time.
-func (p *proxyRequest) canStartInTime(c placement.Choice) bool {
-	maxWait := min(time.Duration(lateStartFactor*float64(p.route.Objective)), p.remaining())
-	if c.Idle || c.TimeToFirstEvent < maxWait {
-		return true
-	}
-	p.retryAfter = c.TimeToFirstEvent - maxWait
-	return false
-}
-
 // finishExhausted ends a stream that has no further attempt. If the header was
 // sent, it aborts the connection so that the stream cannot look complete.
 func (s *streamRequest) finishExhausted(reason Reason) {
@@ -115,48 +99,68 @@
 	s.abort()
 }
 
-// attemptStream makes one attempt and relays its events.
+// attemptStream makes one attempt and relays its events. If the attempt stalls and another
+// endpoint accepts the stream, it goes on there.
 func (s *streamRequest) attemptStream(c placement.Choice) (result outcome, reason Reason) {
-	ctx, cancel := s.attemptContext(s.remaining())
-	defer cancel()
-	ctx, cancelStalled := context.WithCancelCause(ctx)
-	defer cancelStalled(nil)
-	watchdog := time.AfterFunc(s.firstEventTimeout(c), func() { cancelStalled(errStalled) })
-	defer watchdog.Stop()
+	a := s.newStreamAttempt(c, s.remaining())
+	s.begin(a)
+	defer s.end()
 	var resumeAfter *serving.EventID
 	if s.hasLastEvent {
-		resumeAfter = &s.lastEvent
+		last := s.lastEvent
+		resumeAfter = &last
+	}
+	s.await(func() bool { return a.start(s, resumeAfter) })
+	for {
+		result, reason = s.relay(a)
+		a.finish()
+		next := s.takeNext()
+		if next == nil {
+			return result, reason
+		}
+		a = next
+	}
+}
+
+// relay relays the response of an attempt, unless another one replaces it.
+func (s *streamRequest) relay(sa *streamAttempt) (outcome, Reason) {
+	if s.move.next != nil {
+		return outcomeLost, ReasonEndpointFailed
 	}
-	a, err := s.send(ctx, c, resumeAfter)
-	if err != nil {
-		return classifyError(err, s.failureReason(ctx))
+	if sa.err != nil {
+		return classifyError(sa.err, s.failureReason(sa.ctx))
 	}
-	defer a.finish()
+	a := sa.sent
 	metadata := platform.ReadResponse(a.response.Status, a.response.Header)
+	if a.response.Status == http.StatusOK && metadata.Sealed && !metadata.NotRun &&
+		(!s.headerSent || a.response.Header.Get("Content-Type") == s.contentType) {
+		return s.relayEvents(sa.ctx, a)
+	}
+	// The watchdog waits for the turn while the body is read.
+	stalled := time.AfterFunc(s.firstEventTimeout(sa.choice), func() { sa.cancel(errStalled) })
+	defer stalled.Stop()
 	switch {
 	case metadata.NotRun:
 		return s.handleNotRun(a)
 	case a.response.Status != http.StatusOK && !s.headerSent:
 		return s.handleErrorResponse(a, metadata)
-	case a.response.Status != http.StatusOK || !metadata.Sealed,
-		s.headerSent && a.response.Header.Get("Content-Type") != s.contentType:
-		s.handler.Tracker.RecordOutcome(c.Endpoint.ID, false)
+	default:
+		a.recordOutcome(false)
 		return outcomeLost, ReasonInvalidResponse
 	}
-	return s.relayEvents(ctx, a, watchdog)
 }
 
 // handleErrorResponse relays a response with a status other than 200 if it is
 // complete and sealed, unless the request may be retried.
 func (s *streamRequest) handleErrorResponse(a *attempt, metadata platform.Response) (outcome, Reason) {
 	body, err := readBounded(a.response)
-	s.handler.Tracker.RecordOutcome(a.choice.Endpoint.ID, false)
+	a.recordOutcome(false)
 	if err != nil || !metadata.Sealed {
 		a.recordBrokenOff(err)
 		return outcomeLost, ReasonInvalidResponse
 	}
 	a.recordServed()
-	a.recordFirstEvent()
+	a.recordEvent()
 	if s.route.Repeatable() && s.takeAttempt() {
 		s.attemptTaken = true
 		return outcomeLost, ReasonEndpointFailed
@@ -168,12 +172,23 @@
 // firstEventTimeout returns how long an attempt may take until the first event.
 func (s *streamRequest) firstEventTimeout(c placement.Choice) time.Duration {
 	if s.hasMoreAttempts() {
-		objective := float64(s.route.Objective)
-		return time.Duration(min(max(stallPredictedFactor*float64(c.TimeToFirstEvent), minStallObjectives*objective), maxStallObjectives*objective))
+		return stallTimeout(s.route.Objective, time.Since(s.started), c)
 	}
 	return s.remaining()
 }
 
+// stallTimeout returns the time without a first event after which a stream is sent to
+// another engine, if the route allows it. passed is the time since the request arrived.
+// Where engines differ, one that stalls for a moment may take until just before another one
+// has to start for the objective: to cancel it sooner would waste its work.
+func stallTimeout(objective, passed time.Duration, c placement.Choice) time.Duration {
+	least := minStallObjectives * float64(objective)
+	if c.Elsewhere > 0 {
+		least = max(least, float64(objective-passed)-elsewhereFactor*float64(c.Elsewhere))
+	}
+	return time.Duration(min(max(stallPredictedFactor*float64(c.TimeToFirstEvent), least), maxStallObjectives*float64(objective)))
+}
+
 // eventGapTimeout returns how long an attempt may pause between events.
 func (s *streamRequest) eventGapTimeout() time.Duration {
 	if s.hasMoreAttempts() && s.route.MaxEventGap > 0 {
@@ -189,17 +204,32 @@
 
 // relayEvents relays the events of a response until the response ends or fails. It
 // skips events that the caller already has.
-func (s *streamRequest) relayEvents(ctx context.Context, a *attempt, watchdog *time.Timer) (outcome, Reason) {
+func (s *streamRequest) relayEvents(ctx context.Context, a *attempt) (outcome, Reason) {
 	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
-	id := a.choice.Endpoint.ID
 	newEvents, firstAt := 0, time.Time{}
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
-		e, err := events.next()
-		isNew := e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
-		err = checker.check(e, isNew, err)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent {
-			s.handler.Tracker.RecordOutcome(id, true)
+		var e sseEvent
+		var isNew, complete bool
+		var err error
+		moved := s.await(func() (goesOn bool) {
+			e, err = events.next()
+			isNew = e.hasID && (!s.hasLastEvent || e.id > s.lastEvent)
+			err = checker.check(e, isNew, err)
+			complete = errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && s.headerSent
+			return err == nil || complete
+		})
+		if moved {
+			a.response.DoNotReuse()
+			a.recordOutcome(false)
+			if !complete {
+				a.recordBrokenOff(err)
+			}
+			s.logEndpointFailure(a, errStalled, zap.Int64("last", int64(s.lastEvent)))
+			return outcomeLost, ReasonEndpointFailed
+		}
+		if complete {
+			a.recordOutcome(true)
 			a.recordServed()
 			if s.pool.Engine != nil {
 				s.handler.Engines.AddStream(s.pool.Name, newEvents, s.pool.Engine.TokensPerEvent, time.Since(firstAt))
@@ -214,7 +244,7 @@
 			}
 			reason := s.failureReason(ctx)
 			if reason != ReasonTimeout {
-				s.handler.Tracker.RecordOutcome(id, false)
+				a.recordOutcome(false)
 				a.recordBrokenOff(err)
 			}
 			// The body may have been read to its end by now.
@@ -222,13 +252,13 @@
 			s.logEndpointFailure(a, err, zap.Int64("last", int64(s.lastEvent)))
 			return outcomeLost, reason
 		}
-		watchdog.Reset(s.eventGapTimeout())
+		s.expectEvent(s.eventGapTimeout())
 		now := clock.Now()
 		s.handler.Tracker.RecordResponse(a.choice.Endpoint, now)
-		if now.Sub(a.begunAt) >= servedTime {
-			a.recordServed()
+		if now.Sub(a.begunAt) >= startTime {
+			a.recordStarted()
 		}
-		a.recordFirstEvent()
+		a.recordEvent()
 		if e.hasID && !isNew {
 			continue
 		}
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/skylarkloom/skylarkloom/pkg/canary"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -172,13 +173,21 @@
 	return targets
 }
 
-// PeerTargets returns all nodes that send digests directly to this one.
+// PeerTargets returns all nodes that send digests directly to this one, with the
+// scope in which each knows this node.
 func (t *Table) PeerTargets() []Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	targets := make([]Target, 0, len(t.peers))
 	for name, p := range t.peers {
-		targets = append(targets, Target{Name: name, Address: p.digest.Address, Scope: ScopeNode})
+		target := Target{Name: name, Address: p.digest.Address, Scope: p.scope}
+		switch {
+		case p.scope == ScopeFleet:
+			target.Scope = ScopeRelayGroup
+		case t.inRelayGroup(p):
+			target.Scope = ScopeFleet
+		}
+		targets = append(targets, target)
 	}
 	return targets
 }
@@ -285,6 +294,9 @@
 func (t *Table) Summarise(local Digest, scope Scope, recipient fleet.NodeName, now clock.Instant) Digest {
 	switch scope {
 	case ScopeNode:
+		if !carriesPace(now) {
+			local.Pace = nil
+		}
 		return local
 	case ScopeUsage:
 		return Digest{Node: local.Node, DataCentre: local.DataCentre, Address: local.Address, Usage: local.Usage}
@@ -307,6 +319,7 @@
 	d.Work, d.Demand = make(map[fleet.InstanceID]placement.Work), make(map[fleet.PoolName]float64)
 	addWork(d.Work, local.Work)
 	maps.Copy(d.Demand, local.Demand)
+	d.Pace = t.summarisePace(local.Pace, scope, recipient, now)
 	for _, p := range t.peers {
 		if include(p) {
 			mergePeer(&d, p, now)
@@ -344,10 +357,12 @@
 	for pool, n := range p.digest.Demand {
 		d.Demand[pool] += n
 	}
+	d.Rollouts = canary.Add(d.Rollouts, p.digest.Rollouts)
 	if p.silent {
 		return
 	}
 	addWork(d.Work, p.digest.Work)
+	d.Shortage = d.Shortage.add(p.digest.Shortage)
 	if d.DutyHolder == "" {
 		d.DutyHolder, d.DutyHolderAddress = p.digest.DutyHolder, p.digest.DutyHolderAddress
 	}
