Waiting: a shortage of other nodes ends with their silence

The sums of the other nodes were only renewed with a digest. A node that was cut off in a shortage, or outlived the others, kept the last ones for good: it went on to hold requests for its share of the room, and to refuse them, with all engines free. Housekeeping renews them now, which leaves out silent nodes. The new test failed before and passes.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -381,6 +381,8 @@
 	f.expireGossipState()
 	f.updatePace()
 	f.countInitialEndpoints()
+	// No digest comes any more from nodes that became silent.
+	f.applyShortage()
 	f.logShortage()
 	f.observeDemand()
 	f.tracker.Prune(func(id fleet.InstanceID) bool {
