Returning: promises recorded at a wrong time of day are dropped

Only the latest four filters are kept. A node whose clock was ahead before it knew the others' recorded its first promises far ahead; they displaced all later ones, here and, merged, at the other nodes, until that time came. A report now drops filters more than two minutes ahead. The new test failed before and passes.

--- a/pkg/returning/returning_test.go
+++ b/pkg/returning/returning_test.go
@@ -118,6 +118,19 @@
 		Expect(v.Report(due.Add(time.Minute))).To(BeNil())
 	})
 
+	It("is recognised after the time of day was wrong for a while", func() {
+		var here, there returning.Visitors
+		for second := range 100 {
+			here.Record(1, now.Add(time.Hour+time.Duration(second)*time.Second))
+		}
+		Expect(here.Report(now)).To(BeNil())
+		here.Record(7, due)
+		there.SetPeers(here.Report(now))
+		for _, v := range []*returning.Visitors{&here, &there} {
+			Expect(v.Standing(7, due)).To(Equal(returning.StandingKept))
+		}
+	})
+
 	It("does not make reports grow without bound", func() {
 		var v returning.Visitors
 		for second := range 100 {
--- a/pkg/returning/visitors.go
+++ b/pkg/returning/visitors.go
@@ -26,6 +26,9 @@
 	// keptSlots is for how many slots after its own a return is recognised, earlySlots how
 	// many slots before it.
 	keptSlots, earlySlots = 3, 10
+	// aheadSlots is how far ahead of the present a recorded promise may be. The time of day
+	// was wrong when one beyond it was recorded.
+	aheadSlots = 240
 )
 
 // Content identifies what a caller sends; it is the same when the caller comes back.
@@ -159,8 +162,8 @@
 func (v *Visitors) Report(now time.Time) (report Filters) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	oldest := (slotAt(now) - keptSlots) / generationSlots
-	maps.DeleteFunc(v.own, func(g int64, _ []byte) bool { return g < oldest })
+	oldest, latest := (slotAt(now)-keptSlots)/generationSlots, (slotAt(now)+aheadSlots)/generationSlots
+	maps.DeleteFunc(v.own, func(g int64, _ []byte) bool { return g < oldest || g > latest })
 	for generation, filter := range v.own {
 		if report == nil {
 			report = make(Filters)
