Waiting: requests without an account have a share; odd sums are left out

What requests without an account received was not counted, so their tag stayed 0 and they went before those of every account of their rank, as long as they kept coming. They now count as one account with the mean weight.

A sum of another node that is no number, infinite or negative went into waits and shares: NaN converts to a negative wait on amd64, which lets every request wait, and spoils the allowance for good. Such sums are left out.

--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -258,14 +258,16 @@
 		Work:        max(1, speeds.EngineTime(c.UncachedTokens, p.request.MaxOutputTokens)),
 		LatestStart: now.Add(p.route.Objective - p.spentBefore - time.Since(p.started) - c.TimeToFirstEvent),
 	}
-	if p.account != nil {
+	if p.account == nil {
+		r.Weight = p.accountWeight(&serving.Account{})
+	} else {
 		r.Account, r.Weight = p.account.Name, p.accountWeight(p.account)
 	}
 	return r
 }
 
 // accountWeight returns the weight of an account, which is its quota rate in tokens. An
-// account without one has the mean of the others.
+// account without one, or all requests without an account, have the mean of the others.
 func (p *proxyRequest) accountWeight(a *serving.Account) float64 {
 	if a.Quota.Rate > 0 {
 		return p.tokenRate(a.Quota)
--- a/pkg/waiting/queue.go
+++ b/pkg/waiting/queue.go
@@ -102,7 +102,7 @@
 func (q *Queue) SetPeers(p PoolReport, now clock.Instant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.peers = p
+	q.peers = PoolReport{Wanted: amounts(p.Wanted), Received: amounts(p.Received)}
 	q.wakeFirst(now)
 }
 
@@ -384,9 +384,7 @@
 
 // recordSent adds a request to what its account received. The caller holds the lock.
 func (q *Queue) recordSent(r *Request, now clock.Instant) {
-	if r.Account != "" {
-		q.received.add(r.Account, r.Work, now, receivedTime)
-	}
+	q.received.add(r.Account, r.Work, now, receivedTime)
 }
 
 // Report returns what this node reports, or false if there was room for all lately.
--- a/pkg/waiting/sums.go
+++ b/pkg/waiting/sums.go
@@ -21,6 +21,20 @@
 	return sum
 }
 
+// amounts returns the values that are positive and finite.
+func amounts[K comparable](values map[K]float64) map[K]float64 {
+	if len(values) == 0 {
+		return nil
+	}
+	valid := make(map[K]float64, len(values))
+	for key, value := range values {
+		if value > 0 && !math.IsInf(value, 1) {
+			valid[key] = value
+		}
+	}
+	return valid
+}
+
 // largest removes all but the count largest values.
 func largest[K cmp.Ordered](values map[K]float64, count int) map[K]float64 {
 	if len(values) <= count {
--- a/pkg/waiting/waiting_test.go
+++ b/pkg/waiting/waiting_test.go
@@ -1,6 +1,7 @@
 package waiting_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -62,6 +63,27 @@
 		}
 	})
 
+	It("does not put requests without an account before all others for good", func() {
+		q := &waiting.Queue{}
+		unknown, known := add(q, "", 0, 10, time.Second), add(q, "a", 0, 10, time.Minute)
+		q.RecordSent(waiting.Request{Account: "a", Work: 10}, now)
+		Expect(q.IsFirst(unknown, now)).To(BeTrue())
+		q.RecordSent(waiting.Request{Work: 20}, now)
+		Expect(q.IsFirst(unknown, now)).To(BeFalse())
+		Expect(q.IsFirst(known, now)).To(BeTrue())
+	})
+
+	It("leaves out sums of other nodes that are no amounts of work", func() {
+		q := &waiting.Queue{}
+		q.SetPeers(waiting.PoolReport{
+			Wanted:   map[waiting.Rank]float64{0: math.NaN(), 1: math.Inf(1), 2: -1e9},
+			Received: map[fleet.AccountName]float64{"a": math.NaN()},
+		}, now)
+		Expect(q.Short(1, now)).To(BeFalse())
+		r := waiting.Request{Account: "a", Rank: 2, Work: 10}
+		Expect(q.Wait(&r, capacity, now)).To(BeZero())
+	})
+
 	It("wakes the next request when one leaves without being sent", func() {
 		q := &waiting.Queue{}
 		first, second := add(q, "a", 0, 10, time.Second), add(q, "a", 0, 10, time.Minute)
