--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -115,6 +115,9 @@
 	Idle bool
 }
 
+// Uneven reports whether the engines of the pool differ clearly in speed.
+func (c Choice) Uneven() bool { return c.Elsewhere > 0 }
+
 // ChooseEngine returns the engine with the lowest predicted time to the first
 // event, including penalties. Weighing the preferred endpoint's cache against its
 // backlog spreads a hot prompt: when the preferred endpoint falls behind, requests
