Quotas: a node that restarts while it is cut off keeps to its even share

Since silent nodes are not deducted for 1.2 s after a restart, a node that none reaches used three even shares of the whole quota and of the restart room, while the others admitted too, and again in each restart. It is now limited to two shares for 0.3 s and to one after that, without a report. At the end of that time, what it used beyond its even share counts and is paid back.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -23,6 +23,8 @@
 	Assumed bool
 	// Lag is the average age of the usage in the latest reports of the peers.
 	Lag time.Duration
+	// alone is set shortly after a restart while no other node has reported.
+	alone bool
 }
 
 // reportingShare returns the fraction of the nodes that are not silent.
@@ -33,6 +35,9 @@
 	return float64(n.Total-n.Silent) / float64(n.Total)
 }
 
+// othersSilent reports whether there are other nodes and none of them reports.
+func (n Nodes) othersSilent() bool { return n.Total > 1 && n.Silent >= n.Total-1 }
+
 // shareRetryWait is the wait returned for a request that is refused only because
 // the even share of this node is used up.
 const shareRetryWait = 250 * time.Millisecond
@@ -98,7 +103,7 @@
 		if qs.Started != 0 {
 			b.assumedLevel = qs.restartLevel(a.Quota, n)
 			b.consumed, b.refilledAt = b.assumedLevel, qs.Started.Add(-minRestartTime)
-			b.fromAssumedNodes = n.Assumed
+			b.fromAssumedNodes, b.resynchronising = n.Assumed, qs.assuming(now)
 		}
 		qs.buckets[a.Name] = b
 	}
@@ -107,6 +112,15 @@
 		b.consumed = max(0, b.consumed+qs.restartLevel(a.Quota, n)-b.assumedLevel-notRefilled)
 		b.fromAssumedNodes = false
 	}
+	if b.resynchronising && !qs.assuming(now) {
+		b.resynchronising = false
+		if !qs.informed && !n.Assumed && n.othersSilent() {
+			// The node is cut off rather than started with all others, which may have
+			// admitted all the time. What it used beyond its even share is paid back.
+			refilled := a.Quota.Rate * now.Sub(qs.Started.Add(-minRestartTime)).Seconds() * n.reportingShare()
+			b.consumed, b.refilledAt = max(0, qs.capacity(a.Quota, n)-refilled+b.localTotal), now
+		}
+	}
 	b.refill(a.Quota, n, now)
 	return b
 }
@@ -176,6 +190,7 @@
 		qs.resynced = true
 	}
 	if !qs.resynced && !n.Assumed {
+		n.alone = n.othersSilent()
 		n.Silent = 0
 	}
 	return n
@@ -185,14 +200,22 @@
 // after a restart, at most until the end of that time. All nodes may have been killed
 // together, and callers then return to each of them. In this time a node admits one
 // request of any size, and then up to resyncShares even shares of what was refilled
-// since the nodes were terminated and of the restart room.
+// since the nodes were terminated and of the restart room. A node that none has reached
+// is limited to aloneShares, and to one after minResyncTime: it may be cut off while the
+// others admit, and restart again and again.
 func (qs *QuotaLimiter) resyncWait(b *Bucket, q serving.Quota, amount float64, n Nodes, now clock.Instant) time.Duration {
 	if !qs.assuming(now) || qs.resynced || b.localTotal == 0 {
 		return 0
 	}
 	sinceStart := now.Sub(qs.Started)
 	refilled := q.Rate * (sinceStart + minRestartTime).Seconds()
-	share := resyncShares * (refilled + qs.restartRoom(q, n)) / float64(max(1, n.Total))
+	share := (refilled + qs.restartRoom(q, n)) / float64(max(1, n.Total))
+	switch {
+	case !n.alone:
+		share *= resyncShares
+	case sinceStart < minResyncTime:
+		share *= aloneShares
+	}
 	if b.localTotal+amount <= share {
 		return 0
 	}
@@ -219,6 +242,8 @@
 	// resyncShares is the number of even shares that a node may admit in that time.
 	// It is more than 1 because load balancers spread callers unevenly.
 	resyncShares = 3
+	// aloneShares is that number for a node that none has reached.
+	aloneShares = 2
 )
 
 // Refund returns the amount that was admitted for a request that did not run.
--- a/pkg/allotment/bucket.go
+++ b/pkg/allotment/bucket.go
@@ -20,6 +20,9 @@
 	// is set while it rests on a guess of the number of nodes.
 	assumedLevel     float64
 	fromAssumedNodes bool
+	// resynchronising is set until the time after a restart ends in which silent nodes
+	// are not deducted.
+	resynchronising bool
 	// localTotal is the amount (requests or tokens) that this node has admitted since
 	// its start, less refunds.
 	localTotal float64
--- a/pkg/allotment/report_test.go
+++ b/pkg/allotment/report_test.go
@@ -84,4 +84,17 @@
 		Expect(ok).To(BeFalse())
 		Expect(wait).To(BeNumerically("~", 300*time.Millisecond, time.Millisecond))
 	})
+
+	It("leaves a node that restarts while it is cut off its even share", func() {
+		q := &allotment.QuotaLimiter{Started: now, Tolerance: 0.1, Window: 8 * time.Second}
+		cutOff := allotment.Nodes{Total: 6, Silent: 5}
+		admitted := 0.0
+		for at := time.Duration(0); at < 8*time.Second; at += 10 * time.Millisecond {
+			if ok, _ := q.Take(&account, 1, cutOff, now.Add(at)); ok {
+				admitted++
+			}
+		}
+		Expect(admitted).To(BeNumerically("<=", 1.1*(8*100+100)/6))
+		Expect(admitted).To(BeNumerically(">=", 8*100/6))
+	})
 })
--- a/pkg/gossip/quota_test.go
+++ b/pkg/gossip/quota_test.go
@@ -235,6 +235,29 @@
 		Entry("when each is killed, in a small fleet", 3, 2, 4, false),
 		Entry("when each stops as planned, in a large fleet", 3, 6, 1, true),
 	)
+
+	It("is not exceeded when a node that is cut off restarts again and again", func() {
+		account := tokenAccount("acc", 500_000)
+		f := newQuotaFleet(3, 2, 0, account)
+		looping := f.nodes[2]
+		for tick := range 3000 {
+			if tick == 1500 {
+				f.drops = func(from, to *testNode) bool { return (from == looping) != (to == looping) }
+			}
+			load := 0.55
+			if tick >= 1700 {
+				load = 5
+				switch (tick - 1700) % 125 {
+				case 0:
+					looping.down = true
+				case 50:
+					f.start(2, f.now)
+				}
+			}
+			f.tick(load)
+		}
+		Expect(f.excess(account)).To(BeNumerically("<=", 1), "the part of the allowed usage")
+	})
 })
 
 var _ = Describe("Quotas after the loss of all nodes", func() {
