Quotas: ignore usage that is no number, and keep the first report over a late list of nodes

A NaN in a digest made the level of an account NaN, which refuses nothing from then on, and relays passed it on; an infinite one refused all or nothing. Such totals now keep their previous value, and AddPeerUsage ignores such amounts. A report that came before the list of nodes was corrected again once the list was known, as if it were still the assumption.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -5,6 +5,7 @@
 package allotment
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -257,8 +258,11 @@
 }
 
 // AddPeerUsage adds what a peer admitted since its previous report. Accounts
-// without a bucket are ignored.
+// without a bucket and amounts that are no finite numbers are ignored.
 func (qs *QuotaLimiter) AddPeerUsage(name fleet.AccountName, amount float64, now clock.Instant) {
+	if math.IsNaN(amount) || math.IsInf(amount, 0) {
+		return
+	}
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
 	if b := qs.buckets[name]; b != nil {
--- a/pkg/allotment/report.go
+++ b/pkg/allotment/report.go
@@ -92,6 +92,7 @@
 		case replace && (ok || len(r.Levels) < maxLevels):
 			// What this node admitted since its start may not have reached the other one.
 			b.consumed = max(0, level) + max(0, b.localTotal)
+			b.fromAssumedNodes = false
 		case level > b.consumed:
 			b.consumed = level
 		}
--- a/pkg/allotment/report_test.go
+++ b/pkg/allotment/report_test.go
@@ -97,4 +97,22 @@
 		Expect(admitted).To(BeNumerically("<=", 1.1*(8*100+100)/6))
 		Expect(admitted).To(BeNumerically(">=", 8*100/6))
 	})
+
+	It("holds once the list of nodes is known, if it came before the list", func() {
+		q := &allotment.QuotaLimiter{Started: now}
+		q.Track([]serving.Account{account}, allotment.Nodes{Total: 8, Silent: 7, Assumed: true}, now)
+		q.Adopt(known(20), now)
+		Expect(admits(q, 70)).To(BeTrue())
+		Expect(admits(q, 20)).To(BeFalse())
+	})
+
+	It("ignores usage that is no number", func() {
+		q := &allotment.QuotaLimiter{}
+		Expect(admits(q, 50)).To(BeTrue())
+		for _, amount := range []float64{math.NaN(), math.Inf(1), math.Inf(-1)} {
+			q.AddPeerUsage("acc", amount, now)
+			Expect(admits(q, 60)).To(BeFalse(), fmt.Sprint(amount))
+			Expect(q.Report(now).Levels).To(HaveKeyWithValue(fleet.AccountName("acc"), 50.0), fmt.Sprint(amount))
+		}
+	})
 })
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -157,6 +157,7 @@
 	if p != nil && d.Node.Incarnation < p.digest.Node.Incarnation {
 		return
 	}
+	d.Consumed = finiteTotals(d.Consumed, p)
 	if d.Draining {
 		if p != nil && p.scope == scope {
 			t.addConsumed(p, &d, now)
--- a/pkg/gossip/quota_test.go
+++ b/pkg/gossip/quota_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -325,3 +326,16 @@
 		Expect(float64(lost)).To(BeNumerically("<=", 0.01*float64(requests)), "%d of %d refused again", lost, requests)
 	})
 })
+
+var _ = Describe("A digest with usage that is no number", func() {
+	It("is counted without it, and the next one from the last number", func() {
+		counted := 0.0
+		t := Table{Self: "a", DataCentre: "dc", OnConsumed: func(_ fleet.AccountName, amount float64, _ clock.Instant) { counted += amount }}
+		for _, total := range []float64{10, math.NaN(), 30, math.Inf(1), math.Inf(-1), 45} {
+			d := Digest{Node: fleet.NodeRef{Name: "b", Incarnation: 1}, DataCentre: "dc", Consumed: map[fleet.AccountName]float64{"acc": total}}
+			t.Apply(d, ScopeNode, 1)
+		}
+		Expect(counted).To(Equal(35.0))
+		Expect(t.otherConsumed).To(HaveKeyWithValue(fleet.AccountName("acc"), 35.0))
+	})
+})
