Quotas: a report without accounts is no knowledge, and one that comes early is kept

A node that had not read the configuration yet reported that it knew all quotas and that none was used; a node that started took them as unused. And a report received before the configuration was lost, but ended the limit of the resynchronisation. Both tests failed before.

--- a/pkg/allotment/allotment.go
+++ b/pkg/allotment/allotment.go
@@ -71,6 +71,8 @@
 	// informed is set once a node that knows what is used has reported since Started,
 	// resynced once most nodes have.
 	informed, resynced bool
+	// early is the latest report that came before the accounts were known.
+	early Report
 }
 
 // capacity returns the bucket size of an account: its burst and the usable slack,
@@ -137,6 +139,10 @@
 			qs.bucket(a, n, now)
 		}
 	}
+	if qs.early.Known && len(qs.buckets) > 0 {
+		qs.adopt(qs.early, now)
+		qs.early = Report{}
+	}
 }
 
 // Take admits an amount, or returns how long to wait before a retry. It limits
--- a/pkg/allotment/report.go
+++ b/pkg/allotment/report.go
@@ -36,7 +36,7 @@
 func (qs *QuotaLimiter) Report(now clock.Instant) Report {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
-	r := Report{Young: qs.Started != 0 && now.Sub(qs.Started) < youngTime, Known: !qs.assuming(now)}
+	r := Report{Young: qs.Started != 0 && now.Sub(qs.Started) < youngTime, Known: len(qs.buckets) > 0 && !qs.assuming(now)}
 	if !r.Known {
 		return r
 	}
@@ -72,13 +72,23 @@
 
 // Adopt takes over the report in the first digest of another node. What that node has
 // counted until then is not reported as an increase later. The first report replaces
-// the assumption after a restart.
+// the assumption after a restart. One that comes before the accounts are known is kept
+// until then.
 func (qs *QuotaLimiter) Adopt(r Report, now clock.Instant) {
 	if !r.Known {
 		return
 	}
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
+	if len(qs.buckets) == 0 {
+		qs.early = r
+		return
+	}
+	qs.adopt(r, now)
+}
+
+// adopt implements Adopt. The caller holds the lock.
+func (qs *QuotaLimiter) adopt(r Report, now clock.Instant) {
 	replace := qs.assuming(now)
 	qs.informed = true
 	for name, b := range qs.buckets {
--- a/pkg/allotment/report_test.go
+++ b/pkg/allotment/report_test.go
@@ -115,4 +115,18 @@
 			Expect(q.Report(now).Levels).To(HaveKeyWithValue(fleet.AccountName("acc"), 50.0), fmt.Sprint(amount))
 		}
 	})
+
+	It("is kept until the accounts are known", func() {
+		q := &allotment.QuotaLimiter{Started: now, Slack: 100, Tolerance: 0.1, Window: 8 * time.Second}
+		q.Adopt(known(100), now)
+		q.Track([]serving.Account{account}, nodes, now)
+		Expect(admits(q, 20)).To(BeFalse())
+	})
+
+	It("is no knowledge before the accounts are known", func() {
+		q := &allotment.QuotaLimiter{Started: now}
+		q.Adopt(known(100), now)
+		Expect(q.Report(now).Known).To(BeFalse())
+		Expect(q.Report(now.Add(time.Minute)).Known).To(BeFalse())
+	})
 })
