--- a/pkg/allotment/report_test.go
+++ b/pkg/allotment/report_test.go
@@ -84,4 +84,49 @@
 		Expect(ok).To(BeFalse())
 		Expect(wait).To(BeNumerically("~", 300*time.Millisecond, time.Millisecond))
 	})
+
+	It("leaves a node that restarts while it is cut off its even share", func() {
+		q := &allotment.QuotaLimiter{Started: now, Tolerance: 0.1, Window: 8 * time.Second}
+		cutOff := allotment.Nodes{Total: 6, Silent: 5}
+		admitted := 0.0
+		for at := time.Duration(0); at < 8*time.Second; at += 10 * time.Millisecond {
+			if ok, _ := q.Take(&account, 1, cutOff, now.Add(at)); ok {
+				admitted++
+			}
+		}
+		Expect(admitted).To(BeNumerically("<=", 1.1*(8*100+100)/6))
+		Expect(admitted).To(BeNumerically(">=", 8*100/6))
+	})
+
+	It("holds once the list of nodes is known, if it came before the list", func() {
+		q := &allotment.QuotaLimiter{Started: now}
+		q.Track([]serving.Account{account}, allotment.Nodes{Total: 8, Silent: 7, Assumed: true}, now)
+		q.Adopt(known(20), now)
+		Expect(admits(q, 70)).To(BeTrue())
+		Expect(admits(q, 20)).To(BeFalse())
+	})
+
+	It("ignores usage that is no number", func() {
+		q := &allotment.QuotaLimiter{}
+		Expect(admits(q, 50)).To(BeTrue())
+		for _, amount := range []float64{math.NaN(), math.Inf(1), math.Inf(-1)} {
+			q.AddPeerUsage("acc", amount, now)
+			Expect(admits(q, 60)).To(BeFalse(), fmt.Sprint(amount))
+			Expect(q.Report(now).Levels).To(HaveKeyWithValue(fleet.AccountName("acc"), 50.0), fmt.Sprint(amount))
+		}
+	})
+
+	It("is kept until the accounts are known", func() {
+		q := &allotment.QuotaLimiter{Started: now, Slack: 100, Tolerance: 0.1, Window: 8 * time.Second}
+		q.Adopt(known(100), now)
+		q.Track([]serving.Account{account}, nodes, now)
+		Expect(admits(q, 20)).To(BeFalse())
+	})
+
+	It("is no knowledge before the accounts are known", func() {
+		q := &allotment.QuotaLimiter{Started: now}
+		q.Adopt(known(100), now)
+		Expect(q.Report(now).Known).To(BeFalse())
+		Expect(q.Report(now.Add(time.Minute)).Known).To(BeFalse())
+	})
 })
--- a/pkg/gossip/quota_test.go
+++ b/pkg/gossip/quota_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -235,6 +236,29 @@
 		Entry("when each is killed, in a small fleet", 3, 2, 4, false),
 		Entry("when each stops as planned, in a large fleet", 3, 6, 1, true),
 	)
+
+	It("is not exceeded when a node that is cut off restarts again and again", func() {
+		account := tokenAccount("acc", 500_000)
+		f := newQuotaFleet(3, 2, 0, account)
+		looping := f.nodes[2]
+		for tick := range 3000 {
+			if tick == 1500 {
+				f.drops = func(from, to *testNode) bool { return (from == looping) != (to == looping) }
+			}
+			load := 0.55
+			if tick >= 1700 {
+				load = 5
+				switch (tick - 1700) % 125 {
+				case 0:
+					looping.down = true
+				case 50:
+					f.start(2, f.now)
+				}
+			}
+			f.tick(load)
+		}
+		Expect(f.excess(account)).To(BeNumerically("<=", 1), "the part of the allowed usage")
+	})
 })
 
 var _ = Describe("Quotas after the loss of all nodes", func() {
@@ -302,3 +326,16 @@
 		Expect(float64(lost)).To(BeNumerically("<=", 0.01*float64(requests)), "%d of %d refused again", lost, requests)
 	})
 })
+
+var _ = Describe("A digest with usage that is no number", func() {
+	It("is counted without it, and the next one from the last number", func() {
+		counted := 0.0
+		t := Table{Self: "a", DataCentre: "dc", OnConsumed: func(_ fleet.AccountName, amount float64, _ clock.Instant) { counted += amount }}
+		for _, total := range []float64{10, math.NaN(), 30, math.Inf(1), math.Inf(-1), 45} {
+			d := Digest{Node: fleet.NodeRef{Name: "b", Incarnation: 1}, DataCentre: "dc", Consumed: map[fleet.AccountName]float64{"acc": total}}
+			t.Apply(d, ScopeNode, 1)
+		}
+		Expect(counted).To(Equal(35.0))
+		Expect(t.otherConsumed).To(HaveKeyWithValue(fleet.AccountName("acc"), 35.0))
+	})
+})
