--- a/pkg/waiting/queue.go
+++ b/pkg/waiting/queue.go
@@ -67,10 +67,10 @@
 	}
 }
 
-// Queue holds the requests that wait at a node for the engines of a pool. They leave by
-// whether they can still begin within their objective, then by rank, then by how far their account is behind its fair share, then those whose callers
-// came back at the time they were told, then by their latest start. The zero value is an
-// empty queue.
+// Queue holds the requests that wait at a node for the engines of a pool. Those that can
+// still begin within their objective leave first, then the order is by rank, by how far
+// their account is behind its fair share, by whether their callers came back at the time
+// they were told, and by their latest start. The zero value is an empty queue.
 //
 // It answers accounts of very uneven size, and a hot one, that compete for too little room:
 // how much an account received lately on all nodes in proportion to its weight is the
