--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -137,8 +137,16 @@
 		forecast = f.trends[p.Name].Forecast(demand, p.Scale.BootTime, now)
 	}
 	policy := provision.DefaultPolicy
+	// Where speeds are known endpoint by endpoint, requests go to the engines that have room,
+	// and the plan may be closer.
+	known := f.pace.Pool(p.Name).Uneven
+	if !known {
+		policy.LossUtilisation = policy.Utilisation
+	}
 	targets := provision.Plan(policy, policy.Require(forecast, measured, initial), *p.Scale, supplies)
-	f.holds[p.Name].Apply(targets, supplies, *p.Scale, now)
+	if known {
+		f.holds[p.Name].Apply(targets, supplies, *p.Scale, now)
+	}
 	desired := make([]duty.DesiredScale, 0, 2*len(targets))
 	for _, t := range targets {
 		for market, n := range map[fleet.Market]int{fleet.MarketOnDemand: t.OnDemand, fleet.MarketReclaimable: t.Reclaimable} {
