Waiting: only in large fleets, whose views are late

Small fleets weren't meant: there the best engine is known. Change: requests wait only where views are late, as in the fleets with relays; the specs of waiting set such a lag, and one shows that in a small fleet the request is sent at once (it waited before).

--- a/pkg/gateway/waiting.go
+++ b/pkg/gateway/waiting.go
@@ -72,9 +72,10 @@
 // responds to a request that it does not admit. A stream that the caller resumes does not
 // wait behind new ones of its account.
 func (p *proxyRequest) awaitRoom(c placement.Choice, resumed bool) bool {
-	// In a pool of uneven engines the engine is drawn, and the room there says nothing of the
-	// room at the others.
-	if p.pool.Engine == nil || p.route.Objective <= 0 || c.Uneven() {
+	// In a small fleet the engine with the most room is known, and one prediction decides. In a
+	// pool of uneven engines the engine is drawn, and the room there says nothing of the room
+	// at the others.
+	if p.pool.Engine == nil || p.route.Objective <= 0 || c.Uneven() || !placement.LateView(p.handler.Nodes().Lag) {
 		if p.canStartInTime(c) {
 			return true
 		}
--- a/pkg/gateway/waiting_test.go
+++ b/pkg/gateway/waiting_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/skylarkloom/skylarkloom/pkg/allotment"
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -36,6 +37,8 @@
 	config.Pools["desk"] = pool
 	config.Accounts = []serving.Account{{Name: "acc", Keys: []serving.APIKey{"k"}, Quota: serving.Quota{Rate: 0.001, Burst: 1}}}
 	config.BuildIndex()
+	// Requests wait in fleets whose views are late.
+	h.Nodes = func() allotment.Nodes { return allotment.Nodes{Total: 1, Lag: 450 * time.Millisecond} }
 	setQueue(h, queue)
 	return h, arrived
 }
@@ -111,6 +114,13 @@
 		Expect(callWithKey(context.Background(), node).status).To(Equal(http.StatusOK))
 	})
 
+	ginkgo.It("is sent at once in a small fleet, where views are fresh", func() {
+		h, arrived := newEngineHandler(fullQueue)
+		h.Nodes = func() allotment.Nodes { return allotment.Nodes{Total: 1} }
+		Expect(callWithKey(context.Background(), startNode(h, nil)).status).To(Equal(http.StatusOK))
+		Expect(arrived.Load()).To(BeEquivalentTo(1))
+	})
+
 	ginkgo.It("is refused when its hope ends", func() {
 		h, arrived := newEngineHandler(fullQueue)
 		_, replies := begin(context.Background(), h)
--- a/pkg/placement/uneven.go
+++ b/pkg/placement/uneven.go
@@ -30,8 +30,10 @@
 	Draw float64
 }
 
-// late reports whether other nodes may have sent requests that the view misses.
-func (v View) late() bool { return v.Lag > freshView }
+// LateView reports whether other nodes may have sent requests that a view of this age misses.
+func LateView(lag time.Duration) bool { return lag > freshView }
+
+func (v View) late() bool { return LateView(v.Lag) }
 
 // besideCost returns the cost of a request to the streams that run at the engine, and
 // of the streams and prompts there to its own. own is the time of its prefill in
