Responses: bound in sum what endpoints make a node hold

Cause: each response had a limit of its own (8 MiB, 1 MiB an event, 64 KiB of head), and nothing bounded the sum, the copies of a growing buffer, the parsed lines of a head, or complete responses that their callers do not read. Why this works: heads, bodies and long events are charged to a budget of their own before they are kept, as what callers send is; a body over 64 KiB waits for its room unread, so what has room can be read to its end; the room is kept until the caller has the response; what stalls gives way while others wait. Ordinary responses are below 4 KiB and cost no lock. The size limits stay. What is too long or stalls counts against the endpoint, what found no room does not; the request may have run, so its caller gets another endpoint's answer or 502, never 503.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -21,6 +21,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 )
 
 const (
@@ -126,8 +127,13 @@
 	Header http.Header
 	// Framed reports whether the body has a length or chunks, so that its end is known.
 	// Any other body ends with the connection.
-	Framed         bool
-	body           io.Reader
+	Framed bool
+	// Sender is the account of the response in the budget of the pool.
+	Sender *intake.Sender
+	body   io.Reader
+	// length is the length of the body, -1 if the head announces none.
+	length         int64
+	context        context.Context //nolint:containedctx // It ends with the exchange, as the response does.
 	conn           *conn
 	pool           *Pool
 	keepAlive      bool
@@ -141,6 +147,9 @@
 // whole request: an error may have been reported to the write, and not to the read.
 func (r *Response) Read(p []byte) (n int, err error) {
 	n, err = r.body.Read(p)
+	if err != nil && err != io.EOF && r.Sender.Stopped() {
+		return n, errors.CombineErrors(intake.ErrNoRoom, err)
+	}
 	if err == io.EOF && !r.Framed && !r.endedWell() {
 		return n, io.ErrUnexpectedEOF
 	}
@@ -150,6 +159,17 @@
 	return n, err
 }
 
+// ReadAll reads the body to its end into memory that is charged until Close. The error is
+// intake.ErrTooLong if the body exceeds the limit, and intake.ErrNoRoom if there is no room
+// for it.
+func (r *Response) ReadAll(limit intake.Bytes) (body []byte, err error) {
+	reader := intake.BodyReader{Sender: r.Sender, Source: r, Length: r.length, Limit: limit}
+	return reader.ReadAll(r.context)
+}
+
+// Stop ends the exchange: it resets the connection.
+func (r *Response) Stop(bool) { r.conn.reset() }
+
 // endedWell reports whether the endpoint ended its side of the connection after it had
 // received the whole request.
 func (r *Response) endedWell() bool {
@@ -182,6 +202,7 @@
 		p.put(c, cmp.Or(c.expires, time.Now().Add(defaultIdleTimeout)))
 		return nil, &UnsentError{Address: req.Address, Cause: ErrAbandoned}
 	}
+	p.openAccount(ctx, c)
 	// The response may arrive before send returns.
 	p.addAwaiting(c)
 	stopReset := context.AfterFunc(ctx, c.reset)
@@ -199,10 +220,15 @@
 		return nil, &NoResponseError{Address: req.Address, Reused: c.uses > 1, Cause: cmp.Or(context.Cause(ctx), err)}
 	}
 	stopReset = context.AfterFunc(ctx, c.reset)
+	length := res.ContentLength
+	if res.Body == http.NoBody {
+		length = 0
+	}
 	return &Response{
-		Status: res.StatusCode, Header: res.Header, body: res.Body,
-		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody,
-		conn:   c, pool: p,
+		Status: res.StatusCode, Header: res.Header, body: res.Body, length: length,
+		Framed: length >= 0 || len(res.TransferEncoding) > 0,
+		Sender: c.head.sender, context: ctx,
+		conn: c, pool: p,
 		keepAlive:      !res.Close,
 		requestWritten: written, stopReset: stopReset,
 	}, nil
@@ -255,6 +281,7 @@
 			return nil, err
 		}
 		c.head.remaining = math.MaxInt
+		c.head.sender.HeadComplete()
 		if res.StatusCode/100 == 1 {
 			continue
 		}
@@ -267,6 +294,7 @@
 		if err = skipBody(res.Body); err != nil {
 			return nil, err
 		}
+		c.head.sender.RequestDone()
 		if res.Close {
 			return nil, io.ErrUnexpectedEOF
 		}
@@ -295,6 +323,8 @@
 type headReader struct {
 	net.Conn
 	remaining int
+	// sender is the account of the current response. Nil has no limits.
+	sender *intake.Sender
 	// arrived reports whether bytes of a head have arrived that may not have been parsed.
 	arrived atomic.Bool
 }
@@ -311,7 +341,15 @@
 		r.arrived.Store(true)
 	}
 	n, err = r.Conn.Read(p[:min(len(p), r.remaining)])
+	inHead := r.remaining <= maxHeadBytes
 	r.remaining -= n
+	switch {
+	case n <= 0 || r.sender == nil:
+	case !inHead:
+		r.sender.Arrived(n)
+	case r.sender.ArrivedInHead(p[:n], math.MaxInt64) != "":
+		return 0, intake.ErrNoRoom
+	}
 	return n, err
 }
 
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -17,6 +18,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/connection"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 )
 
 const (
@@ -43,6 +45,8 @@
 type Pool struct {
 	// OnOpen is called for each new connection, if set.
 	OnOpen func()
+	// Budget accounts for the responses that the node holds, if set.
+	Budget *intake.Budget
 	// Dial replaces how connections are established, if set.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -202,6 +206,7 @@
 
 // put adds an idle connection to the pool, which may be used until it expires.
 func (p *Pool) put(c *conn, expires time.Time) {
+	p.closeAccount(c)
 	c.expires = expires
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -212,11 +217,34 @@
 // discard resets a connection and removes it from the count.
 func (p *Pool) discard(c *conn) {
 	c.reset()
+	p.closeAccount(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.release(c)
 }
 
+// openAccount opens the account of the next response on a connection. A response that gives
+// way to others loses its connection.
+func (p *Pool) openAccount(ctx context.Context, c *conn) {
+	if p.Budget == nil {
+		return
+	}
+	c.head.sender = &intake.Sender{Stop: func(bool) { c.reset() }}
+	due := clock.Instant(math.MaxInt64)
+	if deadline, ok := ctx.Deadline(); ok {
+		due = clock.Now().Add(time.Until(deadline) + lingerMargin)
+	}
+	p.Budget.Attach(c.head.sender, due)
+}
+
+// closeAccount closes the account of the last response on a connection.
+func (p *Pool) closeAccount(c *conn) {
+	if c.head.sender != nil {
+		p.Budget.Leave(c.head.sender)
+		c.head.sender = nil
+	}
+}
+
 // CloseExpired closes the idle connections that have expired.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -163,7 +163,7 @@
 	callerListener net.Listener
 	callerServer   *http.Server
 	probeServer    *http.Server
-	intake         callerIntake
+	intake         nodeIntake
 }
 
 // Start starts the services, which run within the context.
@@ -199,7 +199,8 @@
 	bounds := f.Settings.Bounds
 	f.metrics = newRequestMetrics()
 	f.intake.setLimits(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
-	f.connections.OnOpen = f.metrics.connectionsOpened.Inc
+	f.intake.endpoints.OnRefused = f.metrics.countRefusedResponse
+	f.connections.OnOpen, f.connections.Budget = f.metrics.connectionsOpened.Inc, &f.intake.endpoints
 	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
 	f.quotas.Slack, f.quotas.Tolerance, f.quotas.Window = bounds.QuotaSlack, bounds.QuotaTolerance, bounds.QuotaWindow
 	if !f.Settings.FirstStart {
--- a/pkg/front/intake.go
+++ b/pkg/front/intake.go
@@ -27,9 +27,13 @@
 	otherMaxHeadBytes intake.Bytes = 16 << 10
 )
 
-// callerIntake bounds what the callers of a node's addresses make it hold.
-type callerIntake struct {
+// nodeIntake bounds what others make a node hold.
+type nodeIntake struct {
+	// callers, probe, metrics and snapshots are for the callers of the node's addresses.
 	callers, probe, metrics, snapshots intake.Budget
+	// endpoints is for the responses of endpoints, services for those of the platform and of
+	// other nodes.
+	endpoints, services intake.Budget
 
 	mu sync.Mutex
 	// refused counts the refused callers by cause since reportedAt.
@@ -37,13 +41,19 @@
 	reportedAt clock.Instant
 }
 
+// budgets returns all budgets.
+func (n *nodeIntake) budgets() []*intake.Budget {
+	return []*intake.Budget{&n.callers, &n.probe, &n.metrics, &n.snapshots, &n.endpoints, &n.services}
+}
+
 // setLimits sets the limits of a node with an amount of memory and a number of sockets.
-func (n *callerIntake) setLimits(memory intake.Bytes, sockets int, onRefused func(intake.Cause)) {
+func (n *nodeIntake) setLimits(memory intake.Bytes, sockets int, onRefused func(intake.Cause)) {
 	n.refused = make(map[intake.Cause]int)
 	n.callers.Limits = intake.LimitsOf(memory, sockets)
 	for _, b := range []*intake.Budget{&n.probe, &n.metrics, &n.snapshots} {
 		b.Limits, b.IdleGivesWay = intake.OtherLimitsOf(memory, sockets), true
 	}
+	n.endpoints.Limits, n.services.Limits = intake.ResponseLimitsOf(memory), intake.ResponseLimitsOf(memory)
 	n.callers.OnRefused = func(c intake.Cause) {
 		onRefused(c)
 		n.mu.Lock()
@@ -53,7 +63,7 @@
 }
 
 // takeRefused returns the refused callers since the last report, nil if no report is due.
-func (n *callerIntake) takeRefused(now clock.Instant) (refused map[intake.Cause]int) {
+func (n *nodeIntake) takeRefused(now clock.Instant) (refused map[intake.Cause]int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.refused) == 0 || now.Sub(n.reportedAt) < intakeReportInterval {
@@ -63,10 +73,10 @@
 	return refused
 }
 
-// sweepIntake lets stalled callers give way, and logs how many were refused.
+// sweepIntake lets what stalls give way, and logs how many callers were refused.
 func (f *Front) sweepIntake(context.Context) {
 	now, n := clock.Now(), &f.intake
-	for _, b := range []*intake.Budget{&n.callers, &n.probe, &n.metrics, &n.snapshots} {
+	for _, b := range n.budgets() {
 		b.Sweep(now)
 	}
 	refused := n.takeRefused(now)
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -38,7 +38,7 @@
 	speedSpread       *prometheus.GaugeVec
 	speedEvidence     *prometheus.GaugeVec
 	waitMetrics
-	callersRefused *prometheus.CounterVec
+	callersRefused, responsesRefused *prometheus.CounterVec
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -74,6 +74,9 @@
 		callersRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkloom_front_callers_refused_total", Help: "Callers that were refused or cut off because of what they sent, by cause.",
 		}, []string{"cause"}),
+		responsesRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkloom_front_responses_refused_total", Help: "Responses of endpoints that found no room or gave way to others, by cause.",
+		}, []string{"cause"}),
 	}
 }
 
@@ -107,6 +110,11 @@
 	m.callersRefused.WithLabelValues(string(c)).Inc()
 }
 
+// countRefusedResponse counts a response of an endpoint that found no room or gave way.
+func (m *requestMetrics) countRefusedResponse(c intake.Cause) {
+	m.responsesRefused.WithLabelValues(string(c)).Inc()
+}
+
 // gauges returns the metrics whose values are read when they are collected.
 func (f *Front) gauges() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -136,6 +144,10 @@
 			_, connections := f.intake.callers.Held()
 			return float64(connections)
 		}),
+		gauge("responses_bytes", "Memory charged for the responses of endpoints.", func() float64 {
+			held, _ := f.intake.endpoints.Held()
+			return float64(held)
+		}),
 		gauge("endpoints", "Endpoints that have a directory entry.", func() float64 { return float64(len(f.directory.Listed())) }),
 		gauge("nodes", "Nodes that share the limits.", func() float64 { return float64(f.peers.Count().Total) }),
 		gauge("nodes_silent", "Nodes among them without a recent digest.", func() float64 { return float64(f.peers.Count().Silent) }),
@@ -170,7 +182,7 @@
 func (f *Front) metricsService() kernel.Service {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(f.metrics.requests, f.metrics.timeToFirst, f.metrics.duration, f.metrics.connectionsOpened, f.metrics.callersLeft, f.metrics.announcements, f.metrics.unread,
-		f.metrics.speedSpread, f.metrics.speedEvidence, f.metrics.callersRefused, f.metrics.waits, f.metrics.returns)
+		f.metrics.speedSpread, f.metrics.speedEvidence, f.metrics.callersRefused, f.metrics.responsesRefused, f.metrics.waits, f.metrics.returns)
 	registry.MustRegister(f.newWaitingCollector())
 	registry.MustRegister(f.gauges()...)
 	done := make(chan struct{})
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
@@ -297,7 +298,7 @@
 		if !errors.As(err, &limitErr) {
 			p.handler.Tracker.RecordUnreachable(id, clock.Now())
 		}
-	} else {
+	} else if !errors.Is(err, intake.ErrNoRoom) {
 		a.recordOutcome(false)
 		a.recordBrokenOff(err)
 	}
@@ -341,6 +342,16 @@
 	}
 }
 
+// recordInvalid records that the body of the response was not valid, unless err means that the
+// node had no room for it. That it was slow while others waited for room counts.
+func (a *attempt) recordInvalid(err error) {
+	if errors.Is(err, intake.ErrNoRoom) && !a.response.Sender.Stopped() {
+		return
+	}
+	a.recordOutcome(false)
+	a.recordBrokenOff(err)
+}
+
 // recordServed records that the endpoint ran the request to its end.
 func (a *attempt) recordServed() {
 	a.servedRecorded = true
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -14,15 +14,16 @@
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/forward"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
 
 // maxResponseBytes is the size limit of a buffered response.
-const maxResponseBytes = 8 << 20
+const maxResponseBytes intake.Bytes = 8 << 20
 
-// errResponseTooLong reports a response that exceeds maxResponseBytes.
-var errResponseTooLong = errors.New("response exceeds the size limit for buffering")
+// relayPieceBytes is the amount in which a response is written to its caller.
+const relayPieceBytes = 64 << 10
 
 // attemptTimeoutShare is the share of the remaining time after which a repeatable
 // request is sent to another endpoint.
@@ -127,10 +128,9 @@
 	if metadata.NotRun {
 		return p.handleNotRun(a)
 	}
-	body, err := readBounded(a.response)
+	body, err := a.response.ReadAll(maxResponseBytes)
 	if err != nil || !metadata.Sealed || a.response.Header.Get("Content-Encoding") != "" {
-		a.recordOutcome(false)
-		a.recordBrokenOff(err)
+		a.recordInvalid(err)
 		p.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
 	}
@@ -153,13 +153,32 @@
 	p.closeIfStopping()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	p.writer.WriteHeader(a.response.Status)
-	if _, err := p.writer.Write(body); err != nil {
+	if err := p.writeBody(a, body); err != nil {
 		p.abandon(zap.Error(err))
 	}
 	p.handler.Logs.Emit(event.RequestServed, p.logFields(zap.Int("status", a.response.Status))...)
 	p.reportResult(a.response.Status)
 }
 
+// writeBody writes the body of a response to the caller. A caller that reads a long one slowly
+// gives way to others that wait for room.
+func (p *proxyRequest) writeBody(a *attempt, body []byte) error {
+	a.response.Sender.Relaying(intake.Bytes(cap(body)), p.stopWriting)
+	for piece := range slices.Chunk(body, relayPieceBytes) {
+		if _, err := p.writer.Write(piece); err != nil {
+			return err
+		}
+		a.response.Sender.Arrived(len(piece))
+	}
+	return nil
+}
+
+// stopWriting makes the writes to the caller fail.
+func (p *proxyRequest) stopWriting() {
+	// A connection that takes no deadline is one of a test.
+	_ = http.NewResponseController(p.writer).SetWriteDeadline(time.Now())
+}
+
 // classifyError returns the outcome of a failed exchange. A request that was sent
 // is lost, with sentReason as the reason.
 func classifyError(err error, sentReason Reason) (outcome, Reason) {
@@ -170,15 +189,6 @@
 	return outcomeLost, sentReason
 }
 
-// readBounded reads a body to its end and fails if it exceeds maxResponseBytes.
-func readBounded(r io.Reader) (body []byte, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLong
-	}
-	return body, err
-}
-
 // handleNotRun records that an endpoint did not run the request, either because
 // the address now belongs to another instance or because the endpoint is full.
 func (p *proxyRequest) handleNotRun(a *attempt) (outcome, Reason) {
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -4,16 +4,20 @@
 	"bufio"
 	"bytes"
 	"io"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
 
 const (
 	// maxEventBytes is the size limit of one event of a stream.
 	maxEventBytes = 1 << 20
+	// eventGrowth is the factor by which the memory of an event grows.
+	eventGrowth = 4
 	// maxStaleBytes is the number of bytes that a response may send without an event with
 	// a new ID, as comments or as events that the caller already has. An event counts as
 	// minEventBytes at least.
@@ -84,7 +88,41 @@
 
 // sseReader splits a stream into complete events. A partial event is never
 // relayed, so a stream that fails inside an event can resume at another endpoint.
-type sseReader struct{ reader *bufio.Reader }
+type sseReader struct {
+	reader *bufio.Reader
+	// reserve reserves memory for the current event, if set.
+	reserve func(total intake.Bytes) error
+	// reserved is what is reserved.
+	reserved intake.Bytes
+}
+
+// grow makes room for n more bytes of an event that is longer than usual. An event over
+// intake.SmallBody has the memory for the longest one, with the copy that is made as it grows.
+func (r *sseReader) grow(data []byte, n int) (grown []byte, err error) {
+	if len(data)+n <= max(cap(data), eventBufferBytes) {
+		return data, nil
+	}
+	size := eventGrowth * max(cap(data), eventBufferBytes)
+	if intake.Bytes(size) > intake.SmallBody {
+		size = maxEventBytes + eventBufferBytes
+	}
+	total := intake.Bytes(size + cap(data))
+	if r.reserve != nil && total > r.reserved {
+		if err = r.reserve(total); err != nil {
+			return data, err
+		}
+		r.reserved = total
+	}
+	return slices.Grow(data, size-len(data)), nil
+}
+
+// release returns what the last event held, once it was passed on.
+func (r *sseReader) release(sender *intake.Sender, stop func(answer bool)) {
+	if r.reserved > 0 {
+		r.reserved = 0
+		sender.BodyGoesOn(stop)
+	}
+}
 
 // next returns the next event. The error is io.EOF after the last complete
 // event, and io.ErrUnexpectedEOF if the stream ends inside an event.
@@ -93,6 +131,10 @@
 	lineStart := 0
 	for {
 		chunk, err := r.reader.ReadSlice('\n')
+		var growErr error
+		if e.data, growErr = r.grow(e.data, len(chunk)); growErr != nil {
+			return e, growErr
+		}
 		e.data = append(e.data, chunk...)
 		line := e.data[lineStart:]
 		switch {
--- a/pkg/gateway/intake_test.go
+++ b/pkg/gateway/intake_test.go
@@ -29,13 +29,13 @@
 	if chunked {
 		r.ContentLength = -1
 	}
-	got, err := (&bodyReader{request: r, limit: 1 << 20}).read()
+	got, err := (&intake.BodyReader{Source: r.Body, Length: r.ContentLength, Limit: 1 << 20}).ReadAll(r.Context())
 	if status == http.StatusOK {
 		Expect(err).NotTo(HaveOccurred())
 		Expect(bytes.Equal(got, body)).To(BeTrue())
 		return
 	}
-	Expect(err).To(MatchError(errBodyTooLarge))
+	Expect(err).To(MatchError(intake.ErrTooLong))
 },
 	Entry("empty", 0, false, http.StatusOK),
 	Entry("empty in chunks", 0, true, http.StatusOK),
@@ -61,7 +61,7 @@
 			}
 			return n, err
 		}))
-		_, err := (&bodyReader{sender: connection.SenderFrom(r.Context()), request: r, limit: 4 << 20}).read()
+		_, err := (&intake.BodyReader{Sender: connection.SenderFrom(r.Context()), Source: r.Body, Length: r.ContentLength, Limit: 4 << 20}).ReadAll(r.Context())
 		Expect(err).NotTo(HaveOccurred())
 	}))
 	server.Listener, guard.Listener = guard, server.Listener
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
@@ -153,12 +154,13 @@
 // handleErrorResponse relays a response with a status other than 200 if it is
 // complete and sealed, unless the request may be retried.
 func (s *streamRequest) handleErrorResponse(a *attempt, metadata platform.Response) (outcome, Reason) {
-	body, err := readBounded(a.response)
-	a.recordOutcome(false)
+	body, err := a.response.ReadAll(maxResponseBytes)
 	if err != nil || !metadata.Sealed {
-		a.recordBrokenOff(err)
+		a.recordInvalid(err)
+		s.logEndpointFailure(a, err, zap.Int("status", a.response.Status), zap.Bool("sealed", metadata.Sealed))
 		return outcomeLost, ReasonInvalidResponse
 	}
+	a.recordOutcome(false)
 	a.recordServed()
 	a.recordEvent()
 	if s.route.Repeatable() && s.takeAttempt() {
@@ -205,7 +207,9 @@
 // relayEvents relays the events of a response until the response ends or fails. It
 // skips events that the caller already has.
 func (s *streamRequest) relayEvents(ctx context.Context, a *attempt) (outcome, Reason) {
-	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes)}
+	events := sseReader{reader: bufio.NewReaderSize(a.response, eventBufferBytes), reserve: func(total intake.Bytes) error {
+		return a.response.Sender.Reserve(ctx, total)
+	}}
 	newEvents, firstAt := 0, time.Time{}
 	checker := eventChecker{continues: s.headerSent, framed: a.response.Framed}
 	for {
@@ -244,8 +248,7 @@
 			}
 			reason := s.failureReason(ctx)
 			if reason != ReasonTimeout {
-				a.recordOutcome(false)
-				a.recordBrokenOff(err)
+				a.recordInvalid(err)
 			}
 			// The body may have been read to its end by now.
 			a.response.DoNotReuse()
@@ -260,12 +263,15 @@
 		}
 		a.recordEvent()
 		if e.hasID && !isNew {
+			events.release(a.response.Sender, a.response.Stop)
 			continue
 		}
 		if newEvents++; newEvents == 1 {
 			firstAt = time.Now()
 		}
-		if err := s.writeEvent(a, e); err != nil {
+		err = s.writeEvent(a, e)
+		events.release(a.response.Sender, a.response.Stop)
+		if err != nil {
 			return outcomeLost, ReasonCallerGone
 		}
 	}
@@ -293,6 +299,9 @@
 		s.writer.WriteHeader(a.response.Status)
 		s.headerSent, s.contentType = true, a.response.Header.Get("Content-Type")
 	}
+	if len(e.data) > relayPieceBytes {
+		a.response.Sender.Relaying(intake.Bytes(cap(e.data)), s.stopWriting)
+	}
 	if _, err := s.writer.Write(e.data); err != nil {
 		return err
 	}
--- a/pkg/intake/budget.go
+++ b/pkg/intake/budget.go
@@ -24,11 +24,14 @@
 	phaseWaiting phase = "waiting"
 	// phaseServed means that the request was read.
 	phaseServed phase = "served"
+	// phaseRelay means that a body is passed on, at the pace of its receiver.
+	phaseRelay phase = "relay"
 	// phaseIdle means that the response was sent, and the next request has not begun.
 	phaseIdle phase = "idle"
 )
 
-// Budget accounts for what the callers of a node hold. The zero value has no limits.
+// Budget accounts for what callers make a node hold, or those that it calls. The zero value
+// has no limits.
 type Budget struct {
 	Limits Limits
 	// IdleGivesWay lets idle connections give way to new ones.
@@ -54,16 +57,18 @@
 	ready  chan struct{}
 }
 
-// Sender is the account of one connection of a caller. The zero value belongs to no budget
-// and has no limits; so does nil.
+// Sender is the account of one connection of a caller, or of one response to the node. The
+// zero value belongs to no budget and has no limits; so does nil.
 type Sender struct {
-	// Stop makes the caller give way. With answer, the handler of its request still answers;
+	// Stop makes the sender give way. With answer, the handler of its request still answers;
 	// otherwise the connection closes. Stop must not use the budget.
 	Stop func(answer bool)
 
-	budget  *Budget
-	arrived atomic.Int64
-	stopped atomic.Bool
+	budget *Budget
+	// response reports whether the account is that of a response.
+	response bool
+	arrived  atomic.Int64
+	stopped  atomic.Bool
 
 	// phase is written by the goroutine that serves the connection, under Budget.mu.
 	phase phase
@@ -76,6 +81,8 @@
 	// Budget.mu guards the following.
 	head, body Bytes
 	large      bool
+	// left reports whether the account is closed.
+	left bool
 	// due is the end of the time of the current body, 0 if none is set.
 	due    clock.Instant
 	sample sample
@@ -92,10 +99,25 @@
 			return false
 		}
 	}
+	s.budget, s.phase = b, phaseHead
+	b.register(s)
+	return true
+}
+
+// Attach opens the account of a response, which must end at due. It takes no place among the
+// connections and counts only once it holds more than is free. Nil has no limits.
+func (b *Budget) Attach(s *Sender, due clock.Instant) {
+	s.budget, s.response, s.phase, s.due = b, true, phaseHead, due
+}
+
+// register adds a sender to those that may give way. It reports false if the sender has left.
+func (b *Budget) register(s *Sender) bool {
+	if s.left {
+		return false
+	}
 	if b.senders == nil {
 		b.senders = make(map[*Sender]struct{})
 	}
-	s.budget, s.phase = b, phaseHead
 	b.senders[s] = struct{}{}
 	return true
 }
@@ -104,6 +126,7 @@
 func (b *Budget) Leave(s *Sender) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	s.left = true
 	if _, ok := b.senders[s]; !ok {
 		return
 	}
@@ -229,7 +252,7 @@
 		return s.stalled(b.now)
 	case phaseIdle:
 		return b.IdleGivesWay
-	case phaseWaiting, phaseServed:
+	case phaseWaiting, phaseServed, phaseRelay:
 	}
 	return false
 }
@@ -271,7 +294,7 @@
 		return false
 	}
 	b.leaving++
-	if s.phase != phaseBody {
+	if s.phase != phaseBody && s.phase != phaseRelay {
 		b.release(s)
 	}
 	b.refused(c)
@@ -284,12 +307,19 @@
 // Stopped reports whether the caller gave way.
 func (s *Sender) Stopped() bool { return s != nil && s.stopped.Load() }
 
-// Arrived records bytes of a body.
-func (s *Sender) Arrived(n int) { s.arrived.Add(int64(n)) }
+// Arrived records bytes of a body that arrived, or were passed on. Nil is a valid sender.
+func (s *Sender) Arrived(n int) {
+	if s != nil {
+		s.arrived.Add(int64(n))
+	}
+}
 
 // ArrivedInHead charges bytes of a head. It returns the cause if the head is refused; the
 // caller then closes the connection.
 func (s *Sender) ArrivedInHead(data []byte, limit Bytes) (refusal Cause) {
+	if s.budget == nil {
+		return ""
+	}
 	s.Arrived(len(data))
 	if s.phase == phaseIdle {
 		s.budget.mu.Lock()
@@ -321,7 +351,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	total = (total + headStep - 1) / headStep * headStep
-	if !b.ensure(total - s.head) {
+	if !b.register(s) || !b.ensure(total-s.head) {
 		return false
 	}
 	b.held += total - s.head
@@ -344,18 +374,24 @@
 	switch s.phase {
 	case phaseHead:
 		return s.head > 0 && s.stalled(b.now)
-	case phaseBody:
+	case phaseBody, phaseRelay:
 		return s.body > 0 && s.slow(b.now)
 	case phaseWaiting, phaseServed, phaseIdle:
 	}
 	return false
 }
 
-// HeadComplete records that the head of a request has arrived.
+// HeadComplete records that a head has arrived. Nil is a valid sender.
 func (s *Sender) HeadComplete() {
+	if s == nil || s.budget == nil {
+		return
+	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.headBytes, s.headCost, s.bodyStart, s.due = 0, 0, s.arrived.Load(), 0
+	s.headBytes, s.headCost, s.bodyStart = 0, 0, s.arrived.Load()
+	if !s.response {
+		s.due = 0
+	}
 	s.enter(phaseBody)
 }
 
@@ -365,22 +401,57 @@
 	if s == nil || s.budget == nil {
 		return
 	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.keep(n)
+	s.enter(phaseServed)
+}
+
+// keep returns what a body holds beyond n bytes.
+func (s *Sender) keep(n Bytes) {
+	if n >= s.body {
+		return
+	}
 	b := s.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if n < s.body {
-		b.held -= s.body - n
-		if s.large {
-			b.large -= s.body - n
-		}
-		s.body = n
-		b.admitWaiting()
+	b.held -= s.body - n
+	if s.large {
+		b.large -= s.body - n
 	}
-	s.enter(phaseServed)
+	s.body = n
+	b.admitWaiting()
+}
+
+// Relaying records that the body, which takes n bytes, is passed on from now on. stop makes
+// its receiver give way if it reads slowly while others wait. Nil is a valid sender.
+func (s *Sender) Relaying(n Bytes, stop func()) {
+	if s == nil || s.budget == nil {
+		return
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.keep(n)
+	s.Stop = func(bool) { stop() }
+	s.enter(phaseRelay)
 }
 
-// RequestDone returns what the request held.
+// BodyGoesOn records that what has arrived of a body was passed on, and that more may arrive.
+// stop is as Stop. Nil is a valid sender.
+func (s *Sender) BodyGoesOn(stop func(answer bool)) {
+	if s == nil || s.budget == nil {
+		return
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.keep(0)
+	s.Stop = stop
+	s.enter(phaseBody)
+}
+
+// RequestDone returns what the request held. Nil is a valid sender.
 func (s *Sender) RequestDone() {
+	if s == nil || s.budget == nil {
+		return
+	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
 	s.budget.release(s)
@@ -410,7 +481,7 @@
 // SmallBody waits up to MaxWait for room, but not beyond its time. It answers many large bodies at once, which would
 // each hold a part and wait for the rest.
 func (s *Sender) Reserve(ctx context.Context, total Bytes) error {
-	if s == nil || s.budget == nil {
+	if s == nil || s.budget == nil || s.response && total <= freeBody {
 		return nil
 	}
 	w, err := s.request(total)
@@ -441,6 +512,8 @@
 	switch {
 	case n <= 0:
 		return nil, nil
+	case !b.register(s):
+		return nil, ErrNoRoom
 	case !large && !b.ensure(n) || large && len(b.waiting) >= maxWaiting:
 		b.refused(CauseMemory)
 		return nil, ErrNoRoom
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -1,6 +1,6 @@
-// Package intake bounds what callers make a node hold while they send: their connections,
-// the heads and the bodies of their requests. It keeps accounts only; it neither reads nor
-// writes. Callers may send anything, so each byte is charged before it is kept, and what
+// Package intake bounds what others make a node hold while they send: the connections, heads
+// and bodies of callers, and the heads and bodies of the responses to the node's own
+// requests. Others may send anything, so each byte is charged before it is kept, and what
 // makes no progress gives way when room is short.
 package intake
 
@@ -36,10 +36,15 @@
 	// may take another one for its endpoint; what remains is for the store, other nodes and
 	// the other listeners.
 	connectionShare = 0.4
+	// responsePart divides the memory for the responses of endpoints, and again for those of
+	// the platform and of other nodes, so that neither displaces the other.
+	responsePart = 8
 	// lineBytes is what a parsed header line takes beside its text.
 	lineBytes = 128
 	// freeHead is the part of a head that connectionBytes covers.
 	freeHead Bytes = 4 << 10
+	// freeBody is the part of a response's body that is not charged.
+	freeBody Bytes = 4 << 10
 	// headStep is the amount in which heads are charged.
 	headStep Bytes = 16 << 10
 )
@@ -75,8 +80,8 @@
 	CauseTimeout     Cause = "timeout"
 )
 
-// ErrNoRoom reports that there is no room for what a caller sends.
-var ErrNoRoom = errors.New("no room for what the caller sends")
+// ErrNoRoom reports that there is no room for what is sent, or that it gave way to others.
+var ErrNoRoom = errors.New("no room for what is sent")
 
 // Limits bound what callers hold; 0 means no limit.
 type Limits struct {
@@ -103,6 +108,10 @@
 	return l
 }
 
+// ResponseLimitsOf returns the limits of the responses of endpoints, and of those of the
+// platform and of other nodes.
+func ResponseLimitsOf(memory Bytes) Limits { return Limits{Memory: memory / responsePart} }
+
 // HeadLimits bound the head of a request and the time between requests.
 type HeadLimits struct {
 	MaxBytes                 Bytes
--- a/pkg/trial/crowd/suite_test.go
+++ b/pkg/trial/crowd/suite_test.go
@@ -67,11 +67,26 @@
 const configTemplate = `{
 "version": 3,
 "routes": [{"name": "desk", "host": "h.example", "pathPrefix": "/desk/", "kind": "safe", "timeoutMs": 20000,
-  "targetLatencyMs": 400, "priority": 1, "service": "desk", "attempts": 2}],
-"services": [{"name": "desk", "maxConns": 50}],
+  "targetLatencyMs": 400, "priority": 1, "service": "desk", "attempts": 2},
+  {"name": "bulk", "host": "h.example", "pathPrefix": "/bulk/", "kind": "safe", "timeoutMs": 6000,
+  "targetLatencyMs": 400, "priority": 1, "service": "bulk", "attempts": 2},
+  {"name": "talk", "host": "h.example", "pathPrefix": "/talk/", "kind": "streaming", "resumable": true, "timeoutMs": 6000,
+  "targetLatencyMs": 400, "gapAimMs": 400, "priority": 1, "service": "talk", "attempts": 2}],
+"services": [{"name": "desk", "maxConns": 50}, {"name": "bulk", "maxConns": 100},
+  {"name": "talk", "maxConns": 100, "engine": {"slots": 64, "stride": 3}}],
 "limits": {"maxHeaderBytes": %d, "maxBodyBytes": %d, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000}
 }`
 
+// workerTemplate is the entry of an endpoint.
+const workerTemplate = `{"service": %q, "address": %q, "zone": "a", "slots": 64, "state": "ready", "version": "v1", "seqNo": 1, "born": 0,
+  "stage": "unified", "models": [{"name": "m", "version": 1, "adapters": []}]}`
+
+// worker is an endpoint of a service beside the ordinary one.
+type worker struct {
+	service string
+	handler http.Handler
+}
+
 // node is a node in a process of its own, with a stand-in for the store and one endpoint.
 type node struct {
 	ip  string
@@ -87,17 +102,24 @@
 // nodes counts the nodes; each has a loopback address of its own.
 var nodes int
 
-// startNode starts a node and waits until it is ready. The process is killed at the end of
-// the spec.
-func startNode() *node {
+// startNode starts a node beside workers and waits until it is ready. The process is killed
+// at the end of the spec.
+func startNode(workers ...worker) *node {
+	var store standin.Store
+	return startNodeWith(&store, serve(&store), workers)
+}
+
+// startNodeWith starts a node that reaches its store at an address.
+func startNodeWith(store *standin.Store, storeAddress string, workers []worker) *node {
 	nodes++
 	n := &node{ip: fmt.Sprintf("127.103.38.%d", nodes), exited: make(chan struct{})}
-	var store standin.Store
-	storeAddress := serve(&store)
 	endpoint := &standin.Endpoint{ID: "e1"}
 	store.Put("keyed.op", "config", fmt.Appendf(nil, configTemplate, maxHeadBytes, maxBodyBytes))
 	store.Put("keyed.servers", endpoint.ID, fmt.Appendf(nil,
 		`{"service": "desk", "address": %q, "zone": "a", "slots": 64, "state": "ready", "version": "v1", "seqNo": 1, "born": 0}`, serve(endpoint)))
+	for i, w := range workers {
+		store.Put("keyed.servers", fmt.Sprint("w", i+1), fmt.Appendf(nil, workerTemplate, w.service, serve(w.handler)))
+	}
 	dir := GinkgoT().TempDir()
 	settings := filepath.Join(dir, "n1.yaml")
 	text := fmt.Sprintf(settingsTemplate, n.ip, memoryMiB, maxDescriptors, storeAddress)
