--- a/pkg/front/duties.go
+++ b/pkg/front/duties.go
@@ -21,6 +21,7 @@
 func (f *Front) dutiesService() kernel.Service {
 	done := make(chan struct{})
 	cloud := platform.NewCloud(f.Settings.Cloud.Address)
+	cloud.Responses = &f.intake.services
 	runner := &duty.Runner{
 		Lease: duty.Lease{
 			Store: duty.Store{Newest: f.store.Newest, AppendAt: f.store.AppendAt},
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -31,6 +31,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/kernel"
 	"github.com/skylarkloom/skylarkloom/pkg/pace"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
+	serviceclient "github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/provision"
 	"github.com/skylarkloom/skylarkloom/pkg/quarantine"
 	"github.com/skylarkloom/skylarkloom/pkg/returning"
@@ -201,6 +202,8 @@
 	f.intake.setLimits(intake.Bytes(f.Settings.MemoryMB)<<20, f.Settings.Sockets, f.metrics.countRefusedCaller)
 	f.intake.endpoints.OnRefused = f.metrics.countRefusedResponse
 	f.connections.OnOpen, f.connections.Budget = f.metrics.connectionsOpened.Inc, &f.intake.endpoints
+	f.store.Responses = &f.intake.services
+	f.snapshotClient.Transport = serviceclient.NewTransport()
 	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
 	f.quotas.Slack, f.quotas.Tolerance, f.quotas.Window = bounds.QuotaSlack, bounds.QuotaTolerance, bounds.QuotaWindow
 	if !f.Settings.FirstStart {
--- a/pkg/front/view.go
+++ b/pkg/front/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/skylarkloom/skylarkloom/pkg/directory"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/gossip"
+	serviceclient "github.com/skylarkloom/skylarkloom/pkg/platform"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 	"github.com/skylarkloom/skylarkloom/platform"
 )
@@ -150,10 +150,11 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.Newf("unexpected status %d", res.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxSnapshotBytes))
+	data, release, err := serviceclient.ReadAll(ctx, &f.intake.services, res, maxSnapshotBytes)
 	if err != nil {
 		return err
 	}
+	defer release()
 	var s snapshot
 	if err := cbor.Unmarshal(data, &s); err != nil {
 		return err
--- a/pkg/platform/call.go
+++ b/pkg/platform/call.go
@@ -4,17 +4,23 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/intake"
 )
 
 const (
 	// maxCallBytes is the limit of a response that Call reads. The store sends at most
 	// one mebibyte of records in a response, plus their framing.
 	maxCallBytes = 8 << 20
+	// maxHeadBytes is the limit of the head of a response, as of those of endpoints.
+	maxHeadBytes = 64 << 10
 	// maxIdleConnections is the limit of idle connections to a service. A node runs
 	// two long polls, one read at a fixed interval and one write at a time.
 	maxIdleConnections = 4
@@ -41,8 +47,9 @@
 			}
 			return conn, nil
 		},
-		MaxIdleConnsPerHost: maxIdleConnections,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}
 }
 
@@ -50,8 +57,45 @@
 // body to retry a request.
 type readOnce struct{ io.Reader }
 
-// Call makes one call to a service and reads the response. The call is never repeated.
-func Call(ctx context.Context, client *http.Client, service, method, target string, body []byte, header http.Header) (status int, data []byte, err error) {
+// ReadAll reads the body of a response into memory that is charged to a budget, which may be
+// nil, until release is called. The error is intake.ErrTooLong if the body exceeds the limit.
+func ReadAll(ctx context.Context, budget *intake.Budget, res *http.Response, limit intake.Bytes) (body []byte, release func(), err error) {
+	r := intake.BodyReader{Source: res.Body, Length: res.ContentLength, Limit: limit}
+	release = func() {}
+	if budget != nil {
+		// A read from a body that was closed fails.
+		sender := &intake.Sender{Stop: func(bool) { _ = res.Body.Close() }}
+		due := clock.Instant(math.MaxInt64)
+		if deadline, ok := ctx.Deadline(); ok {
+			due = clock.Now().Add(time.Until(deadline))
+		}
+		budget.Attach(sender, due)
+		sender.HeadComplete()
+		r.Sender, r.Source = sender, countingReader{res.Body, sender}
+		release = func() { budget.Leave(sender) }
+	}
+	if body, err = r.ReadAll(ctx); err != nil {
+		release()
+	}
+	return body, release, err
+}
+
+// countingReader records the progress of a body.
+type countingReader struct {
+	io.Reader
+	sender *intake.Sender
+}
+
+// Read implements io.Reader.
+func (r countingReader) Read(p []byte) (n int, err error) {
+	n, err = r.Reader.Read(p)
+	r.sender.Arrived(n)
+	return n, err
+}
+
+// Call makes one call to a service and reads the response within a budget, which may be nil.
+// The call is never repeated.
+func Call(ctx context.Context, client *http.Client, budget *intake.Budget, service, method, target string, body []byte, header http.Header) (status int, data []byte, err error) {
 	var reader io.Reader
 	if body != nil {
 		reader = readOnce{bytes.NewReader(body)}
@@ -68,11 +112,13 @@
 	if err != nil {
 		return 0, nil, transportError(service, err)
 	}
-	data, err = io.ReadAll(io.LimitReader(res.Body, maxCallBytes))
+	data, release, err := ReadAll(ctx, budget, res, maxCallBytes)
 	err = errors.CombineErrors(err, res.Body.Close())
 	if err != nil {
 		return 0, nil, &UnknownOutcomeError{Service: service, Cause: err}
 	}
+	// Few calls are made at a time, and what is read is parsed at once.
+	release()
 	return res.StatusCode, data, nil
 }
 
