quarantine: order crashes by what the node knows that sent the request

Since crashes count separately if the later request was sent after the earlier crash, but the order was known only of a node's own observations; among all others 50 ms had to lie between them. Crashes of a content that nodes send on in turn within 50 ms, or 21 ms apart at a node each, stayed one loss. Fix: the node that sent a request says whether it was sent after a crash with the subject (a bit for each subject in its report). It knows the order exactly: its own events are in order, and another node's crash seems later by the time that the report was under way, never sooner. Known suspicions take the bit up when it comes later. Contents whose runs last for long keep the chain: many run at once, and each was sent after some crash.

--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -50,6 +50,8 @@
 	Local bool
 	// Started reports whether the endpoint had answered all of its requests for some time.
 	Started bool
+	// Resent reports whether that request was sent after another crash with the subject.
+	Resent bool
 }
 
 // groupCrashes groups suspicions, which are sorted by time, by the crash that they
@@ -63,11 +65,12 @@
 			latest[s.instance] = i
 			crashes = append(crashes, Crash{Instance: s.instance, At: s.at, Suspects: make(map[Subject]Suspect)})
 		}
-		for rank, subject := range s.subjects {
+		for n, subject := range s.subjects {
+			rank := n
 			if s.started {
 				rank = maxSubjects
 			}
-			crashes[i].add(subject, Suspect{Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local, Started: s.started})
+			crashes[i].add(subject, Suspect{Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local, Started: s.started, Resent: s.resent&(1<<n) != 0})
 		}
 	}
 	return crashes
@@ -79,7 +82,7 @@
 	if known, ok := c.Suspects[subject]; ok {
 		s.Rank, s.Started = max(s.Rank, known.Rank), s.Started && known.Started
 		if known.Sent <= s.Sent {
-			s.Sent, s.Broke, s.Local = known.Sent, known.Broke, known.Local
+			s.Sent, s.Broke, s.Local, s.Resent = known.Sent, known.Broke, known.Local, known.Resent
 		}
 	}
 	c.Suspects[subject] = s
@@ -252,19 +255,22 @@
 // add counts a crash that is not before the last one. A content that runs for long at many
 // endpoints at once is in flight when they crash for other reasons, whatever the time
 // between the crashes, and is cleared only by the end of a run: it counts only if it was
-// sent after the crash before.
+// sent after the crash that counted before. Any other subject counts if it was sent after
+// a crash just before, since then it was not in flight at a common loss.
 func (c *spacedCount) add(s Suspect, r relation) {
 	spaced := !s.Started && (s.Broke.Sub(c.last.Broke) >= crashSpacing || r == relationNone)
-	if c.count == 0 || spaced || r != relationLoss && s.sentAfter(c.last) {
+	resent := s.sentAfter(c.last) || !s.Started && s.Resent
+	if c.count == 0 || spaced || r != relationLoss && resent {
 		c.count++
 		c.last = s
 	}
 }
 
-// sentAfter reports whether a request was sent after another one broke off. What one
-// node observed is in order; the times of two nodes may differ.
+// sentAfter reports whether a request was sent after another one broke off. What one node
+// observed is in order, and a crash that another node reports seems later than it was. The
+// time at which another node sent a request may differ.
 func (s Suspect) sentAfter(other Suspect) bool {
-	if s.Local && other.Local {
+	if s.Local {
 		return s.Sent >= other.Broke
 	}
 	return s.Sent >= other.Broke.Add(maxClockError)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -96,6 +96,9 @@
 	Ran time.Duration `cbor:"4,keyasint,omitempty"`
 	// Started reports whether the endpoint had answered the request for some time.
 	Started bool `cbor:"5,keyasint,omitempty"`
+	// Resent has bit i set if the request was sent after a crash with Subjects[i], by what the
+	// node that sent it knows.
+	Resent uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Success describes the last request with a subject that an endpoint served.
@@ -132,6 +135,8 @@
 	started bool
 	// local reports whether this node made the observation.
 	local bool
+	// resent is as Suspicion.Resent.
+	resent uint64
 }
 
 // sent returns when the request was sent. A request of which that is not known may have
@@ -143,6 +148,37 @@
 	return s.at.Add(-s.ran)
 }
 
+// orderSuspicions sets resent of the suspicions of this node. The order of its own
+// observations is exact. A crash that another node reports seems later than it was, by the
+// time that the report was under way, and never sooner, so a request that was sent after
+// that was sent after the crash. The caller holds the lock.
+func (t *Tracker) orderSuspicions() {
+	if !t.unordered {
+		return
+	}
+	t.unordered = false
+	crashes := make(map[Subject][]clock.Instant)
+	for _, s := range t.suspicions {
+		for _, subject := range s.subjects {
+			crashes[subject] = append(crashes[subject], s.at)
+		}
+	}
+	for i := range t.suspicions {
+		s := &t.suspicions[i]
+		if !s.local || s.ran <= 0 {
+			continue
+		}
+		s.resent = 0
+		for bit, subject := range s.subjects {
+			// Suspicions are sorted by time, and so are the crashes with a subject.
+			n, _ := slices.BinarySearch(crashes[subject], s.sent()+1)
+			if n > 0 && s.sent().Sub(crashes[subject][n-1]) < crashSpacing {
+				s.resent |= 1 << bit
+			}
+		}
+	}
+}
+
 // period counts periods of servedPeriod.
 type period int64
 
@@ -193,6 +229,8 @@
 	// they served.
 	begun       map[period]struct{}
 	quarantined map[Subject]quarantine
+	// unordered reports whether suspicions were added since orderSuspicions.
+	unordered bool
 	// evaluateAt is when the crashes have to be evaluated again, 0 if there is no new one.
 	evaluateAt clock.Instant
 }
@@ -260,22 +298,35 @@
 	return now < t.quarantined[s].until
 }
 
-// addSuspicion adds a suspicion if it is new. The caller holds the lock.
+// addSuspicion adds a suspicion, or what is new about a known one. The caller holds the lock.
 func (t *Tracker) addSuspicion(added suspicion) {
 	if len(added.subjects) == 0 {
 		return
 	}
-	for _, s := range t.suspicions {
+	for i := range t.suspicions {
+		s := &t.suspicions[i]
 		if s.instance == added.instance && slices.Equal(s.subjects, added.subjects) && abs(s.at.Sub(added.at)) < sameCrashTime {
+			// The node that sent the request may have heard of an earlier crash since.
+			if news := added.resent &^ s.resent; news != 0 && !s.local {
+				s.resent |= news
+				t.scheduleEvaluation(s.at.Add(settleTime))
+			}
 			return
 		}
 	}
 	i, _ := slices.BinarySearchFunc(t.suspicions, added.at, func(s suspicion, at clock.Instant) int { return int(s.at - at) })
 	t.suspicions = slices.Insert(t.suspicions, i, added)
+	t.unordered = true
 	if excess := len(t.suspicions) - maxSuspicions; excess > 0 {
 		t.suspicions = slices.Delete(t.suspicions, 0, excess)
 	}
-	if due := added.at.Add(settleTime); t.evaluateAt == 0 || due < t.evaluateAt {
+	t.scheduleEvaluation(added.at.Add(settleTime))
+}
+
+// scheduleEvaluation lets the crashes be evaluated at an instant at the latest. The caller
+// holds the lock.
+func (t *Tracker) scheduleEvaluation(due clock.Instant) {
+	if t.evaluateAt == 0 || due < t.evaluateAt {
 		t.evaluateAt = due
 	}
 }
@@ -314,14 +365,15 @@
 	t.evaluateAt = 0
 	for _, s := range t.suspicions {
 		for _, due := range []clock.Instant{s.at.Add(settleTime), s.at.Add(togetherSettleTime)} {
-			if due > now && (t.evaluateAt == 0 || due < t.evaluateAt) {
-				t.evaluateAt = due
+			if due > now {
+				t.scheduleEvaluation(due)
 			}
 		}
 	}
 	if t.evaluateAt > 0 {
 		t.evaluateAt = max(t.evaluateAt, now.Add(evaluationPause))
 	}
+	t.orderSuspicions()
 	settled := func(c Crash) bool { return now.Sub(c.At) >= settleTime }
 	evidence := Evidence{
 		Crashes:         slices.DeleteFunc(groupCrashes(t.suspicions), func(c Crash) bool { return !settled(c) }),
@@ -354,6 +406,7 @@
 func (t *Tracker) Report(now clock.Instant) (r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.orderSuspicions()
 	served := make(map[Subject]bool)
 	subjects := 0
 	// In a small fleet the nodes learn all from the first pass. The second one matters
@@ -367,7 +420,7 @@
 				continue
 			}
 			subjects += len(s.subjects)
-			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran, Started: s.started})
+			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran, Started: s.started, Resent: s.resent})
 			for _, subject := range s.subjects {
 				if at := t.lastServed(subject); at > s.at && !served[subject] {
 					served[subject] = true
@@ -400,7 +453,7 @@
 		}
 	}
 	for _, s := range r.Suspicions {
-		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age), ran: s.Ran, started: s.Started})
+		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age), ran: s.Ran, started: s.Started, resent: s.Resent})
 	}
 	t.evaluate(now)
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -143,6 +143,53 @@
 		Expect(second.Quarantined(subjects(7), now)).To(BeTrue())
 	})
 
+	// BUDGET: crashes of one request within 50 ms, or at a node each, seemed to come at the same
+	// time to all nodes, so it was sent on when it came again.
+	DescribeTable("counts crashes separately of a request that other nodes sent on, whatever the time between them",
+		func(ran time.Duration, atEach, crashes int) {
+			const (
+				// returnTime is the time from a crash to the same request at the next node, underway
+				// that of a report to another node, reportPause the time between reports.
+				returnTime, underway, reportPause = 2 * time.Millisecond, time.Millisecond, 300 * time.Millisecond
+				nodes                             = 6
+			)
+			var trackers [nodes]quarantine.Tracker
+			broke := at(0)
+			for i := range crashes {
+				sent := broke.Add(returnTime)
+				if i%atEach != 0 {
+					sent = broke
+				}
+				broke = sent.Add(ran)
+				run := quarantine.Run{Subjects: subjects(7, "block"), Sent: sent, Broke: broke}
+				trackers[i/atEach%nodes].RecordCrash(fleet.InstanceID(fmt.Sprint("lost", i)), run)
+			}
+			for now := broke.Add(time.Millisecond); now < broke.Add(1500*time.Millisecond); now = now.Add(reportPause) {
+				var reports [nodes]quarantine.Report
+				for i := range trackers {
+					reports[i] = trackers[i].Report(now)
+				}
+				for i := range trackers {
+					for j, r := range reports {
+						if i != j {
+							trackers[i].Merge(r, now.Add(underway))
+						}
+					}
+				}
+			}
+			for i := range trackers {
+				Expect(trackers[i].Quarantined(subjects(7, "block"), broke.Add(1500*time.Millisecond))).To(BeTrue(), "node %d", i)
+			}
+		},
+		Entry("two of each node, at once", 100*time.Microsecond, 2, 8),
+		Entry("two of each node, after 2 ms", 2*time.Millisecond, 2, 8),
+		Entry("two of each node, after 20 ms", 20*time.Millisecond, 2, 8),
+		Entry("one of each node, at once", 100*time.Microsecond, 1, 4),
+		Entry("one of each node, after 2 ms", 2*time.Millisecond, 1, 4),
+		Entry("one of each node, after 20 ms", 20*time.Millisecond, 1, 4),
+		Entry("one of each node, after 60 ms", 60*time.Millisecond, 1, 4),
+	)
+
 	// The soak's seed 916: two nodes sent requests with a deadly block to several endpoints at
 	// the same time, and nothing else tells such crashes from endpoints that are lost together
 	// than what is served before and after them.
