quarantine: judge copies of a content by what is served since, also on nodes that have just started

Cause: crashes at the same time count separately only if the node itself saw others served in the second before, in the second after and in that 10 s before. A node that has just started, or sees few requests, can't know that, though the fleet can. Fix: for a content (not for blocks, which many requests share) it is enough that any node saw another request begun and served since, that it is in all crashes of that time, and that no run of it was answered for a second lately or since. Reports carry the age of the newest run served, and whether a content was answered or served in the 10 s before. They are judged again at 2.5 s, as such reports come late. The order counts 2 s after a crash, not 0.7 s.

--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -26,6 +26,9 @@
 	// together. Requests that were lost with sound endpoints have been answered elsewhere by
 	// then. It leaves a third of the time that nodes in touch may take to learn.
 	togetherSettleTime = 2 * time.Second
+	// lateSettleTime is the age at which they are judged once more, since a node may hear later
+	// of what others served meanwhile.
+	lateSettleTime = 2500 * time.Millisecond
 	// settleTime is the age from which a crash counts. By then the other nodes have
 	// reported which of their requests were in flight, and what they served meanwhile.
 	settleTime = 700 * time.Millisecond
@@ -48,8 +51,11 @@
 	Sent, Broke clock.Instant
 	// Local reports whether this node sent that request.
 	Local bool
-	// Started reports whether the endpoint had answered all of its requests for some time.
-	Started bool
+	// Started reports whether the endpoint had answered all of its requests for some time, and
+	// SomeStarted whether it had answered one.
+	Started, SomeStarted bool
+	// Content reports whether the subject is the content of its requests.
+	Content bool
 	// Resent reports whether that request was sent after another crash with the subject.
 	Resent bool
 }
@@ -70,7 +76,10 @@
 			if s.started {
 				rank = maxSubjects
 			}
-			crashes[i].add(subject, Suspect{Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local, Started: s.started, Resent: s.resent&(1<<n) != 0})
+			crashes[i].add(subject, Suspect{
+				Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local, Started: s.started, SomeStarted: s.started,
+				Content: n == len(s.subjects)-1, Resent: s.resent&(1<<n) != 0,
+			})
 		}
 	}
 	return crashes
@@ -80,7 +89,7 @@
 // subject was sent: if it is the culprit, the endpoint had it that long.
 func (c *Crash) add(subject Subject, s Suspect) {
 	if known, ok := c.Suspects[subject]; ok {
-		s.Rank, s.Started = max(s.Rank, known.Rank), s.Started && known.Started
+		s.Rank, s.Started, s.SomeStarted = max(s.Rank, known.Rank), s.Started && known.Started, s.SomeStarted || known.SomeStarted
 		if known.Sent <= s.Sent {
 			s.Sent, s.Broke, s.Local, s.Resent = known.Sent, known.Broke, known.Local, known.Resent
 		}
@@ -94,17 +103,25 @@
 	// LastServed returns when an endpoint began to answer the last request with a subject
 	// that it served, or 0.
 	LastServed func(Subject) clock.Instant
+	// LastStarted returns when an endpoint began to answer the last request with a content that
+	// it answered for some time, or 0.
+	LastStarted func(Subject) clock.Instant
 	// ServedMeanwhile reports whether endpoints served anything around an instant: for some
 	// time before it and after it.
 	ServedMeanwhile func(clock.Instant) bool
+	// ServedSince reports whether endpoints served anything, on any node, that they began after
+	// an instant.
+	ServedSince func(clock.Instant) bool
 	// Now is when the evidence is judged.
 	Now clock.Instant
 	// IsQuarantined reports whether a subject is quarantined, OnProbation whether it was
 	// before.
 	IsQuarantined, OnProbation func(Subject) bool
 
-	// crashesWith counts the crashes with each subject.
+	// crashesWith counts the crashes with each subject. started holds those that an endpoint had
+	// answered for some time before one of them.
 	crashesWith map[Subject]int
+	started     map[Subject]bool
 }
 
 // Culprits returns the subjects to quarantine, which explain the crashes best: a subject
@@ -113,10 +130,13 @@
 // that explain equally many crashes, the most specific one is chosen, since refusing it
 // affects the fewest requests.
 func (e *Evidence) Culprits() (culprits []Subject) {
-	e.crashesWith = make(map[Subject]int)
+	e.crashesWith, e.started = make(map[Subject]int), make(map[Subject]bool)
 	for _, crash := range e.Crashes {
-		for s := range crash.Suspects {
+		for s, suspect := range crash.Suspects {
 			e.crashesWith[s]++
+			if suspect.SomeStarted {
+				e.started[s] = true
+			}
 		}
 	}
 	for {
@@ -162,6 +182,7 @@
 			if c.crashes.count > 0 {
 				r = e.relation(s, crash)
 			}
+			suspect.Resent = suspect.Resent && e.isUnused(s, crash)
 			c.crashes.add(suspect, r)
 			if !explained {
 				c.unexplained++
@@ -195,7 +216,7 @@
 	// loss.
 	relationChain relation = "chain"
 	// relationNone means that the crashes have nothing but the subject in common: it was
-	// not served for long, and not since, while others were, and it explains most of them.
+	// not served lately, and not since, while others were, and it explains most of them.
 	relationNone relation = "none"
 )
 
@@ -205,33 +226,52 @@
 	switch {
 	case last > 0 && crash.At.Sub(last) < servedLately:
 		return relationLoss
-	case e.Now.Sub(crash.At) >= togetherSettleTime && e.ServedMeanwhile(crash.At) && e.isInMost(s, crash.At):
+	case e.Now.Sub(crash.At) < togetherSettleTime || !e.isInMost(s, crash.At):
+		return relationChain
+	case e.ServedMeanwhile(crash.At) || e.isUnused(s, crash) && e.ServedSince(crash.At):
 		return relationNone
 	default:
 		return relationChain
 	}
 }
 
+// isUnused reports whether a subject is a content that is in all crashes around one, and of
+// which no run was answered for some time, neither lately nor since. Of blocks and of contents
+// in use, runs are in flight wherever endpoints are lost, and some were sent after each crash.
+func (e *Evidence) isUnused(s Subject, crash Crash) bool {
+	inUse := e.started[s] || e.LastStarted(s) > crash.At.Add(-servedLately)
+	if !crash.Suspects[s].Content || inUse || e.Now.Sub(crash.At) < togetherSettleTime {
+		return false
+	}
+	with, near := e.countNear(s, crash.At)
+	return with == near
+}
+
 // isInMost reports whether most of the crashes around an instant have a subject. Where many
 // endpoints are lost at once, some have a subject that came up a moment before.
 func (e *Evidence) isInMost(s Subject, at clock.Instant) bool {
+	with, near := e.countNear(s, at)
+	return 2*with > near
+}
+
+// countNear counts the crashes around an instant, and those among them that have a subject, 0
+// if those are not most of them.
+func (e *Evidence) countNear(s Subject, at clock.Instant) (with, near int) {
 	isNear := func(c Crash) bool { return abs(c.At.Sub(at)) < crashSpacing }
-	near := 0
 	for _, c := range e.Crashes {
 		if isNear(c) {
 			near++
 		}
 	}
 	if 2*e.crashesWith[s] <= near {
-		return false
+		return 0, near
 	}
-	with := 0
 	for _, c := range e.Crashes {
 		if _, ok := c.Suspects[s]; ok && isNear(c) {
 			with++
 		}
 	}
-	return 2*with > near
+	return with, near
 }
 
 // compare returns a positive number if c is the more likely culprit.
@@ -255,22 +295,20 @@
 // add counts a crash that is not before the last one. A content that runs for long at many
 // endpoints at once is in flight when they crash for other reasons, whatever the time
 // between the crashes, and is cleared only by the end of a run: it counts only if it was
-// sent after the crash that counted before. Any other subject counts if it was sent after
-// a crash just before, since then it was not in flight at a common loss.
+// sent after the crash that counted before.
 func (c *spacedCount) add(s Suspect, r relation) {
 	spaced := !s.Started && (s.Broke.Sub(c.last.Broke) >= crashSpacing || r == relationNone)
-	resent := s.sentAfter(c.last) || !s.Started && s.Resent
+	resent := s.Resent || s.sentAfter(c.last)
 	if c.count == 0 || spaced || r != relationLoss && resent {
 		c.count++
 		c.last = s
 	}
 }
 
-// sentAfter reports whether a request was sent after another one broke off. What one node
-// observed is in order, and a crash that another node reports seems later than it was. The
-// time at which another node sent a request may differ.
+// sentAfter reports whether a request was sent after another one broke off. What one
+// node observed is in order; the times of two nodes may differ.
 func (s Suspect) sentAfter(other Suspect) bool {
-	if s.Local {
+	if s.Local && other.Local {
 		return s.Sent >= other.Broke
 	}
 	return s.Sent >= other.Broke.Add(maxClockError)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -122,6 +122,9 @@
 	Suspicions  []Suspicion  `cbor:"1,keyasint,omitempty"`
 	Successes   []Success    `cbor:"2,keyasint,omitempty"`
 	Quarantines []Quarantine `cbor:"3,keyasint,omitempty"`
+	// Served is the age of the newest run that endpoints began and served, whatever its
+	// subjects, as far as the node knows; 0 if there is none. It comes with suspicions only.
+	Served time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // suspicion is a Suspicion with the instant of the crash.
@@ -227,7 +230,9 @@
 	served *lru.Cache[Subject, clock.Instant]
 	// begun holds the periods in which endpoints began to answer requests of this node that
 	// they served.
-	begun       map[period]struct{}
+	begun map[period]struct{}
+	// newestBegun is when endpoints began the newest run that they served, on any node.
+	newestBegun clock.Instant
 	quarantined map[Subject]quarantine
 	// unordered reports whether suspicions were added since orderSuspicions.
 	unordered bool
@@ -258,6 +263,7 @@
 		t.begun = make(map[period]struct{})
 	}
 	t.begun[periodOf(begunAt)] = struct{}{}
+	t.newestBegun = max(t.newestBegun, begunAt)
 	for _, s := range subjects {
 		t.addServed(s, begunAt)
 	}
@@ -266,9 +272,18 @@
 // RecordStarted records that an endpoint has answered a request for some time, as
 // RecordServed does for the prefix blocks of its prompt. The content may still crash it.
 func (t *Tracker) RecordStarted(subjects []Subject, begunAt clock.Instant) {
-	t.RecordServed(subjects[:len(subjects)-len(contentOf(subjects))], begunAt)
+	content := contentOf(subjects)
+	started := slices.Clone(subjects[:len(subjects)-len(content)])
+	for _, s := range content {
+		started = append(started, startOf(s))
+	}
+	t.RecordServed(started, begunAt)
 }
 
+// startOf returns the subject under which it is kept when a content was last answered for some
+// time.
+func startOf(content Subject) Subject { return ^content }
+
 // contentOf returns the content among the subjects of a request.
 func contentOf(subjects []Subject) []Subject { return subjects[max(0, len(subjects)-1):] }
 
@@ -364,8 +379,8 @@
 	}
 	t.evaluateAt = 0
 	for _, s := range t.suspicions {
-		for _, due := range []clock.Instant{s.at.Add(settleTime), s.at.Add(togetherSettleTime)} {
-			if due > now {
+		for _, age := range []time.Duration{settleTime, togetherSettleTime, lateSettleTime} {
+			if due := s.at.Add(age); due > now {
 				t.scheduleEvaluation(due)
 			}
 		}
@@ -378,7 +393,9 @@
 	evidence := Evidence{
 		Crashes:         slices.DeleteFunc(groupCrashes(t.suspicions), func(c Crash) bool { return !settled(c) }),
 		LastServed:      t.lastServed,
+		LastStarted:     func(s Subject) clock.Instant { return t.lastServed(startOf(s)) },
 		ServedMeanwhile: t.servedMeanwhile,
+		ServedSince:     func(at clock.Instant) bool { return t.newestBegun > at.Add(maxClockError) },
 		Now:             now,
 		IsQuarantined:   func(s Subject) bool { return t.isQuarantined(s, now) },
 		OnProbation:     func(s Subject) bool { return t.quarantined[s].count > 0 },
@@ -421,14 +438,25 @@
 			}
 			subjects += len(s.subjects)
 			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran, Started: s.started, Resent: s.resent})
-			for _, subject := range s.subjects {
-				if at := t.lastServed(subject); at > s.at && !served[subject] {
+			report := func(subject Subject, since clock.Instant) {
+				if at := t.lastServed(subject); at > since && !served[subject] {
 					served[subject] = true
 					r.Successes = append(r.Successes, Success{Subject: subject, Age: now.Sub(at)})
 				}
 			}
+			for _, subject := range s.subjects {
+				report(subject, s.at)
+			}
+			// Nodes that have just started do not know whether a content is in use.
+			for _, content := range contentOf(s.subjects) {
+				report(content, s.at.Add(-servedLately))
+				report(startOf(content), s.at.Add(-servedLately))
+			}
 		}
 	}
+	if len(r.Suspicions) > 0 && t.newestBegun > 0 {
+		r.Served = max(now.Sub(t.newestBegun), 1)
+	}
 	for s, q := range t.quarantined {
 		if remaining := q.until.Sub(now); remaining > 0 {
 			r.Quarantines = append(r.Quarantines, Quarantine{Subject: s, Remaining: remaining, Count: q.count})
@@ -444,6 +472,9 @@
 	for _, s := range r.Successes {
 		t.addServed(s.Subject, now.Add(-s.Age))
 	}
+	if r.Served > 0 {
+		t.newestBegun = max(t.newestBegun, now.Add(-r.Served))
+	}
 	for _, q := range r.Quarantines {
 		// Quarantines also come from the store, to which others may write.
 		q.Count, q.Remaining = min(max(q.Count, 1), maxCount), min(q.Remaining, maxQuarantine)
