endpoint: limit the reports that engines send of themselves

Cause: reports of load and cache were decoded as JSON without any limit, and a string in them may have no end. Fix: a report over 8 MiB is an error. Result: the new specs fail on the code before, where 48 MiB were taken, and pass.

--- a/pkg/endpoint/engine.go
+++ b/pkg/endpoint/engine.go
@@ -23,8 +23,14 @@
 	initialFrameBytes = 1 << 10
 	maxFrameBytes     = 1 << 20
 	maxFailureBytes   = 64 << 10
+	// maxReportBytes limits a load report and a list of cache events. Engines are asked for
+	// them again and again.
+	maxReportBytes = 8 << 20
 )
 
+// errReportTooLong reports a report that exceeds maxReportBytes.
+var errReportTooLong = errors.New("report of the engine exceeds the size limit")
+
 // Engine is the client of one model engine.
 type Engine struct {
 	Instance fleet.Instance
@@ -54,11 +60,11 @@
 			return c.call(ctx, http.MethodDelete, engine.GeneratePath+"/"+url.PathEscape(string(id)), nil, nil)
 		},
 		LoadFunc: func(ctx context.Context) (l engine.Load, err error) {
-			err = c.call(ctx, http.MethodGet, engine.LoadPath, nil, &l)
+			err = c.report(ctx, engine.LoadPath, &l)
 			return l, err
 		},
 		EventsFunc: func(ctx context.Context, from uint64) (events []engine.CacheEvent, err error) {
-			err = c.call(ctx, http.MethodGet, engine.EventsPath+"?from="+strconv.FormatUint(from, 10), nil, &events)
+			err = c.report(ctx, engine.EventsPath+"?from="+strconv.FormatUint(from, 10), &events)
 			return events, err
 		},
 		ExportFunc: func(ctx context.Context, e engine.ExportRequest) (cache engine.KVCache, err error) {
@@ -136,6 +142,21 @@
 	return errors.Wrap(json.NewDecoder(res.Body).Decode(result), "decode response of engine")
 }
 
+// report reads a report of the engine.
+func (c *engineClient) report(ctx context.Context, path string, result any) (err error) {
+	res, err := c.do(ctx, http.MethodGet, path, 0, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, res.Body.Close()) }()
+	body := &io.LimitedReader{R: res.Body, N: maxReportBytes + 1}
+	err = json.NewDecoder(body).Decode(result)
+	if body.N <= 0 {
+		err = errReportTooLong
+	}
+	return errors.Wrap(err, "decode response of engine")
+}
+
 func (c *engineClient) generate(ctx context.Context, g engine.GenerateRequest, emit func(engine.Frame) error) (err error) {
 	res, err := c.do(ctx, http.MethodPost, engine.GeneratePath, g.Fence, g)
 	if err != nil {
--- a/pkg/endpoint/engine_test.go
+++ b/pkg/endpoint/engine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,6 +46,31 @@
 		Expect(lastFrame.Done).To(BeTrue())
 	})
 
+	// Memory: a report without end was read until the caller gave up, and kept.
+	DescribeTable("does not read a report without end", func(ctx context.Context, report func(context.Context, *endpoint.Engine) error, begin string) {
+		// The kernel's buffers of both ends hold some megabytes.
+		const maxAccepted = 24 << 20
+		var accepted atomic.Int64
+		instance := serveInstance(func(w http.ResponseWriter, _ *http.Request) {
+			n, err := io.WriteString(w, begin)
+			for block := strings.Repeat("a", 32<<10); err == nil && accepted.Add(int64(n)) < 2*maxAccepted; {
+				n, err = io.WriteString(w, block)
+			}
+		})
+		c := endpoint.DialEngine(instance, &http.Client{Transport: &http.Transport{}})
+		Expect(report(ctx, c)).To(MatchError(ContainSubstring("exceeds the size limit")))
+		Expect(accepted.Load()).To(BeNumerically("<", maxAccepted))
+	},
+		Entry("of its load", func(ctx context.Context, c *endpoint.Engine) error {
+			_, err := c.LoadFunc(ctx)
+			return err
+		}, `{"unknown": "`),
+		Entry("of its cache", func(ctx context.Context, c *endpoint.Engine) error {
+			_, err := c.EventsFunc(ctx, 0)
+			return err
+		}, `[{"unknown": "`),
+	)
+
 	It("cancels a request, and ends the stream when its context ends", func(ctx context.Context) {
 		e := &standin.Engine{ResponseLength: 1 << 20, TokenTime: time.Millisecond}
 		c := dialEngine(e)
