Responses: one function for the turns of a body; Response.Reset without a parameter

No change of behaviour. Found in the read-through: the two functions of intake.Sender were written twice, and Response.Stop had a parameter that only its callback type wanted. Specs of intake, forward and gateway pass.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -167,8 +167,8 @@
 	return reader.ReadAll(r.context)
 }
 
-// Stop ends the exchange: it resets the connection.
-func (r *Response) Stop(bool) { r.conn.reset() }
+// Reset resets the connection, which makes a read of the body fail.
+func (r *Response) Reset() { r.conn.reset() }
 
 // endedWell reports whether the endpoint ended its side of the connection after it had
 // received the whole request.
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/skylarkloom/skylarkloom/pkg/forward"
 	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/serving"
 )
@@ -117,10 +118,10 @@
 }
 
 // release returns what the last event held, once it was passed on.
-func (r *sseReader) release(sender *intake.Sender, stop func(answer bool)) {
+func (r *sseReader) release(response *forward.Response) {
 	if r.reserved > 0 {
 		r.reserved = 0
-		sender.BodyGoesOn(stop)
+		response.Sender.BodyGoesOn(response.Reset)
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -263,14 +263,14 @@
 		}
 		a.recordEvent()
 		if e.hasID && !isNew {
-			events.release(a.response.Sender, a.response.Stop)
+			events.release(a.response)
 			continue
 		}
 		if newEvents++; newEvents == 1 {
 			firstAt = time.Now()
 		}
 		err = s.writeEvent(a, e)
-		events.release(a.response.Sender, a.response.Stop)
+		events.release(a.response)
 		if err != nil {
 			return outcomeLost, ReasonCallerGone
 		}
--- a/pkg/intake/budget.go
+++ b/pkg/intake/budget.go
@@ -105,7 +105,7 @@
 }
 
 // Attach opens the account of a response, which must end at due. It takes no place among the
-// connections and counts only once it holds more than is free. Nil has no limits.
+// connections and counts only once it holds more than is free.
 func (b *Budget) Attach(s *Sender, due clock.Instant) {
 	s.budget, s.response, s.phase, s.due = b, true, phaseHead, due
 }
@@ -423,28 +423,23 @@
 
 // Relaying records that the body, which takes n bytes, is passed on from now on. stop makes
 // its receiver give way if it reads slowly while others wait. Nil is a valid sender.
-func (s *Sender) Relaying(n Bytes, stop func()) {
-	if s == nil || s.budget == nil {
-		return
-	}
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	s.keep(n)
-	s.Stop = func(bool) { stop() }
-	s.enter(phaseRelay)
-}
+func (s *Sender) Relaying(n Bytes, stop func()) { s.turn(phaseRelay, n, stop) }
 
 // BodyGoesOn records that what has arrived of a body was passed on, and that more may arrive.
-// stop is as Stop. Nil is a valid sender.
-func (s *Sender) BodyGoesOn(stop func(answer bool)) {
+// stop makes its source give way. Nil is a valid sender.
+func (s *Sender) BodyGoesOn(stop func()) { s.turn(phaseBody, 0, stop) }
+
+// turn enters a phase in which the body takes n bytes at most and stop makes the sender give
+// way.
+func (s *Sender) turn(p phase, n Bytes, stop func()) {
 	if s == nil || s.budget == nil {
 		return
 	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.keep(0)
-	s.Stop = stop
-	s.enter(phaseBody)
+	s.keep(n)
+	s.Stop = func(bool) { stop() }
+	s.enter(p)
 }
 
 // RequestDone returns what the request held. Nil is a valid sender.
