quarantine: the order of a content is a flag, judged with the other relations

Since only contents are judged by the order that their node knows, but a bit was still computed, sent and merged for each subject, and the rule stood beside the relations of crashes instead of in them: best and add each had a special case, and isUnused was worked out a second time for it. Now a report says it of the request, for its content, and relation takes it as one of its cases; add and best are as on again.

--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -56,7 +56,7 @@
 	Started, SomeStarted bool
 	// Content reports whether the subject is the content of its requests.
 	Content bool
-	// Resent reports whether that request was sent after another crash with the subject.
+	// Resent reports whether that request was sent after another crash with its content.
 	Resent bool
 }
 
@@ -78,7 +78,7 @@
 			}
 			crashes[i].add(subject, Suspect{
 				Rank: rank, Sent: s.sent(), Broke: s.at, Local: s.local, Started: s.started, SomeStarted: s.started,
-				Content: n == len(s.subjects)-1, Resent: s.resent&(1<<n) != 0,
+				Content: n == len(s.subjects)-1, Resent: s.resent,
 			})
 		}
 	}
@@ -182,7 +182,6 @@
 			if c.crashes.count > 0 {
 				r = e.relation(s, crash)
 			}
-			suspect.Resent = suspect.Resent && e.isUnused(s, crash)
 			c.crashes.add(suspect, r)
 			if !explained {
 				c.unexplained++
@@ -216,7 +215,8 @@
 	// loss.
 	relationChain relation = "chain"
 	// relationNone means that the crashes have nothing but the subject in common: it was
-	// not served lately, and not since, while others were, and it explains most of them.
+	// not served lately, and not since, while others were or the request came after another
+	// crash with it, and it explains most of them.
 	relationNone relation = "none"
 )
 
@@ -228,7 +228,7 @@
 		return relationLoss
 	case e.Now.Sub(crash.At) < togetherSettleTime || !e.isInMost(s, crash.At):
 		return relationChain
-	case e.ServedMeanwhile(crash.At) || e.isUnused(s, crash) && e.ServedSince(crash.At):
+	case e.ServedMeanwhile(crash.At) || e.isUnused(s, crash) && (crash.Suspects[s].Resent || e.ServedSince(crash.At)):
 		return relationNone
 	default:
 		return relationChain
@@ -295,11 +295,10 @@
 // add counts a crash that is not before the last one. A content that runs for long at many
 // endpoints at once is in flight when they crash for other reasons, whatever the time
 // between the crashes, and is cleared only by the end of a run: it counts only if it was
-// sent after the crash that counted before.
+// sent after the crash before.
 func (c *spacedCount) add(s Suspect, r relation) {
 	spaced := !s.Started && (s.Broke.Sub(c.last.Broke) >= crashSpacing || r == relationNone)
-	resent := s.Resent || s.sentAfter(c.last)
-	if c.count == 0 || spaced || r != relationLoss && resent {
+	if c.count == 0 || spaced || r != relationLoss && s.sentAfter(c.last) {
 		c.count++
 		c.last = s
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -96,9 +96,9 @@
 	Ran time.Duration `cbor:"4,keyasint,omitempty"`
 	// Started reports whether the endpoint had answered the request for some time.
 	Started bool `cbor:"5,keyasint,omitempty"`
-	// Resent has bit i set if the request was sent after a crash with Subjects[i], by what the
+	// Resent reports whether the request was sent after a crash with its content, by what the
 	// node that sent it knows.
-	Resent uint64 `cbor:"6,keyasint,omitempty"`
+	Resent bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Success describes the last request with a subject that an endpoint served.
@@ -139,9 +139,12 @@
 	// local reports whether this node made the observation.
 	local bool
 	// resent is as Suspicion.Resent.
-	resent uint64
+	resent bool
 }
 
+// content returns the content of the request.
+func (s *suspicion) content() Subject { return s.subjects[len(s.subjects)-1] }
+
 // sent returns when the request was sent. A request of which that is not known may have
 // been sent before any crash within crashSpacing.
 func (s *suspicion) sent() clock.Instant {
@@ -162,23 +165,17 @@
 	t.unordered = false
 	crashes := make(map[Subject][]clock.Instant)
 	for _, s := range t.suspicions {
-		for _, subject := range s.subjects {
-			crashes[subject] = append(crashes[subject], s.at)
-		}
+		crashes[s.content()] = append(crashes[s.content()], s.at)
 	}
 	for i := range t.suspicions {
 		s := &t.suspicions[i]
 		if !s.local || s.ran <= 0 {
 			continue
 		}
-		s.resent = 0
-		for bit, subject := range s.subjects {
-			// Suspicions are sorted by time, and so are the crashes with a subject.
-			n, _ := slices.BinarySearch(crashes[subject], s.sent()+1)
-			if n > 0 && s.sent().Sub(crashes[subject][n-1]) < crashSpacing {
-				s.resent |= 1 << bit
-			}
-		}
+		// Suspicions are sorted by time, and so are the crashes with a content.
+		times := crashes[s.content()]
+		n, _ := slices.BinarySearch(times, s.sent()+1)
+		s.resent = n > 0 && s.sent().Sub(times[n-1]) < crashSpacing
 	}
 }
 
@@ -322,8 +319,8 @@
 		s := &t.suspicions[i]
 		if s.instance == added.instance && slices.Equal(s.subjects, added.subjects) && abs(s.at.Sub(added.at)) < sameCrashTime {
 			// The node that sent the request may have heard of an earlier crash since.
-			if news := added.resent &^ s.resent; news != 0 && !s.local {
-				s.resent |= news
+			if added.resent && !s.resent && !s.local {
+				s.resent = true
 				t.scheduleEvaluation(s.at.Add(settleTime))
 			}
 			return
