intake: responses have no due date of their own; parts of the budget in files of their own

The due date of a response was worked out from its context in two places, and the context ends the exchange anyway, a moment sooner; so a response has none now. nextSize had a condition that implied another. No change of behaviour: specs of intake, forward, gateway, connection and platform pass with the race detector; only the argument of Attach left them.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -202,7 +202,7 @@
 		p.put(c, cmp.Or(c.expires, time.Now().Add(defaultIdleTimeout)))
 		return nil, &UnsentError{Address: req.Address, Cause: ErrAbandoned}
 	}
-	p.openAccount(ctx, c)
+	p.openAccount(c)
 	// The response may arrive before send returns.
 	p.addAwaiting(c)
 	stopReset := context.AfterFunc(ctx, c.reset)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -225,16 +224,12 @@
 
 // openAccount opens the account of the next response on a connection. A response that gives
 // way to others loses its connection.
-func (p *Pool) openAccount(ctx context.Context, c *conn) {
+func (p *Pool) openAccount(c *conn) {
 	if p.Budget == nil {
 		return
 	}
 	c.head.sender = &intake.Sender{Stop: func(bool) { c.reset() }}
-	due := clock.Instant(math.MaxInt64)
-	if deadline, ok := ctx.Deadline(); ok {
-		due = clock.Now().Add(time.Until(deadline) + lingerMargin)
-	}
-	p.Budget.Attach(c.head.sender, due)
+	p.Budget.Attach(c.head.sender)
 }
 
 // closeAccount closes the account of the last response on a connection.
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -69,7 +68,7 @@
 		h := newHandler(e.start())
 		budget := withBudget(h)
 		var other intake.Sender
-		budget.Attach(&other, clock.Now().Add(time.Hour))
+		budget.Attach(&other)
 		other.HeadComplete()
 		Expect(other.Reserve(ginkgo.GinkgoT().Context(), budgetBytes)).To(Succeed())
 		node := startNode(h, nil)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -299,7 +299,7 @@
 		s.writer.WriteHeader(a.response.Status)
 		s.headerSent, s.contentType = true, a.response.Header.Get("Content-Type")
 	}
-	if len(e.data) > relayPieceBytes {
+	if intake.Bytes(len(e.data)) > intake.SmallBody {
 		a.response.Sender.Relaying(intake.Bytes(cap(e.data)), s.stopWriting)
 	}
 	if _, err := s.writer.Write(e.data); err != nil {
--- a/pkg/intake/body.go
+++ b/pkg/intake/body.go
@@ -88,10 +88,10 @@
 // limit at most.
 func (r *BodyReader) nextSize(size Bytes) Bytes {
 	next := max(firstBodyBytes, bodyGrowth*size)
-	if size < SmallBody {
+	switch {
+	case size < SmallBody:
 		next = min(next, SmallBody)
-	}
-	if next >= SmallBody && bodyGrowth*next > r.Limit && size >= SmallBody {
+	case bodyGrowth*next > r.Limit:
 		next = r.Limit + 1
 	}
 	return min(next, r.Limit+1)
--- a/pkg/intake/budget.go
+++ b/pkg/intake/budget.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"cmp"
-	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
 )
@@ -50,13 +48,6 @@
 	now clock.Instant
 }
 
-// waiter is a large body that waits for room.
-type waiter struct {
-	sender *Sender
-	total  Bytes
-	ready  chan struct{}
-}
-
 // Sender is the account of one connection of a caller, or of one response to the node. The
 // zero value belongs to no budget and has no limits; so does nil.
 type Sender struct {
@@ -104,12 +95,6 @@
 	return true
 }
 
-// Attach opens the account of a response, which must end at due. It takes no place among the
-// connections and counts only once it holds more than is free.
-func (b *Budget) Attach(s *Sender, due clock.Instant) {
-	s.budget, s.response, s.phase, s.due = b, true, phaseHead, due
-}
-
 // register adds a sender to those that may give way. It reports false if the sender has left.
 func (b *Budget) register(s *Sender) bool {
 	if s.left {
@@ -388,10 +373,7 @@
 	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.headBytes, s.headCost, s.bodyStart = 0, 0, s.arrived.Load()
-	if !s.response {
-		s.due = 0
-	}
+	s.headBytes, s.headCost, s.bodyStart, s.due = 0, 0, s.arrived.Load(), 0
 	s.enter(phaseBody)
 }
 
@@ -421,27 +403,6 @@
 	b.admitWaiting()
 }
 
-// Relaying records that the body, which takes n bytes, is passed on from now on. stop makes
-// its receiver give way if it reads slowly while others wait. Nil is a valid sender.
-func (s *Sender) Relaying(n Bytes, stop func()) { s.turn(phaseRelay, n, stop) }
-
-// BodyGoesOn records that what has arrived of a body was passed on, and that more may arrive.
-// stop makes its source give way. Nil is a valid sender.
-func (s *Sender) BodyGoesOn(stop func()) { s.turn(phaseBody, 0, stop) }
-
-// turn enters a phase in which the body takes n bytes at most and stop makes the sender give
-// way.
-func (s *Sender) turn(p phase, n Bytes, stop func()) {
-	if s == nil || s.budget == nil {
-		return
-	}
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	s.keep(n)
-	s.Stop = func(bool) { stop() }
-	s.enter(p)
-}
-
 // RequestDone returns what the request held. Nil is a valid sender.
 func (s *Sender) RequestDone() {
 	if s == nil || s.budget == nil {
@@ -471,68 +432,3 @@
 	}
 	return Bytes(s.arrived.Load() - s.bodyStart)
 }
-
-// Reserve raises what the body of the current request may take to a total. A body over
-// SmallBody waits up to MaxWait for room, but not beyond its time. It answers many large bodies at once, which would
-// each hold a part and wait for the rest.
-func (s *Sender) Reserve(ctx context.Context, total Bytes) error {
-	if s == nil || s.budget == nil || s.response && total <= freeBody {
-		return nil
-	}
-	w, err := s.request(total)
-	if w == nil {
-		return err
-	}
-	wait := MaxWait
-	if s.due > 0 {
-		wait = min(wait, s.due.Sub(clock.Now()))
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-w.ready:
-		return nil
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return s.budget.withdraw(w)
-}
-
-// request grants room or returns a waiter.
-func (s *Sender) request(total Bytes) (*waiter, error) {
-	b := s.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n, large := total-s.body, total > SmallBody
-	switch {
-	case n <= 0:
-		return nil, nil
-	case !b.register(s):
-		return nil, ErrNoRoom
-	case !large && !b.ensure(n) || large && len(b.waiting) >= maxWaiting:
-		b.refused(CauseMemory)
-		return nil, ErrNoRoom
-	case large && (len(b.waiting) > 0 || !b.fits(n, true)):
-		w := &waiter{sender: s, total: total, ready: make(chan struct{})}
-		b.waiting = append(b.waiting, w)
-		s.enter(phaseWaiting)
-		return w, nil
-	}
-	b.grant(s, total)
-	return nil, nil
-}
-
-// withdraw ends the wait of a body. It may have been granted room in the meantime.
-func (b *Budget) withdraw(w *waiter) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	i := slices.Index(b.waiting, w)
-	if i < 0 {
-		return nil
-	}
-	b.waiting = slices.Delete(b.waiting, i, i+1)
-	w.sender.enter(phaseBody)
-	b.refused(CauseMemory)
-	b.admitWaiting()
-	return ErrNoRoom
-}
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -108,10 +108,6 @@
 	return l
 }
 
-// ResponseLimitsOf returns the limits of the responses of endpoints, and of those of the
-// platform and of other nodes.
-func ResponseLimitsOf(memory Bytes) Limits { return Limits{Memory: memory / responsePart} }
-
 // HeadLimits bound the head of a request and the time between requests.
 type HeadLimits struct {
 	MaxBytes                 Bytes
--- a/pkg/intake/progress.go
+++ b/pkg/intake/progress.go
@@ -26,10 +26,14 @@
 
 // overdue reports whether the time of the current body is over.
 func (s *Sender) overdue(now clock.Instant) bool {
-	if s.due > 0 {
+	switch {
+	case s.response:
+		return false
+	case s.due > 0:
 		return now > s.due
+	default:
+		return now.Sub(s.sample.since) > bodyTimeout
 	}
-	return now.Sub(s.sample.since) > bodyTimeout
 }
 
 // stalled reports whether nothing has arrived for stallTime.
--- a/pkg/intake/response_test.go
+++ b/pkg/intake/response_test.go
@@ -15,7 +15,7 @@
 // attach opens the account of a response whose body has room for n bytes, or waits for it.
 func attach(b *Budget, n Bytes) (s *Sender, w *waiter) {
 	s = &Sender{}
-	b.Attach(s, start.Add(time.Hour))
+	b.Attach(s)
 	s.HeadComplete()
 	w, err := s.request(n)
 	Expect(err).NotTo(HaveOccurred())
@@ -27,7 +27,7 @@
 		b := &Budget{Limits: ResponseLimitsOf(144 * mib)}
 		Expect(b.Limits).To(Equal(Limits{Memory: 18 * mib}))
 		var s Sender
-		b.Attach(&s, start.Add(time.Hour))
+		b.Attach(&s)
 		Expect(s.ArrivedInHead([]byte("HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n"), mib)).To(BeEmpty())
 		s.HeadComplete()
 		Expect(s.Reserve(context.Background(), 800)).To(Succeed())
@@ -44,7 +44,7 @@
 	It("charges the lines of a head beside their text", func() {
 		b := &Budget{Limits: Limits{Memory: 256 << 10}}
 		var s Sender
-		b.Attach(&s, start.Add(time.Hour))
+		b.Attach(&s)
 		Expect(s.ArrivedInHead([]byte(strings.Repeat("a:\r\n", 1000)), mib)).To(BeEmpty())
 		held, _ := b.Held()
 		Expect(held).To(BeNumerically(">", 100<<10))
@@ -89,7 +89,7 @@
 		for _, limit := range []Bytes{mib, 4 * mib, 8 * mib, 16 * mib} {
 			var s Sender
 			b := &Budget{}
-			b.Attach(&s, start.Add(time.Hour))
+			b.Attach(&s)
 			s.HeadComplete()
 			r := &BodyReader{Sender: &s, Limit: limit}
 			for size, next := Bytes(0), Bytes(0); size <= limit; size = next {
--- a/pkg/platform/call.go
+++ b/pkg/platform/call.go
@@ -4,14 +4,12 @@
 	"bytes"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/skylarkloom/skylarkloom/pkg/clock"
 	"github.com/skylarkloom/skylarkloom/pkg/intake"
 )
 
@@ -65,11 +63,7 @@
 	if budget != nil {
 		// A read from a body that was closed fails.
 		sender := &intake.Sender{Stop: func(bool) { _ = res.Body.Close() }}
-		due := clock.Instant(math.MaxInt64)
-		if deadline, ok := ctx.Deadline(); ok {
-			due = clock.Now().Add(time.Until(deadline))
-		}
-		budget.Attach(sender, due)
+		budget.Attach(sender)
 		sender.HeadComplete()
 		r.Sender, r.Source = sender, countingReader{res.Body, sender}
 		release = func() { budget.Leave(sender) }
