endpoint: the limit of results stands in the shared call

Found in a last reading: put the limit into a copy of the call beside the shared one, for the two reports. It is in callFenced now, for every result; exported KV caches, which have any length, are the exception and say so.

--- a/pkg/endpoint/engine.go
+++ b/pkg/endpoint/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -23,13 +24,13 @@
 	initialFrameBytes = 1 << 10
 	maxFrameBytes     = 1 << 20
 	maxFailureBytes   = 64 << 10
-	// maxReportBytes limits a load report and a list of cache events. Engines are asked for
-	// them again and again.
-	maxReportBytes = 8 << 20
+	maxResultBytes    = 8 << 20
+	// noLimit is for exported KV caches, which have any length.
+	noLimit = math.MaxInt64 - 1
 )
 
-// errReportTooLong reports a report that exceeds maxReportBytes.
-var errReportTooLong = errors.New("report of the engine exceeds the size limit")
+// errResultTooLong reports a result that exceeds its limit.
+var errResultTooLong = errors.New("result exceeds the size limit")
 
 // Engine is the client of one model engine.
 type Engine struct {
@@ -60,22 +61,22 @@
 			return c.call(ctx, http.MethodDelete, engine.GeneratePath+"/"+url.PathEscape(string(id)), nil, nil)
 		},
 		LoadFunc: func(ctx context.Context) (l engine.Load, err error) {
-			err = c.report(ctx, engine.LoadPath, &l)
+			err = c.call(ctx, http.MethodGet, engine.LoadPath, nil, &l)
 			return l, err
 		},
 		EventsFunc: func(ctx context.Context, from uint64) (events []engine.CacheEvent, err error) {
-			err = c.report(ctx, engine.EventsPath+"?from="+strconv.FormatUint(from, 10), &events)
+			err = c.call(ctx, http.MethodGet, engine.EventsPath+"?from="+strconv.FormatUint(from, 10), nil, &events)
 			return events, err
 		},
 		ExportFunc: func(ctx context.Context, e engine.ExportRequest) (cache engine.KVCache, err error) {
-			err = c.call(ctx, http.MethodPost, engine.ExportPath, e, &cache)
+			err = c.callFenced(ctx, http.MethodPost, engine.ExportPath, 0, e, &cache, noLimit)
 			return cache, err
 		},
 		ImportFunc: func(ctx context.Context, cache engine.KVCache) error {
 			return c.call(ctx, http.MethodPost, engine.ImportPath, cache, nil)
 		},
 		CommandFunc: func(ctx context.Context, cmd engine.Command) error {
-			return c.callFenced(ctx, http.MethodPost, engine.CommandPath, cmd.Fence, cmd, nil)
+			return c.callFenced(ctx, http.MethodPost, engine.CommandPath, cmd.Fence, cmd, nil, maxResultBytes)
 		},
 	}
 }
@@ -126,11 +127,12 @@
 }
 
 func (c *engineClient) call(ctx context.Context, method, path string, body, result any) error {
-	return c.callFenced(ctx, method, path, 0, body, result)
+	return c.callFenced(ctx, method, path, 0, body, result, maxResultBytes)
 }
 
-// callFenced makes a call with a fencing number, or without one if it is 0.
-func (c *engineClient) callFenced(ctx context.Context, method, path string, fence fleet.Fence, body, result any) (err error) {
+// callFenced makes a call with a fencing number, or without one if it is 0. It reads a result
+// of limit bytes at most.
+func (c *engineClient) callFenced(ctx context.Context, method, path string, fence fleet.Fence, body, result any, limit int64) (err error) {
 	res, err := c.do(ctx, method, path, fence, body)
 	if err != nil {
 		return err
@@ -139,20 +141,10 @@
 	if result == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(res.Body).Decode(result), "decode response of engine")
-}
-
-// report reads a report of the engine.
-func (c *engineClient) report(ctx context.Context, path string, result any) (err error) {
-	res, err := c.do(ctx, http.MethodGet, path, 0, nil)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, res.Body.Close()) }()
-	body := &io.LimitedReader{R: res.Body, N: maxReportBytes + 1}
-	err = json.NewDecoder(body).Decode(result)
-	if body.N <= 0 {
-		err = errReportTooLong
+	limited := &io.LimitedReader{R: res.Body, N: limit + 1}
+	err = json.NewDecoder(limited).Decode(result)
+	if limited.N <= 0 {
+		err = errResultTooLong
 	}
 	return errors.Wrap(err, "decode response of engine")
 }
