--- a/pkg/gateway/pauses_test.go
+++ b/pkg/gateway/pauses_test.go
@@ -128,10 +128,14 @@
 
 var _ = ginkgo.DescribeTable("A connection on which an endpoint asked for a pause is not mixed up afterwards", func(repeats int) {
 	var pausedUntil atomic.Pointer[time.Time]
-	var inPause atomic.Int64
+	// inPause holds the requests that arrived in the pause, as 'number: attempt ID, head'.
+	var inPause []string
+	var mu sync.Mutex
 	e := &rawEndpoint{respond: func(w io.Writer, r *http.Request, request, _ int64) bool {
 		if until := pausedUntil.Load(); until != nil && time.Now().Before(*until) {
-			inPause.Add(1)
+			mu.Lock()
+			inPause = append(inPause, fmt.Sprintf("%d: %s, %s %s %v", request, attemptID(r), r.Method, r.URL, r.Header))
+			mu.Unlock()
 		}
 		if request != 2 {
 			write(w, answer(r, "done "+attemptID(r)))
@@ -152,7 +156,9 @@
 	}
 	time.Sleep(time.Until(*pausedUntil.Load()) + 50*time.Millisecond)
 	Expect(call(node, "/book/1", "r3").body).To(Equal("done r3"))
-	Expect(inPause.Load()).To(BeZero())
+	mu.Lock()
+	defer mu.Unlock()
+	Expect(inPause).To(BeEmpty())
 },
 	ginkgo.Entry("when it is reused", 0),
 	ginkgo.Entry("when it is reused and the endpoint repeats its refusal", 1),
