--- a/pkg/intake/holding.go
+++ b/pkg/intake/holding.go
@@ -11,7 +11,7 @@
 
 // Add holds n more bytes until Release. The error is ErrNoRoom if there is no room for them.
 func (h *Holding) Add(n Bytes) error {
-	if h.Budget == nil {
+	if h.Budget == nil || n <= 0 {
 		return nil
 	}
 	if h.sender == nil {
