peer: the test's network loses what is under way when a partition begins

A request that was under way arrived, was answered with what was reported meanwhile, and the answer arrived too. A partition lets neither through; the product is not at fault. Replaced with one that is stricter: each message is looked at when it arrives, so the network loses more than before; bounds and times of the specs are as they were.

--- a/pkg/peer/network_test.go
+++ b/pkg/peer/network_test.go
@@ -139,21 +139,40 @@
 	if w.observe != nil {
 		w.observe(from, p, r)
 	}
-	unreachable := to == nil || to.cancel == nil || (w.partitioned != nil && w.partitioned(from, to))
+	unreachable := to == nil || to.cancel == nil || w.separates(from, to)
 	w.mu.Unlock()
 	if unreachable || lost {
 		<-ctx.Done()
 		return nil, errPartitioned
 	}
 	from.addSentBytes(r)
-	time.Sleep(hopLatency)
+	if err := w.hop(ctx, from, to); err != nil {
+		return nil, err
+	}
 	response, err := to.HandleExchange(ctx, proto.CloneOf(r))
 	if err != nil {
 		return nil, err
 	}
 	to.addSentBytes(response)
+	return proto.CloneOf(response), w.hop(ctx, from, to)
+}
+
+// separates reports whether calls from one node to another are cut. The caller holds the lock.
+func (w *network) separates(from, to *node) bool {
+	return w.partitioned != nil && w.partitioned(from, to)
+}
+
+// hop takes the time of a message of a call. The message is lost if a partition has begun.
+func (w *network) hop(ctx context.Context, from, to *node) error {
 	time.Sleep(hopLatency)
-	return proto.CloneOf(response), nil
+	w.mu.Lock()
+	lost := w.separates(from, to)
+	w.mu.Unlock()
+	if !lost {
+		return nil
+	}
+	<-ctx.Done()
+	return errPartitioned
 }
 
 func (n *node) addSentBytes(m proto.Message) {
--- a/pkg/peer/partition_test.go
+++ b/pkg/peer/partition_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	peerv1 "github.com/skylarkloom/skylarkloom/pkg/api/peer/v1"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 	"github.com/skylarkloom/skylarkloom/pkg/peer"
 )
@@ -50,6 +51,31 @@
 		})
 	})
 
+	// Seen once in CI as a failure of the spec above: the test's network let calls end that were
+	// under way when a partition began, so isolated nodes heard of what was reported after that.
+	It("hears nothing in a call that is under way when the partition begins", func() {
+		runNetwork(9, 3, 0, func(g Gomega, w *network) {
+			time.Sleep(15 * time.Second)
+			isolated := inDataCentre(dataCentreName(0))
+			underWay := make(chan *node, 1)
+			w.mu.Lock()
+			w.observe = func(from *node, p peer.Peer, _ *peerv1.ExchangeRequest) {
+				if to := w.nodes[p.Name]; isolated(from) && !isolated(to) {
+					select {
+					case underWay <- to:
+					default:
+					}
+				}
+			}
+			w.mu.Unlock()
+			to := <-underWay
+			w.setPartition(func(from, to *node) bool { return isolated(from) != isolated(to) })
+			to.reportCondition(leavingReport("outside"))
+			time.Sleep(30 * time.Second)
+			g.Expect(w.nodesWithoutCondition(leavingReport("outside").Instance, isolated)).To(HaveLen(3))
+		})
+	})
+
 	It("has its nodes considered dead only after SilentTimeout", func() {
 		runNetwork(6, 2, 0, func(g Gomega, w *network) {
 			time.Sleep(15 * time.Second)
