--- a/pkg/intake/response_test.go
+++ b/pkg/intake/response_test.go
@@ -122,3 +122,18 @@
 		Entry("the longest", int(longest)), Entry("too long", int(longest)+1),
 	)
 })
+
+var _ = Describe("A holding", func() {
+	It("needs no room for nothing, has none beyond the budget, and returns all that it held", func() {
+		budget := &Budget{Limits: Limits{Memory: 100 << 10}}
+		held := Holding{Budget: budget}
+		Expect(held.Add(60 << 10)).To(Succeed())
+		Expect(held.Add(50 << 10)).To(MatchError(ErrNoRoom))
+		Expect(held.Add(40 << 10)).To(Succeed())
+		Expect(held.Add(0)).To(Succeed())
+		held.Release()
+		total, _ := budget.Held()
+		Expect(total).To(BeZero())
+		Expect(held.Add(100 << 10)).To(Succeed())
+	})
+})
