review: planned restarts are enough to forget a request that crashes workers

Case 6 now stops and starts the nodes in turn, twice, instead of killing them: each node reports a crash to the others for 10 s only (quarantine.reportTime), so a rolling restart loses it.

--- a/review/rig2/budget.go
+++ b/review/rig2/budget.go
@@ -23,6 +23,8 @@
 	budgetWindow = 10 * time.Second
 	budgetRatio  = 0.2
 	budgetSlack  = 54
+	// variantFailures leaves out the kill.
+	variantFailures = "failures"
 )
 
 // budgetLog holds when requests were sent by clients, and when they arrived at workers again.
@@ -46,7 +48,7 @@
 	}
 	var group errgroup.Group
 	group.Go(func() error {
-		if !trouble || f.onlyFailures {
+		if !trouble || f.variant == variantFailures {
 			return nil
 		}
 		time.Sleep(time.Until(begun.Add(budgetKill)))
--- a/review/rig2/deadly.go
+++ b/review/rig2/deadly.go
@@ -14,12 +14,17 @@
 	deadlyPause = 3600 * time.Millisecond
 	// deadlyCount is how often the request comes at most.
 	deadlyCount = 9
-	// perLife is how many of them come between two kills of all nodes, killCount how often
-	// these are killed.
-	perLife, killCount = 2, 2
+	// perLife is how many of them come between two starts of all nodes, endCount how often
+	// these end.
+	perLife, endCount = 2, 2
 	// maxRetries is how many retries may reach workers later than contactMs after the third
 	// crash.
 	maxRetries = 3
+	// rollDelay is the time between a request and the stop of the nodes.
+	rollDelay = 11 * time.Second
+	// variantKill kills the processes of all nodes at the same moment instead of stopping
+	// them in turn.
+	variantKill = "kill"
 	// lookupPause is the pause between two ordinary requests to a node.
 	lookupPause = 100 * time.Millisecond
 )
@@ -30,8 +35,8 @@
 }
 
 // runDeadly sends a request that crashes the workers that run it again and again, at all
-// nodes in turn, beside ordinary ones. The disruption is that the processes of all nodes are
-// killed at the same moment, twice.
+// nodes in turn, beside ordinary ones. The disruption is that the nodes are stopped and started
+// in turn, twice; or that the processes of all nodes are killed at the same moment, twice.
 func runDeadly(f *fleet, trouble bool) (broken bool, err error) {
 	done := make(chan struct{})
 	var group errgroup.Group
@@ -73,16 +78,16 @@
 // in touch for contactMs.
 func (f *fleet) sendDeadly(trouble bool) error {
 	time.Sleep(contact)
-	kills := 0
+	ends := 0
 	for i := range deadlyCount {
 		n := f.nodes[i%len(f.nodes)]
 		id := fmt.Sprintf("dead%012x", i+1)
 		a := exchange(n.address, order(id), 2500*time.Millisecond)
 		f.record.printf("%s answered %s with status %d, error %v", n.name, id, a.status, a.err)
 		time.Sleep(deadlyPause)
-		if trouble && (i+1)%perLife == 0 && kills < killCount {
-			kills++
-			if err := f.killAll(); err != nil {
+		if trouble && (i+1)%perLife == 0 && ends < endCount {
+			ends++
+			if err := f.endAll(); err != nil {
 				return err
 			}
 			time.Sleep(contact + 500*time.Millisecond)
@@ -90,3 +95,12 @@
 	}
 	return nil
 }
+
+// endAll ends and starts all nodes, by the variant of the case.
+func (f *fleet) endAll() error {
+	if f.variant == variantKill {
+		return f.killAll()
+	}
+	time.Sleep(rollDelay - deadlyPause)
+	return f.rollAll()
+}
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -92,8 +92,8 @@
 	workers []*worker
 	nodes   []*node
 	servers []*http.Server
-	// onlyFailures leaves out the kill of a case with two disruptions.
-	onlyFailures bool
+	// variant is the value of TROUBLE, by which some cases choose between disruptions.
+	variant string
 	// firstPort is the first of the ports of each node, which have an address each.
 	firstPort int
 	ended     context.Context //nolint:containedctx // It ends with the fleet.
@@ -250,27 +250,52 @@
 			return err
 		}
 	}
+	f.record.printf("the processes of all nodes were killed")
 	for _, n := range f.nodes {
 		<-n.exited
-		// The settings file says that the deployment does not start for the first time.
-		text, err := os.ReadFile(n.settings)
-		if err == nil {
-			err = os.WriteFile(n.settings, bytes.Replace(text, []byte("bootstrap: true"), []byte("bootstrap: false"), 1), 0o600)
-		}
-		if err != nil {
-			return err
-		}
 	}
-	f.record.printf("the processes of all nodes were killed")
 	time.Sleep(restartDelay)
 	for _, n := range f.nodes {
-		if err := f.start(n); err != nil {
+		if err := f.restart(n); err != nil {
 			return err
 		}
 	}
 	return f.awaitReady()
 }
 
+// rollAll stops and starts the nodes in turn, as planned work does. It returns once they are
+// ready.
+func (f *fleet) rollAll() error {
+	for _, n := range f.nodes {
+		if err := n.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		<-n.exited
+		f.record.printf("%s was stopped", n.name)
+		time.Sleep(restartDelay)
+		if err := f.restart(n); err != nil {
+			return err
+		}
+		if err := f.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restart starts a node again. Its settings then say that the deployment does not start for
+// the first time.
+func (f *fleet) restart(n *node) error {
+	text, err := os.ReadFile(n.settings)
+	if err == nil {
+		err = os.WriteFile(n.settings, bytes.Replace(text, []byte("bootstrap: true"), []byte("bootstrap: false"), 1), 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	return f.start(n)
+}
+
 // isRunning reports whether the process of a node has not ended.
 func (n *node) isRunning() bool {
 	select {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -43,7 +43,7 @@
 	r.printf("case %s, with the disruption: %t", args[0], trouble)
 	f, err := newFleet(r)
 	defer f.close()
-	f.onlyFailures = os.Getenv(troubleName) == "failures"
+	f.variant = os.Getenv(troubleName)
 	broken := false
 	if err == nil {
 		broken, err = cases[args[0]](f, trouble)
