--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +17,8 @@
 const (
 	// workerCount is the number of workers of the service.
 	workerCount = 6
+	// crashDelay is how long a worker runs a request that crashes it.
+	crashDelay = 20 * time.Millisecond
 	// workTime is how long a worker works on a request.
 	workTime = 30 * time.Millisecond
 	// crashTime is how long after a crash a worker is back.
@@ -37,6 +41,8 @@
 	server   *http.Server
 	runs     int
 	crashes  []crash
+	// running holds the requests of other callers that the worker works on.
+	running map[string]bool
 	// onArrival is called for each request, and reports whether the worker fails it.
 	onArrival func(request string) (fails bool)
 }
@@ -48,10 +54,14 @@
 	w.onArrival = onArrival
 }
 
-// crash is a request that crashed a worker.
+// crash is a request that crashed a worker. ended is not set if another one did so while
+// this one ran.
 type crash struct {
 	request string
 	at      time.Time
+	ended   bool
+	// running are the requests of others that the worker was at work on.
+	running []string
 }
 
 // addWorker starts a worker and registers it.
@@ -126,7 +136,7 @@
 }
 
 // stop ends the incarnation of the worker.
-func (w *worker) stop() (id string) {
+func (w *worker) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.server != nil {
@@ -134,15 +144,23 @@
 		_ = w.server.Close()
 		w.server = nil
 	}
-	return w.id
 }
 
 // crash ends the worker because of a request, and starts it again.
 func (w *worker) crash(request string) {
-	id := w.stop()
+	c := crash{request: request, at: time.Now()}
 	w.mu.Lock()
-	w.crashes = append(w.crashes, crash{request: request, at: time.Now()})
+	id := w.id
+	if c.ended = w.server != nil; c.ended {
+		c.running = slices.Sorted(maps.Keys(w.running))
+	}
+	w.crashes = append(w.crashes, c)
 	w.mu.Unlock()
+	if !c.ended {
+		w.fleet.record.printf("worker %s had begun to run %s, too, when it crashed", id, request)
+		return
+	}
+	w.stop()
 	w.fleet.record.printf("worker %s began to run %s and crashed", id, request)
 	w.fleet.group.Go(func() error {
 		if !w.fleet.sleep(crashTime) {
@@ -208,22 +226,43 @@
 		return
 	}
 	if strings.Contains(r.URL.Path, deadlyPath) {
+		time.Sleep(crashDelay)
 		w.crash(request)
 		panic(http.ErrAbortHandler)
 	}
-	if !w.work(r.Context()) {
+	duration := workTime
+	if strings.Contains(r.URL.Path, othersPath) {
+		duration = othersWork
+		w.setRunning(request, true)
+		defer w.setRunning(request, false)
+	}
+	if !work(r.Context(), duration) {
 		panic(http.ErrAbortHandler)
 	}
 	out.Header().Set("Skylarkloom-Response-Seal", "seal-"+id+"-"+request)
 	_, _ = io.WriteString(out, "answer to "+request)
 }
 
+// setRunning records that the worker begins or ends to work on a request of another caller.
+func (w *worker) setRunning(request string, running bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !running {
+		delete(w.running, request)
+		return
+	}
+	if w.running == nil {
+		w.running = make(map[string]bool)
+	}
+	w.running[request] = true
+}
+
 // work works on a request. It reports false if its connection closed.
-func (w *worker) work(ctx context.Context) bool {
+func work(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(workTime):
+	case <-time.After(d):
 		return true
 	}
 }
