--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"budget":  runBudget,
+	"copies":  runCopies,
 	"crowd":   runCrowd,
 	"deadly":  runDeadly,
 	"options": runOptions,
