--- a/review/rig2/budget.go
+++ b/review/rig2/budget.go
@@ -12,13 +12,14 @@
 
 const (
 	// budgetRate is how many safe requests a second the clients send.
-	budgetRate = 60
-	// failShare is the part of their requests that the workers fail between failFrom and
-	// failUntil.
-	failShare           = 0.45
-	failFrom, failUntil = 12 * time.Second, 25 * time.Second
-	// budgetKill is when all processes are killed, budgetTime when the case ends.
-	budgetKill, budgetTime = 17 * time.Second, 27 * time.Second
+	budgetRate = 100
+	// failShare is the part of their requests that the workers fail, for failTime from each of
+	// failStarts on.
+	failShare = 0.45
+	failTime  = 4 * time.Second
+	// budgetKill is when all processes are killed, between the two, and budgetTime when the
+	// case ends.
+	budgetKill, budgetTime = 16 * time.Second, 25 * time.Second
 	// budgetWindow, budgetRatio and budgetSlack are those of the settings.
 	budgetWindow = 10 * time.Second
 	budgetRatio  = 0.2
@@ -27,6 +28,14 @@
 	variantFailures = "failures"
 )
 
+// failStarts are when the workers begin to fail requests.
+var failStarts = []time.Duration{12 * time.Second, 17 * time.Second}
+
+// failsAt reports whether the workers fail requests at a time.
+func failsAt(since time.Duration) bool {
+	return slices.ContainsFunc(failStarts, func(start time.Duration) bool { return since >= start && since < start+failTime })
+}
+
 // budgetLog holds when requests were sent by clients, and when they arrived at workers again.
 type budgetLog struct {
 	mu       sync.Mutex
@@ -42,8 +51,7 @@
 	begun := time.Now()
 	for _, w := range f.workers {
 		w.setArrival(func(request string) (fails bool) {
-			since := time.Since(begun)
-			return l.arrive(request) && trouble && since > failFrom && since < failUntil
+			return l.arrive(request) && trouble && failsAt(time.Since(begun))
 		})
 	}
 	var group errgroup.Group
--- a/review/rig2/deadly.go
+++ b/review/rig2/deadly.go
@@ -148,6 +148,9 @@
 		id := fmt.Sprintf("dead%012x", i+1)
 		a := exchange(n.address, order(id), 2500*time.Millisecond)
 		f.record.printf("%s answered %s with status %d, error %v", n.name, id, a.status, a.err)
+		if i+1 == deadlyCount {
+			break
+		}
 		time.Sleep(deadlyPause)
 		if trouble && (i+1)%perLife == 0 && ends < endCount {
 			ends++
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -63,7 +63,7 @@
 cloud: {address: "%[7]s", ratePerS: 50.0, duties: [usage], dutyPerS: 50.0}
 `
 
-// config is the operator's configuration: a safe route and one for streams.
+// config is the operator's configuration: a safe route and an unsafe one.
 var config = map[string]any{
 	"version": 7,
 	"routes": []any{
@@ -98,7 +98,9 @@
 	firstPort int
 	ended     context.Context //nolint:containedctx // It ends with the fleet.
 	end       context.CancelFunc
-	group     errgroup.Group
+	// keepRunning keeps the program from ending with the fleet.
+	keepRunning func() bool
+	group       errgroup.Group
 }
 
 // node is a process of the system.
@@ -114,6 +116,7 @@
 func newFleet(r *record) (f *fleet, err error) {
 	f = &fleet{record: r}
 	f.ended, f.end = signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	f.keepRunning = context.AfterFunc(f.ended, f.exit)
 	if f.dir, err = os.MkdirTemp("", "rig2-"); err != nil {
 		return f, err
 	}
@@ -229,6 +232,8 @@
 	cmd, exited := exec.CommandContext(f.ended, program, role), make(chan struct{})
 	cmd.Env = append(os.Environ(), "SKYLARKLOOM_SETTINGS="+n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
+	// A node ends with this program, also if that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return errors.Join(err, log.Close())
 	}
@@ -337,8 +342,21 @@
 	return errors.New("the nodes are not ready")
 }
 
+// exit ends the program once a signal has ended the processes of the fleet.
+func (f *fleet) exit() {
+	for _, n := range f.nodes {
+		<-n.exited
+	}
+	f.record.printf("the case was ended by a signal")
+	if err := os.RemoveAll(f.dir); err != nil {
+		f.record.printf("at the end: %v", err)
+	}
+	os.Exit(exitNotRun)
+}
+
 // close ends all processes and servers of the fleet.
 func (f *fleet) close() {
+	f.keepRunning()
 	f.end()
 	for _, n := range f.nodes {
 		if n.isRunning() {
