quarantine, front: what a node knows of crashes outlives it

Cause: crashes before a quarantine were in the memory of the nodes and, for 10 s, in digests. Related, same cause: probation after a quarantine was not loaded; a node cut off for 10 s never heard of the crashes meanwhile; crashes more than a minute apart were forgotten before they added up; what cleared a suspect was in a cache that other requests push out of it.

Nodes load the records at their start, in the read that they made for quarantines, and fetch what a peer knows when they meet it anew. Contents in use are not written, and a record is removed once its content is served. A crash counts against a content for 30 minutes, unless that was served since or has led to a quarantine already.

The spec of the quarantine in the store counted all records of the topic; it now counts those of quarantines, which are told by their keys.

--- a/pkg/event/serve.go
+++ b/pkg/event/serve.go
@@ -37,6 +37,7 @@
 	EndpointLeaving
 	EndpointPaused
 	PauseInvalid
+	CrashesLoaded
 )
 
 var serveEvents = []Definition{
@@ -72,5 +73,6 @@
 	{EndpointLeaving, SubsystemRoute, zapcore.InfoLevel, "endpoint announced that it leaves", "A response of the endpoint says that it leaves; it receives no further requests, whatever its entry says.", "None."},
 	{EndpointPaused, SubsystemRoute, zapcore.InfoLevel, "endpoint asked for a pause", "The endpoint refused a request and wants none of this node for the time in the field pause; it receives none meanwhile.", "If all endpoints of a pool do so, request more."},
 	{PauseInvalid, SubsystemRoute, zapcore.WarnLevel, "pause cannot be used", "An endpoint refused a request with a Retry-After that is no number of seconds, or a negative one; it is ignored.", "Correct the endpoint."},
+	{CrashesLoaded, SubsystemSuspect, zapcore.InfoLevel, "crashes loaded", "The node learned from the store or from another node which requests may have crashed endpoints before it started, or while it was cut off; the fields suspicions and quarantines count them.", "None."},
 	{ContentRefused, SubsystemSuspect, zapcore.WarnLevel, "content refused", "A content, or a prefix block of prompts, crashed several endpoints and is refused.", "Find the callers by the subject in events 2229, and ask them for the content."},
 }
--- a/pkg/front/deadly_block_test.go
+++ b/pkg/front/deadly_block_test.go
@@ -1,7 +1,6 @@
 package front_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -14,14 +13,14 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/skylarkloom/skylarkloom/platform"
 	"github.com/skylarkloom/skylarkloom/platform/standin"
 )
 
-// crashingEngines are engines that crash when they begin to answer a prompt with a
-// deadly block: all their connections break, and new ones are refused.
+// crashingEngines are endpoints that crash when they begin to answer a request: all their
+// connections break, and new ones are refused.
 type crashingEngines struct {
-	deadly string
+	pool     string
+	isDeadly func(*http.Request) bool
 
 	mu       sync.Mutex
 	group    errgroup.Group
@@ -34,7 +33,7 @@
 	var server *httptest.Server
 	var crashed sync.Once
 	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.Header.Get("Skylarkloom-Prompt-Prefix"), c.deadly+":") {
+		if !c.isDeadly(r) {
 			engine.ServeHTTP(w, r)
 			return
 		}
@@ -60,7 +59,19 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	d.register("engine", id, strings.TrimPrefix(server.URL, "http://"), "ready")
+	d.register(c.pool, id, strings.TrimPrefix(server.URL, "http://"), "ready")
+}
+
+// hasDeadBlock reports whether a prompt has the prefix block "dead".
+func hasDeadBlock(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Skylarkloom-Prompt-Prefix"), "dead:")
+}
+
+// count counts the deadly requests that arrived.
+func (c *crashingEngines) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.arrivals)
 }
 
 // lateArrivals counts the deadly requests that arrived later than grace after the
@@ -87,7 +98,7 @@
 		// The bounds of the users' rule.
 		const grace, maxLate = 3 * time.Second, 3
 		d := newDeployment()
-		engines := &crashingEngines{deadly: "dead"}
+		engines := &crashingEngines{pool: "engine", isDeadly: hasDeadBlock}
 		for i := range 40 {
 			engines.start(d, fmt.Sprintf("e%d", i))
 		}
@@ -144,7 +155,7 @@
 var _ = Describe("A prefix block that crashed engines before all nodes were replaced", func() {
 	It("is refused by the new nodes", func() {
 		d := newDeployment()
-		engines := &crashingEngines{deadly: "dead"}
+		engines := &crashingEngines{pool: "engine", isDeadly: hasDeadBlock}
 		for i := range 20 {
 			engines.start(d, fmt.Sprintf("e%d", i))
 		}
@@ -160,11 +171,7 @@
 			ids++
 			return send(first, ids).status
 		}, eventuallyTimeout, "300ms").Should(Equal(http.StatusServiceUnavailable))
-		Eventually(func() []platform.Record {
-			batch, err := platform.NewStore(d.storeAddress).Newest(context.Background(), "keyed.quarantine")
-			Expect(err).NotTo(HaveOccurred())
-			return batch.Records
-		}, eventuallyTimeout).Should(HaveLen(1))
+		Eventually(func() []string { return storedKeys(d, false) }, eventuallyTimeout).Should(HaveLen(1))
 		// The nodes do not find each other, as if the first one were gone.
 		isolated := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Query().Get("topic") == "keyed.nodes" {
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -134,8 +134,13 @@
 	usageCounter usage.Counter
 	quarantine   quarantine.Tracker
 	crashes      quarantine.Detector
-	demand       provision.DemandMeter
-	engines      provision.EngineModel
+	// unstored wakes storeCrashes.
+	unstored chan struct{}
+	// repliesMu guards replies, the last reply of each peer.
+	repliesMu sync.Mutex
+	replies   map[fleet.NodeName]peerReply
+	demand    provision.DemandMeter
+	engines   provision.EngineModel
 	// dutyMu guards lastPlans, initialCounts, reported, trends and holds.
 	dutyMu        sync.Mutex
 	lastPlans     map[fleet.PoolName][]provision.Target
@@ -189,6 +194,8 @@
 	f.directory.OnChange = f.logEndpointChange
 	f.peers.OnLivenessChange = f.logPeerLiveness
 	f.quarantine.OnQuarantined = func(q quarantine.Quarantine, found bool) { f.handleQuarantined(ctx, q, found) }
+	f.unstored = make(chan struct{}, 1)
+	f.quarantine.OnUnstored = f.noteUnstored
 	f.crashes.Probe, f.crashes.OnCrash = f.connections.Probe, f.recordCrash
 	f.crashes.Go = func(fn func(context.Context)) {
 		f.group.Go(func() error {
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -76,6 +76,7 @@
 			f.goWithDone(func() { f.announce(ctx) }),
 			f.goWithDone(func() { f.followNodes(ctx) }),
 			f.goWithDone(func() { f.loadQuarantines(ctx) }),
+			f.goWithDone(func() { f.storeCrashes(ctx) }),
 		}
 		f.group.Go(func() error {
 			defer close(done)
@@ -252,6 +253,7 @@
 // expireGossipState removes expired crashes and usage counts and updates the demand.
 func (f *Front) expireGossipState() {
 	f.quarantine.Expire(clock.Now())
+	f.expireReplies(clock.Now())
 	f.demand.Update(clock.Now())
 	if w := f.Settings.Bounds.UsageWindow; w > 0 {
 		f.usageCounter.Expire(usage.WindowAt(f.correctedTime(), w) - 2*reportedWindows)
--- a/pkg/front/quarantine.go
+++ b/pkg/front/quarantine.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,8 +38,6 @@
 	f.Logs.Emit(event.EndpointCrashed, zap.String("endpoint", string(e.ID)), zap.Strings("subjects", texts))
 }
 
-func formatSubject(s quarantine.Subject) string { return fmt.Sprintf("%016x", uint64(s)) }
-
 // handleQuarantined logs a new quarantine. If this node found it, it writes it to the
 // store in the background.
 func (f *Front) handleQuarantined(ctx context.Context, q quarantine.Quarantine, found bool) {
@@ -79,8 +75,8 @@
 	})
 }
 
-// loadQuarantines applies the quarantines in the store, which include those that nodes
-// found which are gone. Later ones are in the digests of the nodes.
+// loadQuarantines applies the quarantines and the crashes in the store, which include those
+// that nodes found which are gone. Later ones are in the digests of the nodes.
 func (f *Front) loadQuarantines(ctx context.Context) {
 	retryStoreCall(ctx, func(ctx context.Context) error {
 		batch, err := f.store.Newest(ctx, platform.TopicQuarantine)
@@ -97,18 +93,24 @@
 		if r.Value == nil {
 			continue
 		}
-		subject, err := strconv.ParseUint(r.Key, 16, 64)
-		var record quarantineRecord
-		if err == nil {
-			err = json.Unmarshal(r.Value, &record)
+		key, err := parseStoreKey(r.Key)
+		switch {
+		case err != nil:
+		case key.Suspicion != 0:
+			var record crashRecord
+			if err = json.Unmarshal(r.Value, &record); err == nil {
+				report.Suspicions = append(report.Suspicions, record.suspicion(key, f.correctedTime()))
+			}
+		default:
+			var record quarantineRecord
+			if err = json.Unmarshal(r.Value, &record); err == nil {
+				report.Quarantines = append(report.Quarantines, quarantine.Quarantine{Subject: key.Subject, Remaining: record.Until.Sub(f.correctedTime()), Count: record.Count})
+			}
 		}
 		if err != nil {
 			f.Logs.Emit(event.StoreEntryInvalid, zap.String("key", r.Key), zap.Error(err))
-			continue
-		}
-		if remaining := record.Until.Sub(f.correctedTime()); remaining > 0 {
-			report.Quarantines = append(report.Quarantines, quarantine.Quarantine{Subject: quarantine.Subject(subject), Remaining: remaining, Count: record.Count})
 		}
 	}
-	f.quarantine.Merge(report, clock.Now())
+	f.quarantine.Load(report, f.nodes().Total, clock.Now())
+	f.Logs.Emit(event.CrashesLoaded, zap.String("from", "store"), zap.Int("suspicions", len(report.Suspicions)), zap.Int("quarantines", len(report.Quarantines)))
 }
--- a/pkg/front/suite_test.go
+++ b/pkg/front/suite_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -150,6 +151,9 @@
 	callerAddress  string
 	probeAddress   string
 	metricsAddress string
+	// config is the settings file of the node, stop stops it, once.
+	config string
+	stop   func()
 }
 
 // metrics returns the node's metrics as text.
@@ -185,12 +189,25 @@
 platform: {address: "%s"}
 cloud: {address: "%s", duties: [usage]}
 `, d.nodes, dataCentre, n.callerAddress, n.probeAddress, port, port+1, d.extraBounds, storeAddress, d.cloudAddress)
+	n.start(config)
+	return n
+}
+
+// start starts the node with the given settings.
+func (n *node) start(config string) {
 	settings, err := platform.ParseSettings([]byte(config))
 	Expect(err).NotTo(HaveOccurred())
+	n.config = config
 	n.front = &front.Front{Settings: settings, ShutdownDelay: time.Millisecond}
 	Expect(n.front.Start(context.Background())).To(Succeed())
-	DeferCleanup(func() { Expect(n.front.Stop(context.Background())).To(Succeed()) })
-	return n
+	n.stop = sync.OnceFunc(func() { Expect(n.front.Stop(context.Background())).To(Succeed()) })
+	DeferCleanup(n.stop)
+}
+
+// restart stops the node and starts it again at its addresses.
+func (n *node) restart() {
+	n.stop()
+	n.start(strings.Replace(n.config, "bootstrap: true", "bootstrap: false", 1))
 }
 
 // ready reports whether the readiness probe succeeds.
--- a/pkg/front/view.go
+++ b/pkg/front/view.go
@@ -47,6 +47,12 @@
 // If the peer has a newer configuration or this node's directory is stale, a
 // snapshot is fetched from the peer.
 func (f *Front) applyReply(ctx context.Context, d gossip.Digest, delta *gossip.Delta, sentAt clock.Instant) {
+	if f.reunited(&d, clock.Now()) {
+		f.group.Go(func() error {
+			f.fetchCrashes(ctx, d.Node.Name, d.Address)
+			return nil
+		})
+	}
 	f.canary.Confirm(d.Rollouts, sentAt)
 	current := f.config.Load()
 	if current != nil && d.ConfigVersion == current.Version {
@@ -104,9 +110,13 @@
 	f.config.Store(&next)
 }
 
-// serveSnapshot handles requests of peers for the configuration and, on
-// pathEndpoints, for the endpoints.
+// serveSnapshot handles requests of peers for the configuration, on pathEndpoints for the
+// endpoints too, and on pathCrashes for what is known of crashes instead.
 func (f *Front) serveSnapshot(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathCrashes {
+		f.writeToPeer(w, f.quarantine.FullReport(clock.Now()))
+		return
+	}
 	c := f.config.Load()
 	if c == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -117,27 +127,26 @@
 	if r.URL.Path == pathEndpoints {
 		s.Endpoints, s.EndpointsAge = f.directory.Listed(), now.Sub(clock.Instant(f.directoryReadAt.Load()))
 	}
-	data, err := cbor.Marshal(s)
+	f.writeToPeer(w, s)
+}
+
+// writeToPeer responds to a peer with a value.
+func (f *Front) writeToPeer(w http.ResponseWriter, value any) {
+	data, err := cbor.Marshal(value)
 	if err != nil {
 		f.Logs.Emit(event.SnapshotUnavailable, zap.Error(err))
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	// A peer that did not receive the snapshot requests it again.
+	// A peer that did not receive the response requests it again.
 	_, _ = w.Write(data)
 }
 
-// fetchSnapshot fetches and applies a peer's configuration, and its endpoints if
-// withEndpoints is set.
-func (f *Front) fetchSnapshot(ctx context.Context, address string, withEndpoints bool) (err error) {
-	defer func() { err = errors.Wrapf(err, "fetch snapshot from %s", address) }()
+// getFromPeer fetches a value that a peer serves.
+func (f *Front) getFromPeer(ctx context.Context, address, path string, value any) (err error) {
+	defer func() { err = errors.Wrapf(err, "get %s from %s", path, address) }()
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	sentAt := clock.Now()
-	path := pathConfig
-	if withEndpoints {
-		path = pathEndpoints
-	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return err
@@ -155,8 +164,19 @@
 		return err
 	}
 	defer release()
+	return cbor.Unmarshal(data, value)
+}
+
+// fetchSnapshot fetches and applies a peer's configuration, and its endpoints if
+// withEndpoints is set.
+func (f *Front) fetchSnapshot(ctx context.Context, address string, withEndpoints bool) error {
+	sentAt := clock.Now()
+	path := pathConfig
+	if withEndpoints {
+		path = pathEndpoints
+	}
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := f.getFromPeer(ctx, address, path, &s); err != nil {
 		return err
 	}
 	f.applyConfig([]platform.Record{{Key: platform.KeyConfig, Value: s.Document}}, sentAt.Add(-s.ConfigAge))
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -112,6 +112,9 @@
 	// ServedSince reports whether endpoints served anything, on any node, that they began after
 	// an instant.
 	ServedSince func(clock.Instant) bool
+	// JudgedUntil returns the end of the last quarantine of a subject, or 0. Crashes before it
+	// led to that one.
+	JudgedUntil func(Subject) clock.Instant
 	// Now is when the evidence is judged.
 	Now clock.Instant
 	// IsQuarantined reports whether a subject is quarantined, OnProbation whether it was
@@ -169,7 +172,7 @@
 			explained = explained || isQuarantined(s)
 		}
 		for s, suspect := range crash.Suspects {
-			if crash.At <= e.LastServed(s).Add(maxClockError) || isQuarantined(s) {
+			if crash.At <= e.LastServed(s).Add(maxClockError) || crash.At <= e.JudgedUntil(s) || isQuarantined(s) {
 				continue
 			}
 			c := candidates[s]
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -4,6 +4,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -19,8 +20,9 @@
 )
 
 const (
-	// crashTTL is the time for which a crash counts.
-	crashTTL = 2 * time.Minute
+	// crashTTL is the time for which a crash counts, contentCrashTTL that for which it counts
+	// against a content that was not served since.
+	crashTTL, contentCrashTTL = 2 * time.Minute, 30 * time.Minute
 	// firstQuarantine is how long a subject is quarantined for the first time. The time
 	// doubles with each further time, up to maxQuarantine.
 	firstQuarantine, maxQuarantine = 2 * time.Minute, time.Hour
@@ -32,6 +34,9 @@
 	// maxSuspicions is the maximum number of suspicions that are kept. Engines that are lost
 	// together have some hundred requests.
 	maxSuspicions = 2048
+	// maxOldSuspicions is that of those older than crashTTL. Most are of requests that did not
+	// come again after endpoints were lost.
+	maxOldSuspicions = 512
 	// maxReported is the maximum number of suspicions in one report and
 	// maxReportedSubjects that of their subjects. A report has to fit into a datagram.
 	maxReported, maxReportedSubjects = 96, 1150
@@ -86,6 +91,7 @@
 
 // suspicion is a Suspicion with the instant of the crash.
 type suspicion struct {
+	id       SuspicionID
 	instance fleet.InstanceID
 	subjects []Subject
 	at       clock.Instant
@@ -95,8 +101,10 @@
 	started bool
 	// local reports whether this node made the observation.
 	local bool
-	// resent is as Suspicion.Resent.
-	resent bool
+	// resent is as Suspicion.Resent, and stored as Suspicion.Stored.
+	resent, stored bool
+	// removed reports whether this node had it removed from the store.
+	removed bool
 }
 
 // content returns the content of the request.
@@ -169,12 +177,19 @@
 	return min(firstQuarantine<<min(q.count-1, maxDoublings), maxQuarantine)
 }
 
+// isOver reports whether the probation after the quarantine is over too.
+func (q quarantine) isOver(now clock.Instant) bool {
+	return now.Sub(q.until) > probationFactor*q.length()
+}
+
 // Tracker records crashes and successes and quarantines subjects. The zero value is
 // ready to use.
 type Tracker struct {
 	// OnQuarantined, if set, is called when a subject becomes quarantined. found reports
 	// whether this node found the subject; another one reported it otherwise.
 	OnQuarantined func(q Quarantine, found bool)
+	// OnUnstored, if set, is called when Unstored has something to store or to remove.
+	OnUnstored func()
 
 	mu sync.Mutex
 	// suspicions are the known suspicions, oldest first.
@@ -182,6 +197,11 @@
 	// served holds when an endpoint began to answer the last request with a subject that
 	// it served.
 	served *lru.Cache[Subject, clock.Instant]
+	// suspects holds the same for the subjects of the suspicions, however many others are
+	// served meanwhile.
+	suspects map[Subject]success
+	// removals are the suspicions and quarantines that the store has to forget.
+	removals []StoreKey
 	// begun holds the periods in which endpoints began to answer requests of this node that
 	// they served.
 	begun map[period]struct{}
@@ -198,14 +218,16 @@
 func (t *Tracker) RecordCrash(instance fleet.InstanceID, r Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := suspicion{instance: instance, subjects: r.Subjects, at: r.Broke, started: r.Started, local: true}
+	s := suspicion{id: newSuspicionID(), instance: instance, subjects: r.Subjects, at: r.Broke, started: r.Started, local: true}
 	if r.Started {
 		s.subjects = contentOf(r.Subjects)
 	}
 	if r.Sent > 0 {
 		s.ran = r.Broke.Sub(r.Sent)
 	}
-	t.addSuspicion(s)
+	if t.addSuspicion(s) && t.OnUnstored != nil {
+		t.OnUnstored()
+	}
 }
 
 // RecordServed records that an endpoint ran a request, which it began to answer at the
@@ -219,7 +241,7 @@
 	t.begun[periodOf(begunAt)] = struct{}{}
 	t.newestBegun = max(t.newestBegun, begunAt)
 	for _, s := range subjects {
-		t.addServed(s, begunAt)
+		t.addServed(s, success{at: begunAt, local: true})
 	}
 }
 
@@ -267,29 +289,34 @@
 	return now < t.quarantined[s].until
 }
 
-// addSuspicion adds a suspicion, or what is new about a known one. The caller holds the lock.
-func (t *Tracker) addSuspicion(added suspicion) {
+// addSuspicion adds a suspicion, or what is new about a known one, and reports whether it
+// was not known. The caller holds the lock.
+func (t *Tracker) addSuspicion(added suspicion) (isNew bool) {
 	if len(added.subjects) == 0 {
-		return
+		return false
 	}
 	for i := range t.suspicions {
 		s := &t.suspicions[i]
-		if s.instance == added.instance && slices.Equal(s.subjects, added.subjects) && abs(s.at.Sub(added.at)) < sameCrashTime {
+		sameID := s.id != 0 && s.id == added.id
+		if sameID || s.instance == added.instance && slices.Equal(s.subjects, added.subjects) && abs(s.at.Sub(added.at)) < sameCrashTime {
+			s.stored = s.stored || sameID && added.stored
 			// The node that sent the request may have heard of an earlier crash since.
 			if added.resent && !s.resent && !s.local {
 				s.resent = true
 				t.scheduleEvaluation(s.at.Add(settleTime))
 			}
-			return
+			return false
 		}
 	}
-	i, _ := slices.BinarySearchFunc(t.suspicions, added.at, func(s suspicion, at clock.Instant) int { return int(s.at - at) })
+	i, _ := slices.BinarySearchFunc(t.suspicions, added.at, func(s suspicion, at clock.Instant) int { return cmp.Compare(s.at, at) })
 	t.suspicions = slices.Insert(t.suspicions, i, added)
 	t.unordered = true
+	t.trackSuspects(added.subjects)
 	if excess := len(t.suspicions) - maxSuspicions; excess > 0 {
 		t.suspicions = slices.Delete(t.suspicions, 0, excess)
 	}
 	t.scheduleEvaluation(added.at.Add(settleTime))
+	return true
 }
 
 // scheduleEvaluation lets the crashes be evaluated at an instant at the latest. The caller
@@ -300,18 +327,22 @@
 	}
 }
 
-// addServed records the instant of a success if it is the latest. A subject that was
-// quarantined before and is served now is trusted again. The caller holds the lock.
-func (t *Tracker) addServed(s Subject, begunAt clock.Instant) {
+// addServed records a success if it is the latest. A subject that was quarantined before and
+// is served now is trusted again. The caller holds the lock.
+func (t *Tracker) addServed(s Subject, added success) {
 	if t.served == nil {
 		// New fails only if the size is not positive.
 		t.served, _ = lru.New[Subject, clock.Instant](maxServed)
 	}
-	if last, _ := t.served.Get(s); begunAt > last {
-		t.served.Add(s, begunAt)
+	if last, _ := t.served.Get(s); added.at > last {
+		t.served.Add(s, added.at)
 	}
-	if q, ok := t.quarantined[s]; ok && begunAt > q.until {
+	t.clearSuspect(s, added)
+	if q, ok := t.quarantined[s]; ok && added.at > q.until {
 		delete(t.quarantined, s)
+		if added.local {
+			t.removals = append(t.removals, StoreKey{Subject: s})
+		}
 	}
 }
 
@@ -322,7 +353,7 @@
 		return 0
 	}
 	at, _ := t.served.Peek(s)
-	return at
+	return max(at, t.suspects[s].at)
 }
 
 // evaluate quarantines the subjects that explain the known crashes, if there is a new
@@ -350,6 +381,7 @@
 		LastStarted:     func(s Subject) clock.Instant { return t.lastServed(startOf(s)) },
 		ServedMeanwhile: t.servedMeanwhile,
 		ServedSince:     func(at clock.Instant) bool { return t.newestBegun > at.Add(maxClockError) },
+		JudgedUntil:     func(s Subject) clock.Instant { return t.quarantined[s].until },
 		Now:             now,
 		IsQuarantined:   func(s Subject) bool { return t.isQuarantined(s, now) },
 		OnProbation:     func(s Subject) bool { return t.quarantined[s].count > 0 },
@@ -367,7 +399,7 @@
 		t.quarantined = make(map[Subject]quarantine)
 	}
 	t.quarantined[s] = q
-	if t.OnQuarantined != nil {
+	if t.OnQuarantined != nil && q.until > now {
 		t.OnQuarantined(Quarantine{Subject: s, Remaining: q.until.Sub(now), Count: q.count}, found)
 	}
 }
@@ -377,12 +409,13 @@
 func (t *Tracker) Expire(now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.suspicions = slices.DeleteFunc(t.suspicions, func(s suspicion) bool { return now.Sub(s.at) > crashTTL })
+	t.expireSuspicions(now)
+	defer t.notifyUnstored(now)
 	oldest := periodOf(now.Add(-crashTTL - servedLately))
 	maps.DeleteFunc(t.begun, func(p period, _ struct{}) bool { return p < oldest })
 	t.evaluate(now)
 	for s, q := range t.quarantined {
-		if now.Sub(q.until) > probationFactor*q.length() {
+		if q.isOver(now) {
 			delete(t.quarantined, s)
 		}
 	}
--- a/pkg/quarantine/replay_test.go
+++ b/pkg/quarantine/replay_test.go
@@ -38,6 +38,8 @@
 	// lossPause after the other.
 	losses    []time.Duration
 	lossPause time.Duration
+	// restarts are times at which all nodes are killed and start again.
+	restarts []time.Duration
 	// answer is the time from the start to the end of a response, answerTime if 0.
 	answer time.Duration
 }
@@ -85,6 +87,7 @@
 	var fifthCrash clock.Instant
 	contents := uint64(0)
 	generation := 0
+	kept := make(stored)
 
 	send := func(r replayRequest, now clock.Instant) {
 		var up []int
@@ -130,6 +133,18 @@
 	}
 	for elapsed := time.Duration(0); elapsed < replayDuration; elapsed += replayStep {
 		now := start.Add(elapsed)
+		if slices.Contains(l.restarts, elapsed) {
+			running, trackers = nil, make([]quarantine.Tracker, l.nodes)
+			for i := range trackers {
+				trackers[i].Load(kept.report(now), l.nodes, now)
+			}
+		}
+		for i := range trackers {
+			if elapsed%time.Second == 0 {
+				trackers[i].Expire(now)
+			}
+			kept.update(&trackers[i], now)
+		}
 		for e := range l.engines / 3 {
 			if slices.Contains(l.losses, elapsed-time.Duration(e)*l.lossPause) {
 				lose(e, now)
@@ -192,6 +207,36 @@
 	return result
 }
 
+// storedSuspicion is a suspicion in the store, with the instant of the crash.
+type storedSuspicion struct {
+	quarantine.Suspicion
+	at clock.Instant
+}
+
+// stored is what the store holds of crashes.
+type stored map[quarantine.StoreKey]storedSuspicion
+
+// update stores and removes what a node has to.
+func (s stored) update(t *quarantine.Tracker, now clock.Instant) {
+	added, removed := t.Unstored(now)
+	for _, a := range added {
+		s[a.Key()] = storedSuspicion{Suspicion: a, at: now.Add(-a.Age)}
+	}
+	for _, k := range removed {
+		delete(s, k)
+	}
+	t.MarkStored(added, removed)
+}
+
+// report returns what the store holds as nodes load it.
+func (s stored) report(now clock.Instant) (r quarantine.Report) {
+	for _, v := range s {
+		v.Age, v.Stored = now.Sub(v.at), true
+		r.Suspicions = append(r.Suspicions, v.Suspicion)
+	}
+	return r
+}
+
 // The load of bloomcart-tbilisi's model pool.
 var usualLoad = load{nodes: 6, engines: 18, perSecond: 90, families: 4, sessions: 80}
 
@@ -217,6 +262,49 @@
 		golden("deadly.txt", table.Bytes())
 	})
 
+	// review/6: what was known of crashes before a quarantine ended with the nodes.
+	DescribeTable("with a deadly block crashes few engines though all nodes are killed again and again", func(pause time.Duration) {
+		for position := range 3 {
+			for _, seed := range seeds {
+				l := usualLoad
+				l.deadlyShare, l.deadlyPosition = 0.005, position
+				for at := pause; at < replayDuration; at += pause {
+					l.restarts = append(l.restarts, at)
+				}
+				r := replay(l, seed)
+				Expect(r.late).To(BeNumerically("<=", 3), "position %d, seed %d", position, seed)
+				Expect(2*r.refused).To(BeNumerically("<=", r.sound), "position %d, seed %d", position, seed)
+			}
+		}
+	},
+		Entry("every five seconds", 5*time.Second),
+		Entry("every two seconds", 2*time.Second),
+	)
+
+	DescribeTable("without one quarantines nothing, while engines are lost together and all nodes are killed after losses", func(every int, delay, answer time.Duration, contents int) {
+		l := usualLoad
+		l.contents, l.answer = contents, answer
+		for i := 1; time.Duration(2*i)*time.Second < replayDuration; i++ {
+			at := time.Duration(2*i) * time.Second
+			if l.losses = append(l.losses, at); i%every == 0 {
+				l.restarts = append(l.restarts, at+delay)
+			}
+		}
+		for _, seed := range seeds {
+			Expect(replay(l, seed).refused).To(BeZero(), "seed %d", seed)
+		}
+	},
+		Entry("at once", 1, replayStep, answerTime, 0),
+		Entry("a moment later", 1, 100*time.Millisecond, answerTime, 0),
+		Entry("a second later", 1, time.Second, answerTime, 0),
+		Entry("at once, while requests have one of few contents", 1, replayStep, answerTime, 3),
+		Entry("a moment later, while requests have one of few contents", 1, 100*time.Millisecond, answerTime, 3),
+		Entry("a moment later, while requests have one of some contents", 1, 100*time.Millisecond, answerTime, 100),
+		Entry("a moment later, while requests have one of some contents, with long answers", 1, 100*time.Millisecond, time.Second, 100),
+		Entry("a moment after each third one, while requests have one of few contents, with very long answers", 3, 100*time.Millisecond, 4*time.Second, 3),
+		Entry("a moment after each third one, while requests have one of some contents, with very long answers", 3, 100*time.Millisecond, 4*time.Second, 100),
+	)
+
 	DescribeTable("without one quarantines nothing, while engines are lost together again and again", func(answer, lossPause time.Duration, contents int) {
 		l := usualLoad
 		l.answer, l.lossPause, l.contents = answer, lossPause, contents
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -8,6 +9,12 @@
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
 )
 
+// SuspicionID identifies a suspicion on all nodes, 0 if an earlier version reported it.
+type SuspicionID uint64
+
+// newSuspicionID returns a random ID.
+func newSuspicionID() SuspicionID { return SuspicionID(max(1, rand.Uint64())) }
+
 // Suspicion describes a request that was in flight at an endpoint when the endpoint
 // crashed, and that may have caused the crash.
 type Suspicion struct {
@@ -23,6 +30,13 @@
 	// Resent reports whether the request was sent after a crash with its content, by what the
 	// node that sent it knows.
 	Resent bool `cbor:"6,keyasint,omitempty"`
+	// ID identifies the suspicion.
+	ID SuspicionID `cbor:"7,keyasint,omitempty"`
+	// Stored reports whether the suspicion is in the store.
+	Stored bool `cbor:"8,keyasint,omitempty"`
+	// Answered reports, to nodes that have just started, whether an endpoint had answered a
+	// request with the content for some time not long before the crash, or has since.
+	Answered bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Success describes the last request with a subject that an endpoint served.
@@ -35,7 +49,8 @@
 // Quarantine describes a subject that is refused.
 type Quarantine struct {
 	Subject Subject `cbor:"1,keyasint"`
-	// Remaining is the time until requests with the subject are accepted again.
+	// Remaining is the time until requests with the subject are accepted again. It is negative
+	// while the subject is on probation.
 	Remaining time.Duration `cbor:"2,keyasint"`
 	// Count is the number of times that the subject has been quarantined.
 	Count int `cbor:"3,keyasint"`
@@ -51,6 +66,14 @@
 	Served time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// describe returns the suspicion as it is reported.
+func (s *suspicion) describe(now clock.Instant) Suspicion {
+	return Suspicion{
+		Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran, Started: s.started,
+		Resent: s.resent, ID: s.id, Stored: s.stored,
+	}
+}
+
 // Report returns what the other nodes need to know, which includes what this node
 // learned from them.
 func (t *Tracker) Report(now clock.Instant) (r Report) {
@@ -70,7 +93,7 @@
 				continue
 			}
 			subjects += len(s.subjects)
-			r.Suspicions = append(r.Suspicions, Suspicion{Instance: s.instance, Subjects: s.subjects, Age: now.Sub(s.at), Ran: s.ran, Started: s.started, Resent: s.resent})
+			r.Suspicions = append(r.Suspicions, s.describe(now))
 			report := func(subject Subject, since clock.Instant) {
 				if at := t.lastServed(subject); at > since && !served[subject] {
 					served[subject] = true
@@ -103,7 +126,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range r.Successes {
-		t.addServed(s.Subject, now.Add(-s.Age))
+		t.addServed(s.Subject, success{at: now.Add(-s.Age)})
 	}
 	if r.Served > 0 {
 		t.newestBegun = max(t.newestBegun, now.Add(-r.Served))
@@ -112,12 +135,23 @@
 		// Quarantines also come from the store, to which others may write.
 		q.Count, q.Remaining = min(max(q.Count, 1), maxCount), min(q.Remaining, maxQuarantine)
 		// A report that is under way for a moment extends a quarantine by that moment.
-		if known := t.quarantined[q.Subject]; q.Count > known.count || q.Count == known.count && now.Add(q.Remaining) > known.until.Add(maxReportDelay) {
-			t.setQuarantine(q.Subject, quarantine{until: now.Add(q.Remaining), count: q.Count}, false, now)
+		added := quarantine{until: now.Add(q.Remaining), count: q.Count}
+		if known := t.quarantined[q.Subject]; added.isOver(now) || added.count < known.count || added.count == known.count && added.until <= known.until.Add(maxReportDelay) {
+			continue
 		}
+		t.setQuarantine(q.Subject, added, false, now)
 	}
 	for _, s := range r.Suspicions {
-		t.addSuspicion(suspicion{instance: s.Instance, subjects: s.Subjects, at: now.Add(-s.Age), ran: s.Ran, started: s.Started, resent: s.Resent})
+		if s.Age > contentCrashTTL {
+			continue
+		}
+		if subjects := contentOf(s.Subjects); s.Answered && len(subjects) > 0 {
+			t.addServed(startOf(subjects[0]), success{at: now.Add(-max(s.Age, 0))})
+		}
+		t.addSuspicion(suspicion{
+			id: s.ID, instance: s.Instance, subjects: s.Subjects[max(0, len(s.Subjects)-maxSubjects):], at: now.Add(-max(s.Age, 0)), ran: s.Ran, started: s.Started,
+			resent: s.Resent, stored: s.Stored,
+		})
 	}
 	t.evaluate(now)
 }
