allotment: a restart does not renew the retry budget

Cause: requests and retries of the window were counted in memory, so each process had the whole share anew. The quotas beside it know when the node started; the retry budget did not.

Fix: for a window after a restart the budget is what the predecessor may have left, a fifth of the share, with the slack in proportion to the time since the start. It shares Started with the quotas; a record in the store, as of crashes, would cost what the budget saves.

The drawn spec of pkg/allotment with kills fails without the change (rapid found a window) and holds 2,000 cases with it.

--- a/pkg/allotment/allotment_test.go
+++ b/pkg/allotment/allotment_test.go
@@ -171,7 +171,8 @@
 })
 
 var _ = Describe("The retry budget", func() {
-	It("is kept in every window over all nodes, while each counts only its own requests", func() {
+	// review/7: the budget started anew with each process.
+	It("is kept in every window over all nodes, while each counts only its own requests and some are killed", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			count := rapid.IntRange(1, 8).Draw(t, "nodes")
 			nodes := make([]*allotment.RetryBudget, count)
@@ -181,7 +182,15 @@
 			now := clock.Instant(time.Hour)
 			const step = 250 * time.Millisecond
 			var requests, retries []int
+			// One in so many nodes, or all of them, is killed in a step.
+			oneKilled, allKilled := rapid.SampledFrom([]int{5, 50, 1000}).Draw(t, "one killed"), rapid.SampledFrom([]int{10, 50, 1000}).Draw(t, "all killed")
 			for range 200 {
+				killAll := rapid.IntRange(1, allKilled).Draw(t, "kill all") == 1
+				for i := range nodes {
+					if killAll || rapid.IntRange(1, oneKilled).Draw(t, "kill one") == 1 {
+						nodes[i] = &allotment.RetryBudget{Ratio: 0.2, Slack: 52, Window: 10 * time.Second, Started: now}
+					}
+				}
 				newRequests, newRetries := 0, 0
 				for _, n := range nodes {
 					for range rapid.IntRange(0, 4).Draw(t, "requests") {
--- a/pkg/allotment/retry.go
+++ b/pkg/allotment/retry.go
@@ -16,6 +16,10 @@
 // in the next.
 const budgetFraction = 0.8
 
+// restartBudgetFraction is the fraction for Window after a restart: what the node's
+// predecessor may have left of its share.
+const restartBudgetFraction = 1 - budgetFraction
+
 // RetryBudget limits the retries to each pool by this node's share of the budget:
 // a ratio of its own requests and an even share of the slack. It guards against
 // retries that add to the load when many endpoints fail. The zero value allows
@@ -25,6 +29,9 @@
 	// Ratio times the requests plus Slack.
 	Ratio, Slack float64
 	Window       time.Duration
+	// Started is when the node started. Its predecessor is assumed to have used all that it
+	// was allowed to just before. If Started is 0, there was none.
+	Started clock.Instant
 
 	mu    sync.Mutex
 	pools map[fleet.PoolName]*retryWindow
@@ -72,7 +79,13 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	allowed := budgetFraction * (r.Ratio*float64(requests) + r.Slack/float64(max(1, nodes)))
+	slack := r.Slack / float64(max(1, nodes))
+	allowed := budgetFraction * (r.Ratio*float64(requests) + slack)
+	if running := now.Sub(r.Started); r.Started != 0 && running < r.Window {
+		// Several predecessors may have ended in one window, so each has the slack for the
+		// time that it ran.
+		allowed = restartBudgetFraction * (r.Ratio*float64(requests) + slack*running.Seconds()/r.Window.Seconds())
+	}
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -214,7 +214,7 @@
 	f.waiting.Random, f.returns.Random, f.returns.Started = rand.Float64, rand.Float64, f.startTime
 	f.quotas.Slack, f.quotas.Tolerance, f.quotas.Window = bounds.QuotaSlack, bounds.QuotaTolerance, bounds.QuotaWindow
 	if !f.Settings.FirstStart {
-		f.quotas.Started = f.startInstant
+		f.quotas.Started, f.retries.Started = f.startInstant, f.startInstant
 	}
 	f.retries.Ratio, f.retries.Slack, f.retries.Window = bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow
 	for _, s := range []kernel.Service{
