forward, endpoint: a status that HTTP does not have is no response

On the project's own path such a status was recorded as the answer of a keyed call.

Cause: net/http reads any three characters that are a number as a status, and panics in WriteHeader for less than 100 and more than 999. Nothing checked the head in between.

Fix: CheckHead refuses a head with a status outside 100 to 599 (RFC 9110, section 15), not written in three digits, a version that is not HTTP/1, or a switch of protocols that no request asks for. The endpoint failed, the request may have run: it is retried where the route allows it, otherwise the caller gets 502 without a seal.

--- a/pkg/endpoint/engine.go
+++ b/pkg/endpoint/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/forward"
 )
 
 // Limits of what is read from an engine.
@@ -105,6 +106,9 @@
 	if err != nil {
 		return nil, transportError(c.instance.ID, err)
 	}
+	if err := forward.CheckHead(res); err != nil {
+		return nil, errors.CombineErrors(&NotFinishedError{Instance: c.instance.ID, Cause: err}, res.Body.Close())
+	}
 	if res.StatusCode/100 == 2 {
 		return res, nil
 	}
--- a/pkg/endpoint/service.go
+++ b/pkg/endpoint/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkloom/skylarkloom/pkg/api/engine"
 	"github.com/skylarkloom/skylarkloom/pkg/fleet"
+	"github.com/skylarkloom/skylarkloom/pkg/forward"
 )
 
 // MaxServiceResponse is the maximum size of the body of a plain service's response, in
@@ -124,6 +125,9 @@
 		return response, transportError(i.ID, err)
 	}
 	defer func() { err = errors.CombineErrors(err, res.Body.Close()) }()
+	if err := forward.CheckHead(res); err != nil {
+		return response, &NotFinishedError{Instance: i.ID, Cause: err}
+	}
 	if res.Header.Get(NotStartedHeader) == "true" && res.StatusCode == http.StatusServiceUnavailable {
 		return response, &NotStartedError{Instance: i.ID, Cause: &StatusError{Code: res.StatusCode, Message: "refused"}}
 	}
--- a/pkg/endpoint/service_test.go
+++ b/pkg/endpoint/service_test.go
@@ -59,4 +59,22 @@
 			Expect(endpoint.NotStarted(err)).To(BeTrue(), "%v", err)
 		}
 	})
+
+	// MIXED: a status that net/http cannot send was taken for the service's response.
+	It("has not finished a call that it answers with no status of HTTP", func(ctx context.Context) {
+		for _, status := range []string{"000 None", "007 None", "+20 OK", "101 Switching Protocols", "600 Odd"} {
+			i := serveInstance(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				Expect(err).NotTo(HaveOccurred())
+				_, err = c.Write([]byte("HTTP/1.1 " + status + "\r\nContent-Length: 17\r\nConnection: close\r\n\r\n{\"started\":false}"))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(c.Close()).To(Succeed())
+			})
+			var notFinished *endpoint.NotFinishedError
+			_, err := endpoint.DialService(i, &http.Client{Transport: &http.Transport{}}).CallFunc(ctx, endpoint.ServiceCall{Method: http.MethodPost, Path: "/", Key: "k"})
+			Expect(err).To(BeAssignableToTypeOf(notFinished), status)
+			_, err = endpoint.DialEngine(i, &http.Client{Transport: &http.Transport{}}).LoadFunc(ctx)
+			Expect(err).To(BeAssignableToTypeOf(notFinished), status)
+		}
+	})
 })
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -280,6 +281,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err = CheckHead(res); err != nil {
+			return nil, err
+		}
 		c.head.remaining = math.MaxInt
 		c.head.sender.HeadComplete()
 		if res.StatusCode/100 == 1 {
@@ -302,6 +306,31 @@
 	return nil, ErrNoMatchingResponse
 }
 
+// InvalidHeadError reports a response whose head is none of HTTP/1.
+type InvalidHeadError struct {
+	Protocol, Status string
+}
+
+// Error implements error.
+func (e *InvalidHeadError) Error() string {
+	return fmt.Sprintf("%q, %q is no response of HTTP/1", e.Protocol, e.Status)
+}
+
+// The range of the statuses of HTTP (RFC 9110, section 15).
+const minStatus, maxStatus = 100, 599
+
+// CheckHead returns an *InvalidHeadError if a response has a status or a version that HTTP/1
+// does not have, or switches to a protocol that no request of a node asks for. net/http accepts
+// any number of three characters, but panics when a server responds with some of them.
+func CheckHead(res *http.Response) error {
+	digits := res.Status[:min(len(res.Status), 3)]
+	isStatus := res.StatusCode >= minStatus && res.StatusCode <= maxStatus && digits == strconv.Itoa(res.StatusCode)
+	if res.ProtoMajor != 1 || !isStatus || res.StatusCode == http.StatusSwitchingProtocols {
+		return &InvalidHeadError{Protocol: res.Proto, Status: res.Status}
+	}
+	return nil
+}
+
 // errSkippedTooLong reports a response to another request whose body exceeds
 // maxSkippedBodyBytes.
 var errSkippedTooLong = errors.New("response to another request exceeds the size limit for skipping")
