gateway: a stream that breaks off never ends orderly for callers of HTTP/1.0

Such a caller has no chunks, so the end of the connection is the end of the response, and the node closed it orderly: when the endpoint broke off, when the node stopped, and when its process ended.

Cause: the server aborts a response by closing the connection, which says something only to callers that get chunks or a length.

Fix: a connection whose response ends with it is set to be reset when it is closed, from the head of the stream on, and back once the stream is complete. So whatever ends it sooner, the handler, the server or the kernel after a kill, resets it.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -168,3 +168,23 @@
 	c, ok := ctx.Value(contextKey{}).(net.Conn)
 	return ok && StateOf(c) == StateClosed
 }
+
+// ResetOnClose makes the connection of a context end with a reset when it is closed, also by
+// the end of the process, or orderly again. A peer to which the end of a connection is the end
+// of a message has no other sign that the message is not complete.
+func ResetOnClose(ctx context.Context, reset bool) {
+	c, ok := ctx.Value(contextKey{}).(net.Conn)
+	if !ok {
+		return
+	}
+	raw := rawConn(c)
+	if raw == nil {
+		return
+	}
+	linger := unix.Linger{}
+	if reset {
+		linger.Onoff = 1
+	}
+	// Control, and the option, fail only for a connection that is closed.
+	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &linger) })
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/skylarkloom/skylarkloom/pkg/clock"
+	"github.com/skylarkloom/skylarkloom/pkg/connection"
 	"github.com/skylarkloom/skylarkloom/pkg/event"
 	"github.com/skylarkloom/skylarkloom/pkg/intake"
 	"github.com/skylarkloom/skylarkloom/pkg/placement"
@@ -45,6 +46,9 @@
 	*proxyRequest
 	// headerSent reports whether the response header was sent to the caller.
 	headerSent bool
+	// endsWithConnection reports whether the response has no other end than that of the
+	// connection, as for callers of HTTP/1.0.
+	endsWithConnection bool
 	// contentType is the content type of the response to the caller, once headerSent.
 	contentType string
 	// lastEvent is the ID of the last event that the caller has, if hasLastEvent.
@@ -240,6 +244,9 @@
 			}
 			s.handler.Logs.Emit(event.RequestServed, s.logFields(zap.Int64("last", int64(s.lastEvent)), zap.Duration("first", s.timeToFirst))...)
 			s.reportResult(a.response.Status)
+			if s.endsWithConnection {
+				connection.ResetOnClose(s.httpRequest.Context(), false)
+			}
 			return outcomeResponded, ""
 		}
 		if err != nil {
@@ -296,6 +303,10 @@
 		platform.CopyResponseHeader(s.writer.Header(), a.response.Header)
 		s.writer.Header().Del("Content-Length")
 		s.closeIfStopping()
+		if s.endsWithConnection = !s.httpRequest.ProtoAtLeast(1, 1); s.endsWithConnection {
+			// Until the stream is complete, so that however it breaks off, the caller sees it.
+			connection.ResetOnClose(s.httpRequest.Context(), true)
+		}
 		s.writer.WriteHeader(a.response.Status)
 		s.headerSent, s.contentType = true, a.response.Header.Get("Content-Type")
 	}
