gossip: a digest with an impossible number of nodes does not end the process

A very large number took the memory.

Fix: Table.Apply bounds the numbers of covered nodes, as it does the totals that are no finite numbers.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,8 @@
 FUZZ_TIME ?= 30s
 PARSERS := entry/parsing:FuzzModelBody entry/parsing:FuzzServicePath entry/parsing:FuzzRequestKey \
 	api/edge:FuzzContent api/edge:FuzzUnsupported endpoint:FuzzEvents endpoint:FuzzEventText \
-	api/record:FuzzGroup settings:FuzzSettings fleet:FuzzDocument gossip:FuzzPacket ../platform:FuzzEndpoint ../platform:FuzzConfig
+	api/record:FuzzGroup settings:FuzzSettings fleet:FuzzDocument gossip:FuzzPacket \
+	front:FuzzDigest front:FuzzPeerState front:FuzzStoreRecord gateway:FuzzResponse ../platform:FuzzEndpoint ../platform:FuzzConfig
 
 fuzz-parsers:
 	for p in $(PARSERS); do \
--- a/pkg/front/peers.go
+++ b/pkg/front/peers.go
@@ -132,35 +132,37 @@
 
 // followNodes adds the nodes that are announced in the store to the table of peers.
 func (f *Front) followNodes(ctx context.Context) {
-	apply := func(records []platform.Record) {
-		for _, r := range records {
-			var a gossip.Announcement
-			if r.Key == string(f.self.Name) || r.Value == nil {
-				continue
-			}
-			err := json.Unmarshal(r.Value, &a)
-			if err == nil {
-				err = a.Validate(fleet.NodeName(r.Key))
-			}
-			if err != nil {
-				f.Logs.Emit(event.StoreEntryInvalid, zap.String("key", r.Key), zap.Error(err))
-				continue
-			}
-			f.peers.AddAnnounced(fleet.NodeName(r.Key), a, clock.Now())
-		}
-	}
 	f.nodesFeed = feed.Follower{
 		Source: f.storeSource(), Topic: platform.TopicNodes, Wait: nodesWait, Pause: nodesPause, Logs: f.Logs,
 		Skip: f.skipNodes, Held: f.heldOfServices(),
 		OnFullRead: func(b platform.Batch, _ clock.Instant) {
-			apply(b.Records)
+			f.applyNodes(b.Records)
 			f.nodesLoaded.Store(true)
 		},
-		OnNewRecords: func(_ fleet.Offset, records []platform.Record, _ clock.Instant) { apply(records) },
+		OnNewRecords: func(_ fleet.Offset, records []platform.Record, _ clock.Instant) { f.applyNodes(records) },
 	}
 	f.nodesFeed.Run(ctx)
 }
 
+// applyNodes applies announcements of nodes.
+func (f *Front) applyNodes(records []platform.Record) {
+	for _, r := range records {
+		var a gossip.Announcement
+		if r.Key == string(f.self.Name) || r.Value == nil {
+			continue
+		}
+		err := json.Unmarshal(r.Value, &a)
+		if err == nil {
+			err = a.Validate(fleet.NodeName(r.Key))
+		}
+		if err != nil {
+			f.Logs.Emit(event.StoreEntryInvalid, zap.String("key", r.Key), zap.Error(err))
+			continue
+		}
+		f.peers.AddAnnounced(fleet.NodeName(r.Key), a, clock.Now())
+	}
+}
+
 // skipNodes reports whether a read of the list of nodes may be skipped, because a relay
 // serves this node. All nodes announce themselves at the same time, so the first reads
 // are not skipped.
--- a/pkg/front/view.go
+++ b/pkg/front/view.go
@@ -179,6 +179,12 @@
 	if err := f.getFromPeer(ctx, address, path, &s); err != nil {
 		return err
 	}
+	f.applySnapshot(s, sentAt, withEndpoints)
+	return nil
+}
+
+// applySnapshot applies a peer's snapshot that was requested at an instant.
+func (f *Front) applySnapshot(s snapshot, sentAt clock.Instant, withEndpoints bool) {
 	f.applyConfig([]platform.Record{{Key: platform.KeyConfig, Value: s.Document}}, sentAt.Add(-s.ConfigAge))
 	// A recent read by this node is preferred to a snapshot, because it also shows
 	// which endpoints were removed on purpose.
@@ -190,5 +196,4 @@
 		f.directory.Replace(changes, clock.Now())
 		f.directoryReadAt.Store(int64(readAt))
 	}
-	return nil
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -32,6 +32,10 @@
 	dataCentreSilentAfter = 700 * time.Millisecond
 )
 
+// maxCoveredNodes bounds the number of nodes that a digest covers. It is far above that of any
+// fleet.
+const maxCoveredNodes = 1 << 12
+
 // peer is another node with the last digest received from it.
 type peer struct {
 	digest   Digest
@@ -88,6 +92,7 @@
 		return
 	}
 	d.Consumed = finiteTotals(d.Consumed, p)
+	d.OtherNodes, d.SilentNodes = min(max(d.OtherNodes, 0), maxCoveredNodes), min(max(d.SilentNodes, 0), maxCoveredNodes)
 	if d.Draining {
 		if p != nil && p.scope == scope {
 			t.addConsumed(p, &d, now)
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -137,6 +137,20 @@
 	Entry("more cores than all relays", fleet.NodeName("n"), gossip.Announcement{Address: "10.1.1.1:1", DataCentre: "x", Cores: 1e300}),
 )
 
+// A negative number of nodes in a digest ended the process that received it.
+var _ = It("A digest that covers no possible number of nodes counts as one that covers its sender, or very many", func() {
+	now := clock.Instant(time.Hour)
+	for others, total := range map[int]int{-5: 2, 1 << 62: 2 + 1<<12} {
+		t := gossip.Table{Self: "self", DataCentre: "x"}
+		d := digest("peer", 1, 0)
+		d.OtherNodes, d.SilentNodes = others, -1
+		t.Apply(d, gossip.ScopeRelayGroup, now)
+		t.SetClockOffset("peer", time.Second)
+		Expect(t.ClockCorrection()).To(Equal(time.Second))
+		Expect(t.Count().Total).To(Equal(total))
+	}
+})
+
 // FuzzPacket checks that no datagram ends the process.
 func FuzzPacket(f *testing.F) {
 	for _, d := range []gossip.Digest{digest("a", 1, 3), {Demand: map[fleet.PoolName]float64{"p": 1}, Usage: usage.Counts{1: nil}}} {
