--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 PARSERS := entry/parsing:FuzzModelBody entry/parsing:FuzzServicePath entry/parsing:FuzzRequestKey \
 	api/edge:FuzzContent api/edge:FuzzUnsupported endpoint:FuzzEvents endpoint:FuzzEventText \
 	api/record:FuzzGroup settings:FuzzSettings fleet:FuzzDocument gossip:FuzzPacket \
-	front:FuzzDigest front:FuzzPeerState front:FuzzStoreRecord gateway:FuzzResponse ../platform:FuzzEndpoint ../platform:FuzzConfig
+	front:FuzzDigest front:FuzzPeerState front:FuzzStoreRecord gateway:FuzzResponse gateway:FuzzRequest ../platform:FuzzEndpoint ../platform:FuzzConfig ../platform:FuzzStoreResponse
 
 fuzz-parsers:
 	for p in $(PARSERS); do \
