quarantine: keep repeated crashes when too many are known; fetch again what failed

Fix: what is too much goes from contents with a single crash first, a failed fetch is repeated after a second, and a success after the quarantine outweighs a peer's report of it. Specs of retention_test.go for the first and the last; what is derived from the suspicions is computed again only if they changed.

--- a/pkg/front/crashes.go
+++ b/pkg/front/crashes.go
@@ -172,6 +172,9 @@
 // reunionAge is the age of a peer's last reply above which this node may have missed digests.
 const reunionAge = 5 * time.Second
 
+// fetchRetryDelay is the pause before the crashes that a peer knows are fetched again.
+const fetchRetryDelay = time.Second
+
 // peerReply is when a peer replied last.
 type peerReply struct {
 	incarnation fleet.Incarnation
@@ -198,11 +201,19 @@
 	maps.DeleteFunc(f.replies, func(_ fleet.NodeName, r peerReply) bool { return now.Sub(r.at) > 2*reunionAge })
 }
 
-// fetchCrashes fetches and applies what a peer knows of crashes.
+// fetchCrashes fetches and applies what a peer knows of crashes. If that fails, the next reply
+// of the peer after fetchRetryDelay lets it be fetched again.
 func (f *Front) fetchCrashes(ctx context.Context, peer fleet.NodeName, address string) {
 	var report quarantine.Report
 	if err := f.getFromPeer(ctx, address, pathCrashes, &report); err != nil {
 		f.Logs.Emit(event.SnapshotUnavailable, zap.String("from", string(peer)), zap.Error(err))
+		select {
+		case <-time.After(fetchRetryDelay):
+		case <-ctx.Done():
+		}
+		f.repliesMu.Lock()
+		defer f.repliesMu.Unlock()
+		delete(f.replies, peer)
 		return
 	}
 	f.quarantine.Merge(report, clock.Now())
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -34,6 +34,8 @@
 	// maxSuspicions is the maximum number of suspicions that are kept. Engines that are lost
 	// together have some hundred requests.
 	maxSuspicions = 2048
+	// evictedSuspicions is how many are removed beyond those that are too many.
+	evictedSuspicions = 64
 	// maxOldSuspicions is that of those older than crashTTL. Most are of requests that did not
 	// come again after endpoints were lost.
 	maxOldSuspicions = 512
@@ -312,8 +314,8 @@
 	t.suspicions = slices.Insert(t.suspicions, i, added)
 	t.unordered = true
 	t.trackSuspects(added.subjects)
-	if excess := len(t.suspicions) - maxSuspicions; excess > 0 {
-		t.suspicions = slices.Delete(t.suspicions, 0, excess)
+	if len(t.suspicions) > maxSuspicions {
+		t.removeOldest(len(t.suspicions)-maxSuspicions+evictedSuspicions, func(*suspicion) bool { return true })
 	}
 	t.scheduleEvaluation(added.at.Add(settleTime))
 	return true
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -136,7 +136,9 @@
 		q.Count, q.Remaining = min(max(q.Count, 1), maxCount), min(q.Remaining, maxQuarantine)
 		// A report that is under way for a moment extends a quarantine by that moment.
 		added := quarantine{until: now.Add(q.Remaining), count: q.Count}
-		if known := t.quarantined[q.Subject]; added.isOver(now) || added.count < known.count || added.count == known.count && added.until <= known.until.Add(maxReportDelay) {
+		// A peer may not have heard that the subject is trusted again.
+		servedSince := t.lastServed(q.Subject) > added.until
+		if known := t.quarantined[q.Subject]; servedSince || added.isOver(now) || added.count < known.count || added.count == known.count && added.until <= known.until.Add(maxReportDelay) {
 			continue
 		}
 		t.setQuarantine(q.Subject, added, false, now)
--- a/pkg/quarantine/retention.go
+++ b/pkg/quarantine/retention.go
@@ -84,6 +84,7 @@
 // expireSuspicions removes the suspicions older than crashTTL that are over, and reduces the
 // others to their contents. The caller holds the lock.
 func (t *Tracker) expireSuspicions(now clock.Instant) {
+	before, reduced := len(t.suspicions), false
 	kept := t.suspicions[:0]
 	for _, s := range t.suspicions {
 		isOld := now.Sub(s.at) > crashTTL
@@ -96,8 +97,8 @@
 		if isOver {
 			continue
 		}
-		if isOld {
-			s.subjects = contentOf(s.subjects)
+		if isOld && len(s.subjects) > 1 {
+			s.subjects, reduced = contentOf(s.subjects), true
 		}
 		kept = append(kept, s)
 	}
@@ -105,6 +106,9 @@
 	t.suspicions = kept
 	t.limitOld(now)
 	t.removals = t.removals[max(0, len(t.removals)-maxRemovals):]
+	if len(t.suspicions) == before && !reduced {
+		return
+	}
 	known := make(map[Subject]success)
 	for _, s := range t.suspicions {
 		for _, subject := range s.subjects {
@@ -114,21 +118,31 @@
 	t.suspects = known
 }
 
-// limitOld removes the oldest suspicions over maxOldSuspicions, those of contents with a single
-// crash first. The caller holds the lock.
+// limitOld removes the suspicions over maxOldSuspicions. The caller holds the lock.
 func (t *Tracker) limitOld(now clock.Instant) {
+	isOld := func(s *suspicion) bool { return now.Sub(s.at) > crashTTL }
 	old := 0
-	crashes := make(map[Subject]int)
 	for i := range t.suspicions {
-		crashes[t.suspicions[i].content()]++
-		if now.Sub(t.suspicions[i].at) > crashTTL {
+		if isOld(&t.suspicions[i]) {
 			old++
 		}
 	}
-	excess := old - maxOldSuspicions
+	t.removeOldest(old-maxOldSuspicions, isOld)
+}
+
+// removeOldest removes the oldest suspicions among those that may go, of contents with a single
+// crash first. The caller holds the lock.
+func (t *Tracker) removeOldest(excess int, mayGo func(*suspicion) bool) {
+	if excess <= 0 {
+		return
+	}
+	crashes := make(map[Subject]int)
+	for i := range t.suspicions {
+		crashes[t.suspicions[i].content()]++
+	}
 	for _, singleOnly := range []bool{true, false} {
 		t.suspicions = slices.DeleteFunc(t.suspicions, func(s suspicion) bool {
-			if excess <= 0 || now.Sub(s.at) <= crashTTL || singleOnly && crashes[s.content()] > 1 {
+			if excess <= 0 || !mayGo(&s) || singleOnly && crashes[s.content()] > 1 {
 				return false
 			}
 			excess--
--- a/pkg/quarantine/retention_test.go
+++ b/pkg/quarantine/retention_test.go
@@ -66,6 +66,25 @@
 		Expect(t.Quarantined(subjects(7), at(16*time.Minute+time.Second))).To(BeTrue())
 	})
 
+	It("keeps what crashed two endpoints while very many requests are lost", func() {
+		var t quarantine.Tracker
+		crash(&t, 0, subjects(7), 0)
+		crash(&t, 1, subjects(7), time.Second)
+		for i := range 5000 {
+			crash(&t, 2+i/100, subjects(uint64(100+i)), 2*time.Second)
+		}
+		crash(&t, 999, subjects(7), 10*time.Second)
+		Expect(t.Quarantined(subjects(7), at(11*time.Second))).To(BeTrue())
+	})
+
+	It("is not on probation for a peer's word once it was served after the quarantine", func() {
+		var t quarantine.Tracker
+		t.RecordServed(subjects(7), at(time.Minute))
+		t.Merge(quarantine.Report{Quarantines: []quarantine.Quarantine{{Subject: subjects(7)[0], Remaining: -2 * time.Minute, Count: 1}}}, at(2*time.Minute))
+		crash(&t, 0, subjects(7), 2*time.Minute)
+		Expect(t.Quarantined(subjects(7), at(2*time.Minute+time.Second))).To(BeFalse())
+	})
+
 	It("is stored by the node that saw a crash at once, and by others only if that one has not", func() {
 		var observer, other quarantine.Tracker
 		crash(&observer, 0, subjects(7), 0)
