Review: a request whose workers go dark is never suspected

Only an exchange that the endpoint broke off counts as a crash (forward.BrokeOff), and only if the endpoint then refuses connections (quarantine.Detector.probe).

--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -24,10 +26,20 @@
 	// comesAgain is the time after which the client sends the request again.
 	comesAgain = 1500 * time.Millisecond
 	// sendsPerKey is how often the client sends the request with one key.
-	sendsPerKey = 7
+	sendsPerKey = 6
+	// darkTime is how long a machine is dark, darkSends how often the request comes in that
+	// case, and darkAgain the time between: with the node's 504 after timeoutMs, the machine
+	// before is back then.
+	darkTime  = 4500 * time.Millisecond
+	darkSends = 10
+	darkAgain = 3500 * time.Millisecond
+	// leaveSends is how often the request comes from a client that leaves, and leaveAgain the
+	// time between.
+	leaveSends = 14
+	leaveAgain = 2500 * time.Millisecond
 	// usualInterval is the time between two of the other requests.
-	usualInterval = 40 * time.Millisecond
-	deadlyWorkers = 9
+	usualInterval = 12 * time.Millisecond
+	deadlyWorkers = 3
 	deadlyNodes   = 3
 )
 
@@ -38,7 +50,14 @@
 	// crashes are the times of the crashes that the request caused, reached those at which it
 	// reached a worker.
 	crashes, reached []time.Time
-	sent             int
+	// lost are the requests of others that each crash broke off.
+	lost [][]string
+	sent int
+	// dark reports whether workers go dark when they crash.
+	dark bool
+	// crashAfter is how long a worker runs the request before it crashes, and leaveAfter how
+	// long its client waits for the answer, 0 for its whole deadline.
+	crashAfter, leaveAfter time.Duration
 }
 
 // config returns a configuration in which the tenant holds some keys.
@@ -62,25 +81,39 @@
 	if body != deadlyBody {
 		return false
 	}
-	now := time.Now()
 	d.mu.Lock()
-	d.reached = append(d.reached, now)
-	d.crashes = append(d.crashes, now)
+	d.reached = append(d.reached, time.Now())
+	id := w.id
+	d.mu.Unlock()
+	// The step of the engine that crashes it isn't interrupted by the end of the connection.
+	time.Sleep(d.crashAfter)
+	d.mu.Lock()
+	d.crashes = append(d.crashes, time.Now())
 	n := len(d.crashes)
 	d.mu.Unlock()
-	d.fleet.record.add("worker %s runs request %s of tenant %s and crashes: crash %d", w.id, r.Header.Get("Skylarkloom-Attempt-Id"), r.Header.Get("Skylarkloom-Tenant"), n)
-	w.crash(backAfter)
+	downTime := backAfter
+	if d.dark {
+		downTime = darkTime
+	}
+	lost := w.crash(d.dark, downTime)
+	d.mu.Lock()
+	d.lost = append(d.lost, lost)
+	d.mu.Unlock()
+	d.fleet.record.add("worker %s runs request %s of tenant %s and crashes (dark: %t): crash %d, with the requests %v of others", id, r.Header.Get("Skylarkloom-Attempt-Id"), r.Header.Get("Skylarkloom-Tenant"), d.dark, n, lost)
 	return true
 }
 
 // send sends a request to a node and returns its status, 0 if there is no answer.
-func (d *deadly) send(n *node, key, body string) (id string, status int) {
+func (d *deadly) send(n *node, key, body string, patience time.Duration) (id string, status int) {
 	d.mu.Lock()
 	d.sent++
 	id = fmt.Sprintf("%016x", d.sent)
 	d.mu.Unlock()
 	const deadline = 2500 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	if patience == 0 {
+		patience = deadline
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers+"/orders/2f", bytes.NewBufferString(body))
 	if err != nil {
@@ -98,59 +131,74 @@
 	return id, res.StatusCode
 }
 
-// sendUsual sends requests of the other tenant until the context ends.
-func (d *deadly) sendUsual(ctx context.Context) {
+// sendUsual sends requests of the other tenant, which may run at most once, until the context
+// ends.
+func (d *deadly) sendUsual(ctx context.Context) error {
+	var mu sync.Mutex
 	counts := make(map[int]int)
+	var group errgroup.Group
 	for i := 0; ctx.Err() == nil; i++ {
-		_, status := d.send(d.fleet.nodes[i%deadlyNodes], "key-of-other", usualBody)
-		counts[status]++
+		group.Go(func() error {
+			id, status := d.send(d.fleet.nodes[i%deadlyNodes], "key-of-other", usualBody, 0)
+			mu.Lock()
+			counts[status]++
+			mu.Unlock()
+			if status != http.StatusOK {
+				d.fleet.record.add("the other tenant's request %s is answered %d", id, status)
+			}
+			return nil
+		})
 		time.Sleep(usualInterval)
 	}
-	d.fleet.record.add("the other tenant's requests by status: %v", counts)
+	err := group.Wait()
+	d.fleet.record.add("the other tenant's requests by status (0: no answer): %v", counts)
+	return err
 }
 
 // sendDeadly sends the request that crashes workers some times, each time to another node.
-func (d *deadly) sendDeadly(key string) {
-	for i := range sendsPerKey {
+func (d *deadly) sendDeadly(key string, times int, pause time.Duration) {
+	for i := range times {
 		n := d.fleet.nodes[i%deadlyNodes]
-		id, status := d.send(n, key, deadlyBody)
-		d.fleet.record.add("client sends the same request again as %s to %s with key %s: status %d", id, n.name, key, status)
-		time.Sleep(comesAgain)
+		id, status := d.send(n, key, deadlyBody, d.leaveAfter)
+		d.fleet.record.add("client sends the request as %s to %s with key %s: status %d (0: no answer, the client has left)", id, n.name, key, status)
+		time.Sleep(pause)
 	}
 }
 
-// retriesAfter returns how many retries reached workers later than contactTime after the
-// third crash.
-func (d *deadly) retriesAfter() (retries int) {
+// judge counts the retries that reached workers later than contactTime after the third crash,
+// and the requests of others that those beyond maxRetries broke off.
+func (d *deadly) judge() (broken bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	const explained = 3
-	if len(d.crashes) < explained {
-		return 0
-	}
-	for _, at := range d.reached {
-		if at.Sub(d.crashes[explained-1]) > contactTime {
-			retries++
+	retries, lost := 0, 0
+	for i, at := range d.reached {
+		if len(d.crashes) < explained || at.Sub(d.crashes[explained-1]) <= contactTime {
+			continue
+		}
+		if retries++; retries > maxRetries {
+			lost += len(d.lost[i])
 		}
 	}
-	return retries
+	d.fleet.record.add("retries that reached workers later than %s after the third crash: %d, allowed: %d; requests of others that those beyond broke off: %d", contactTime, retries, maxRetries, lost)
+	return retries > maxRetries
 }
 
-// runDeadly lets a request come again that crashes each worker that runs it. The disruption
-// takes the key of its client away twice; the client goes on with the next key of its tenant.
-func runDeadly(r *record, trouble bool) (broken bool, err error) {
+// run starts the fleet with its workers and the traffic of the other tenant, lets the client
+// send, and judges.
+func (d *deadly) run(r *record, client func() error) (broken bool, err error) {
 	f, err := newFleet(r)
 	if err != nil {
 		return false, err
 	}
 	defer f.stop()
-	d := &deadly{fleet: f}
+	d.fleet = f
 	if err = f.publish("keys key-1 and key-2", d.config("key-1", "key-2")); err != nil {
 		return false, err
 	}
 	workers := make([]*worker, deadlyWorkers)
 	for i := range workers {
-		workers[i] = &worker{fleet: f, service: "desk", zone: []string{"za", "zb", "zc"}[i%3], onRun: d.onRun}
+		workers[i] = &worker{fleet: f, service: "desk", zone: zoneName(i), onRun: d.onRun}
 		if err = workers[i].start(); err != nil {
 			return false, err
 		}
@@ -167,29 +215,62 @@
 	done := make(chan struct{})
 	f.group.Go(func() error {
 		defer close(done)
-		d.sendUsual(ctx)
-		return nil
+		return d.sendUsual(ctx)
 	})
-	// The nodes see that the workers serve.
-	time.Sleep(4 * time.Second)
-	keys := [][]string{{"key-1", "key-2"}, {"key-2", "key-3"}, {"key-3", "key-4"}}
-	for i, held := range keys {
-		if trouble && i > 0 {
-			if err = f.publish(fmt.Sprintf("%s is taken away, %s is added", keys[i-1][0], held[1]), d.config(held...)); err != nil {
-				return false, err
-			}
-			// The bound configMs, and some more.
-			time.Sleep(3 * time.Second)
-		}
-		key := "key-1"
-		if trouble {
-			key = held[0]
-		}
-		d.sendDeadly(key)
+	// All machines are in touch then, and have seen that the workers serve.
+	time.Sleep(contactTime + time.Second)
+	if err = client(); err != nil {
+		return false, err
 	}
 	cancel()
 	<-done
-	retries := d.retriesAfter()
-	r.add("retries that reached workers later than %s after the third crash: %d, allowed: %d", contactTime, retries, maxRetries)
-	return retries > maxRetries, nil
+	return d.judge(), nil
+}
+
+// runDeadly lets a request come again that crashes each worker that runs it. The disruption
+// takes the key of its client away three times; the client goes on with the next key of its
+// tenant.
+func runDeadly(r *record, trouble bool) (broken bool, err error) {
+	d := &deadly{}
+	return d.run(r, func() error {
+		keys := [][]string{{"key-1", "key-2"}, {"key-2", "key-3"}, {"key-3", "key-4"}, {"key-4", "key-5"}}
+		for i, held := range keys {
+			key := "key-1"
+			if trouble {
+				key = held[0]
+			}
+			if trouble && i > 0 {
+				if err := d.fleet.publish(fmt.Sprintf("%s is taken away, %s is added", keys[i-1][0], held[1]), d.config(held...)); err != nil {
+					return err
+				}
+				// The bound configMs, and some more.
+				time.Sleep(contactTime)
+			}
+			d.sendDeadly(key, sendsPerKey, comesAgain)
+		}
+		return nil
+	})
+}
+
+// runDark lets such a request come again too. With the disruption the workers go dark, without
+// it their processes crash.
+func runDark(r *record, trouble bool) (broken bool, err error) {
+	d := &deadly{dark: trouble}
+	return d.run(r, func() error {
+		d.sendDeadly("key-1", darkSends, darkAgain)
+		return nil
+	})
+}
+
+// runLeaves lets such a request come again too: it crashes its worker some time after it has
+// begun to run. With the disruption its client leaves before that.
+func runLeaves(r *record, trouble bool) (broken bool, err error) {
+	d := &deadly{crashAfter: 700 * time.Millisecond}
+	if trouble {
+		d.leaveAfter = 500 * time.Millisecond
+	}
+	return d.run(r, func() error {
+		d.sendDeadly("key-1", leaveSends, leaveAgain)
+		return nil
+	})
 }
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -179,6 +179,8 @@
 	n.cmd = exec.CommandContext(context.Background(), "target/skylarkloomd", "front")
 	n.cmd.Env = append(os.Environ(), "SKYLARKLOOM_SETTINGS="+settings)
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
+	// A node ends with this program, also if that is killed.
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return n.cmd.Start()
 }
 
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,6 +6,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // The exit codes.
@@ -17,10 +22,24 @@
 
 // cases are the cases by name. With trouble false they run without the disruption.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
+	"dark":   runDark,
 	"deadly": runDeadly,
+	"leaves": runLeaves,
 }
 
-func main() { os.Exit(run()) }
+func main() {
+	// The nodes end with the thread that started them.
+	runtime.LockOSThread()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	var group errgroup.Group
+	group.Go(func() error {
+		<-ended
+		os.Exit(exitNotRun)
+		return nil
+	})
+	os.Exit(run())
+}
 
 // run runs the case that the arguments name: its name and the path of its record.
 func run() int {
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// workTime is how long a plain worker works on a request: work ms of the sheet.
+const workTime = 30 * time.Millisecond
+
 // worker is a plain worker of a service. It may crash, and is back later as a new incarnation
 // with a new id at the same address.
 type worker struct {
@@ -26,8 +29,11 @@
 	id          string
 	incarnation int
 	server      *http.Server
+	listener    *silencer
 	up          bool
 	lastBeat    time.Time
+	// running holds the requests that the worker works on.
+	running map[string]bool
 }
 
 // start starts an incarnation of the worker and writes its entry.
@@ -41,14 +47,15 @@
 	if err != nil {
 		return err
 	}
+	listener := &silencer{Listener: l}
 	server := &http.Server{Handler: w}
 	w.mu.Lock()
 	w.address = l.Addr().String()
 	w.incarnation++
-	w.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(w.address[strings.LastIndex(w.address, ":")+1:], ":", ""), w.incarnation)
-	w.server, w.up = server, true
+	w.id = fmt.Sprintf("i-%s-%d", w.address[strings.LastIndex(w.address, ":")+1:], w.incarnation)
+	w.server, w.listener, w.up, w.running = server, listener, true, make(map[string]bool)
 	w.mu.Unlock()
-	w.fleet.group.Go(func() error { return server.Serve(l) })
+	w.fleet.group.Go(func() error { return server.Serve(listener) })
 	w.beat()
 	return nil
 }
@@ -75,17 +82,27 @@
 	w.fleet.store.Put("keyed.servers", w.id, entry)
 }
 
-// crash ends the worker as a crash of its process does: its connections are reset and its
-// address refuses new ones. It is back after a time.
-func (w *worker) crash(backAfter time.Duration) {
+// crash ends the worker, which is back after a time. As a process that crashes, it resets its
+// connections and its address refuses new ones. As a machine that goes dark, it sends nothing
+// any more, and new connections to it hang. It returns the other requests that it ran.
+func (w *worker) crash(dark bool, backAfter time.Duration) (lost []string) {
 	w.mu.Lock()
 	w.up = false
-	old, id, server := w.id, w.id, w.server
+	old, server, listener := w.id, w.server, w.listener
+	for id := range w.running {
+		lost = append(lost, id)
+	}
 	w.mu.Unlock()
-	if err := server.Close(); err != nil {
-		w.fleet.record.add("worker %s: %v", id, err)
+	if dark {
+		listener.silence()
+	} else {
+		w.end(server, old)
 	}
 	time.AfterFunc(backAfter, func() {
+		if dark {
+			listener.reset()
+			w.end(server, old)
+		}
 		// The entry of the former incarnation ends with the new one.
 		w.fleet.store.Put("keyed.servers", old, nil)
 		if err := w.start(); err != nil {
@@ -94,12 +111,20 @@
 		}
 		w.fleet.record.add("worker %s is back as %s", old, w.id)
 	})
+	return lost
+}
+
+// end closes a server with all its connections.
+func (w *worker) end(server *http.Server, id string) {
+	if err := server.Close(); err != nil {
+		w.fleet.record.add("worker %s: %v", id, err)
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	id := w.id
+	id, running := w.id, w.running
 	w.mu.Unlock()
 	if r.URL.Path == "/healthz" {
 		rw.Header().Set("Skylarkloom-Instance-Id", id)
@@ -118,23 +143,17 @@
 	if w.onRun(w, r, string(body)) {
 		panic(http.ErrAbortHandler)
 	}
+	w.mu.Lock()
+	running[request] = true
+	w.mu.Unlock()
+	time.Sleep(workTime)
+	w.mu.Lock()
+	delete(running, request)
+	w.mu.Unlock()
 	rw.Header().Set("Skylarkloom-Attempt-Id", request)
 	rw.Header().Set("Skylarkloom-Response-Seal", "seal."+id+"."+request)
-	if _, err := rw.Write([]byte("ran " + request)); err != nil {
-		w.fleet.record.add("worker %s could not answer: %v", id, err)
-	}
-}
-
-// beatAll writes the entries of workers when they are due, until the context ends.
-func beatAll(ctx context.Context, workers []*worker) {
-	for ctx.Err() == nil {
-		time.Sleep(heartbeatInterval / 4)
-		for _, w := range workers {
-			if !w.isUp() || w.beatDue() {
-				w.beat()
-			}
-		}
-	}
+	// A node that has closed the connection reads no answer.
+	_, _ = rw.Write([]byte("ran " + request))
 }
 
 // isUp reports whether the worker runs, beatDue whether its next heartbeat is due.
@@ -149,3 +168,15 @@
 	defer w.mu.Unlock()
 	return time.Since(w.lastBeat) >= heartbeatInterval
 }
+
+// beatAll writes the entries of workers when they are due, until the context ends.
+func beatAll(ctx context.Context, workers []*worker) {
+	for ctx.Err() == nil {
+		time.Sleep(heartbeatInterval / 4)
+		for _, w := range workers {
+			if !w.isUp() || w.beatDue() {
+				w.beat()
+			}
+		}
+	}
+}
