--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-rig-2 ./review/rig2
-# The stand-ins of review/8, review/9 and review/10.
+# The stand-ins of review/9 and review/10.
 go build -o target/review-rig-3 ./review/rig3
--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -35,8 +35,8 @@
 	darkAgain = 3500 * time.Millisecond
 	// leaveSends is how often the request comes from a client that leaves, and leaveAgain the
 	// time between.
-	leaveSends = 14
-	leaveAgain = 2500 * time.Millisecond
+	leaveSends = 32
+	leaveAgain = 2 * time.Second
 	// usualInterval is the time between two of the other requests.
 	usualInterval = 12 * time.Millisecond
 	deadlyWorkers = 3
@@ -85,8 +85,14 @@
 	d.reached = append(d.reached, time.Now())
 	id := w.id
 	d.mu.Unlock()
-	// The step of the engine that crashes it isn't interrupted by the end of the connection.
-	time.Sleep(d.crashAfter)
+	if w.workOn(r, d.crashAfter) {
+		d.mu.Lock()
+		d.lost = append(d.lost, nil)
+		d.mu.Unlock()
+		d.fleet.record.add("worker %s drops request %s, whose connection closed", id, r.Header.Get("Skylarkloom-Attempt-Id"))
+		// The connection is closed without an answer.
+		panic(http.ErrAbortHandler)
+	}
 	d.mu.Lock()
 	d.crashes = append(d.crashes, time.Now())
 	n := len(d.crashes)
@@ -198,7 +204,7 @@
 	}
 	workers := make([]*worker, deadlyWorkers)
 	for i := range workers {
-		workers[i] = &worker{fleet: f, service: "desk", zone: zoneName(i), onRun: d.onRun}
+		workers[i] = &worker{fleet: f, service: "desk", zone: zoneName(i), onRun: d.onRun, goesOn: i == 0}
 		if err = workers[i].start(); err != nil {
 			return false, err
 		}
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -24,6 +24,9 @@
 	address string
 	// onRun is called for each request that the worker begins to run.
 	onRun func(w *worker, r *http.Request, body string) (crash bool)
+	// goesOn reports whether the worker goes on with a request whose connection closes. Most
+	// workers drop it.
+	goesOn bool
 
 	mu          sync.Mutex
 	id          string
@@ -146,16 +149,34 @@
 	w.mu.Lock()
 	running[request] = true
 	w.mu.Unlock()
-	time.Sleep(workTime)
+	dropped := w.workOn(r, workTime)
 	w.mu.Lock()
 	delete(running, request)
 	w.mu.Unlock()
+	if dropped {
+		panic(http.ErrAbortHandler)
+	}
 	rw.Header().Set("Skylarkloom-Attempt-Id", request)
 	rw.Header().Set("Skylarkloom-Response-Seal", "seal."+id+"."+request)
 	// A node that has closed the connection reads no answer.
 	_, _ = rw.Write([]byte("ran " + request))
 }
 
+// workOn works on a request for a time. It reports whether the worker dropped the request
+// because its connection closed.
+func (w *worker) workOn(r *http.Request, took time.Duration) (dropped bool) {
+	if w.goesOn {
+		time.Sleep(took)
+		return false
+	}
+	select {
+	case <-time.After(took):
+		return false
+	case <-r.Context().Done():
+		return true
+	}
+}
+
 // isUp reports whether the worker runs, beatDue whether its next heartbeat is due.
 func (w *worker) isUp() bool {
 	w.mu.Lock()
